--- /dev/null
+++ b/ava.config.mjs
@@ -0,0 +1,6 @@
+export default {
+    files: ["dist/tests/**/*.test.js"],
+    timeout: "2m",
+    failFast: false,
+    concurrency: 4,
+};
--- /dev/null
+++ b/src/logEvent/logEvent.ts
@@ -0,0 +1,35 @@
+import { controlEvents } from "./controlEvents.js";
+import { entryEvents } from "./entryEvents.js";
+import { platformEvents } from "./platformEvents.js";
+import { processEvents } from "./processEvents.js";
+
+/** Severity of a log event. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** The constant properties of one log event. */
+export interface LogEventDefinition {
+    /** The number shown in each line, unique and never reused. */
+    readonly number: number;
+    readonly level: LogLevel;
+    /** One sentence that says what happened. */
+    readonly text: string;
+    /** Names of the fields that accompany the event. */
+    readonly fields: readonly string[];
+}
+
+/** Every log event, by identifier. */
+export const logEvents = {
+    ...processEvents,
+    ...controlEvents,
+    ...entryEvents,
+    ...platformEvents,
+} as const satisfies Readonly<Record<string, LogEventDefinition>>;
+
+/** Identifier of a log event. */
+export type LogEventId = keyof typeof logEvents;
+
+/** A value in a log line. */
+export type LogValue = string | number | boolean | undefined | readonly string[];
+
+/** The fields that an event carries; their names are checked at compile time. */
+export type LogFields<Id extends LogEventId> = Readonly<Record<(typeof logEvents)[Id]["fields"][number], LogValue>>;
--- /dev/null
+++ b/src/request/admissionQueue.ts
@@ -0,0 +1,51 @@
+import type { ResultCode } from "../resultCode/resultCode.js";
+import type { Milliseconds } from "../util/clock.js";
+import type { PendingRequest } from "./pendingRequest.js";
+
+/** What an entry knows of a pool's capacity at one moment. */
+export interface PoolCapacityView {
+    /** Requests that the pool's usable endpoints could start now, as seen by this entry. */
+    readonly freeSlots: number;
+    /** Estimated output tokens a second that the pool still makes for this entry. */
+    readonly tokensPerSecond: number;
+    /** Estimated requests a second that the pool completes for this entry. */
+    readonly requestsPerSecond: number;
+}
+
+/** A request that must be answered now with a refusal; no part of it was run. */
+export interface Refusal {
+    readonly request: PendingRequest;
+    readonly code: ResultCode;
+    /** When the caller should come back, in milliseconds from now. */
+    readonly retryAfter: Milliseconds;
+}
+
+/** What a finished request really used. */
+export interface ActualUse {
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly outputTokens: number;
+    /** From dispatch to the end, in milliseconds. */
+    readonly serviceTime: Milliseconds;
+}
+
+/** The requests of one pool at one entry that wait for an endpoint, and the order in which they go. */
+export abstract class AdmissionQueue {
+    /** Number of waiting requests. */
+    abstract get length(): number;
+
+    /** Takes a request in; returns the requests that must be refused for it, perhaps the request itself. */
+    abstract offer(request: PendingRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[];
+
+    /** Removes and returns the request that goes next, or undefined when none waits. */
+    abstract take(capacity: PoolCapacityView, now: Milliseconds): PendingRequest | undefined;
+
+    /** Removes a waiting request whose caller left or whose key was withdrawn; false when it does not wait. */
+    abstract remove(request: PendingRequest): boolean;
+
+    /** Returns the waiting requests that are refused because of the time that has passed. */
+    abstract sweep(capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[];
+
+    /** Records what a request that was taken really used. */
+    abstract complete(request: PendingRequest, use: ActualUse, now: Milliseconds): void;
+}
--- /dev/null
+++ b/src/util/randomSource.ts
@@ -0,0 +1,39 @@
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** A seeded source of random numbers; equal seeds give equal sequences. */
+export class RandomSource {
+    private readonly generator;
+
+    /** @param seed A 32-bit integer. */
+    constructor(seed: number) {
+        this.generator = xoroshiro128plus(seed);
+    }
+
+    /** A number that is uniform in [0, 1). */
+    float(): number {
+        return uniformFloat64(this.generator);
+    }
+
+    /** An integer that is uniform in [lowest, highest], both included. */
+    integer(lowest: number, highest: number): number {
+        return uniformInt(this.generator, lowest, highest);
+    }
+
+    /** An exponentially distributed number with the given mean. */
+    exponential(mean: number): number {
+        return -mean * Math.log(1 - this.float());
+    }
+
+    /**
+     * A log-normally distributed number.
+     *
+     * @param median The median of the distribution.
+     * @param sigma The standard deviation of the logarithm.
+     */
+    logNormal(median: number, sigma: number): number {
+        const radius = Math.sqrt(-2 * Math.log(1 - this.float()));
+        return median * Math.exp(sigma * radius * Math.cos(2 * Math.PI * this.float()));
+    }
+}
