--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,6 +27,7 @@
                     leadingUnderscore: "forbid",
                 },
             ],
+            "@typescript-eslint/no-unnecessary-type-parameters": "off",
             "@typescript-eslint/prefer-readonly": "error",
             "@typescript-eslint/restrict-template-expressions": ["error", { allowNumber: true, allowBoolean: true }],
             "@typescript-eslint/no-extraneous-class": "off",
