--- /dev/null
+++ b/src/version/applyConfigurationChange.ts
@@ -0,0 +1,30 @@
+import { match } from "ts-pattern";
+import { applyManifestChange } from "./applyManifestChange.js";
+import type { ConfigurationSnapshot, VersionedChange } from "./configurationChange.js";
+import { withoutKeys } from "./withoutKeys.js";
+
+/** The configuration that a change leads to. The change must belong to the next version. */
+export function applyConfigurationChange(
+    before: ConfigurationSnapshot,
+    versioned: VersionedChange,
+): ConfigurationSnapshot {
+    if (versioned.version !== before.version + 1) {
+        throw new Error(`Change ${versioned.version} does not follow version ${before.version}.`);
+    }
+    const next = { ...before, version: versioned.version };
+    return match(versioned.change)
+        .with({ kind: "manifest" }, ({ number, change }) => ({
+            ...next,
+            manifest: applyManifestChange(before.manifest, number, change),
+        }))
+        .with({ kind: "keyIssued" }, ({ team, key }) => ({
+            ...next,
+            issuedKeys: [...before.issuedKeys, { team, key }],
+        }))
+        .with({ kind: "keyWithdrawn" }, ({ digest }) => ({
+            ...next,
+            issuedKeys: before.issuedKeys.filter(issued => issued.key.digest !== digest),
+            manifest: before.manifest === undefined ? undefined : withoutKeys(before.manifest, new Set([digest])),
+        }))
+        .exhaustive();
+}
--- /dev/null
+++ b/src/version/readManifest.ts
@@ -0,0 +1,26 @@
+import type { Failure } from "../resultCode/resultCode.js";
+import { JsonDocument } from "../settings/jsonDocument.js";
+import { Err, Ok } from "../util/result.js";
+import type { Result } from "../util/result.js";
+import { manifestSchema } from "./manifest.js";
+import type { Manifest } from "./manifest.js";
+import { manifestReferences } from "./manifestReferences.js";
+
+/**
+ * Reads a manifest from JSON with comments and checks it as a whole.
+ *
+ * @param file Name shown in failures.
+ * @returns The manifest, or every fault with its line, path and code.
+ */
+export function readManifest(file: string, text: string): Result<Manifest, readonly Failure[]> {
+    const document = JsonDocument.parse(file, text);
+    if (document.err) {
+        return document;
+    }
+    const manifest = document.val.validate(manifestSchema);
+    if (manifest.err) {
+        return manifest;
+    }
+    const failures = manifestReferences(document.val, manifest.val);
+    return failures.length > 0 ? Err(failures) : Ok(manifest.val);
+}
