--- /dev/null
+++ b/src/connection/entryMessages.ts
@@ -0,0 +1,77 @@
+import { z } from "zod";
+import type { ConfigurationSnapshot, VersionedChange } from "../version/configurationChange.js";
+
+/** Version of the protocol between entries and control processes. */
+export const entryProtocolVersion = 1;
+
+const count = z.int().min(0);
+const shortText = z.string().max(256);
+
+/** What an entry tells of itself with each permit request. */
+export const entryStatusSchema = z.strictObject({
+    draining: z.boolean(),
+    runningRequests: count,
+    waitingRequests: count,
+}).readonly();
+
+/** Messages from an entry to a control process. */
+export const entryToControlSchema = z.discriminatedUnion("kind", [
+    z.strictObject({
+        kind: z.literal("hello"),
+        protocol: z.int(),
+        cluster: shortText,
+        entry: shortText,
+        /** Differs at each start of the entry's process. */
+        incarnation: shortText,
+        failureDomain: shortText,
+        callerAddress: shortText,
+        /** Version of the configuration that the entry holds; 0 for none. */
+        version: count,
+    }),
+    z.strictObject({
+        kind: z.literal("permitRequest"),
+        number: count,
+        /** Version that is in force at the entry. */
+        version: count,
+        status: entryStatusSchema,
+    }),
+]);
+
+/** What an entry tells of itself with each permit request. */
+export type EntryStatus = z.output<typeof entryStatusSchema>;
+
+/** A message from an entry to a control process. */
+export type EntryToControl = z.output<typeof entryToControlSchema>;
+
+/** An entry as callers and other entries see it. */
+export interface EntryListing {
+    readonly entry: string;
+    readonly callerAddress: string;
+    readonly failureDomain: string;
+    readonly draining: boolean;
+    /** Running and waiting requests. */
+    readonly load: number;
+}
+
+/** A message from a control process to an entry; the entry trusts its control processes. */
+export type ControlToEntry =
+    /** The connection is refused; the code is a result code's number. */
+    | { readonly kind: "refused"; readonly code: number; }
+    /** This process is not the leader; the address is the leader's, where known. */
+    | { readonly kind: "redirect"; readonly leaderAddress: string | undefined; }
+    /** Bytes of an encoded {@link ConfigurationSnapshot}; the last part completes it. */
+    | { readonly kind: "snapshotPart"; readonly bytes: Uint8Array; readonly last: boolean; }
+    | { readonly kind: "changes"; readonly changes: readonly VersionedChange[]; }
+    | {
+        readonly kind: "permit";
+        readonly number: number;
+        /** The entry may serve only with this version or a later one. */
+        readonly version: number;
+        /** Length of the permit, counted from when its request was sent. */
+        readonly validMilliseconds: number;
+        /** Present when the list has changed since the last permit on this connection. */
+        readonly entries: readonly EntryListing[] | undefined;
+    };
+
+/** The decoded form of the parts of a snapshot. */
+export type TransferredSnapshot = ConfigurationSnapshot;
--- /dev/null
+++ b/src/connection/httpAnswer.ts
@@ -0,0 +1,59 @@
+import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { definitionOf, describeFailure } from "../resultCode/resultCode.js";
+import type { Failure } from "../resultCode/resultCode.js";
+
+/** The JSON body of a failure. */
+export interface FailureBody {
+    readonly error: {
+        /** Number of the result code, as `GH1301`. */
+        readonly code: string;
+        /** Identifier of the result code. */
+        readonly type: string;
+        readonly message: string;
+        /** What is known about the execution; absent where no request was involved. */
+        readonly outcome?: string | undefined;
+        /** Further failures, where a document has several faults. */
+        readonly faults?: readonly string[] | undefined;
+    };
+}
+
+/** The JSON form of a failure. */
+export function failureBody(reported: Failure, faults?: readonly Failure[]): FailureBody {
+    const definition = definitionOf(reported.code);
+    return {
+        error: {
+            code: `GH${definition.number}`,
+            type: reported.code,
+            message: describeFailure(reported),
+            outcome: definition.outcome,
+            faults: faults?.map(describeFailure),
+        },
+    };
+}
+
+/** Answers with JSON; does nothing when the answer has begun or the connection is gone. */
+export function answerJson(
+    response: ServerResponse,
+    status: number,
+    body: unknown,
+    headers: OutgoingHttpHeaders = {},
+): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const bytes = Buffer.from(JSON.stringify(body));
+    response.writeHead(status, { "content-type": "application/json", "content-length": bytes.length, ...headers });
+    response.end(bytes);
+}
+
+/** Answers with a numbered failure. */
+export function answerFailure(
+    response: ServerResponse,
+    reported: Failure,
+    headers: OutgoingHttpHeaders = {},
+    faults?: readonly Failure[],
+): void {
+    const definition = definitionOf(reported.code);
+    const outcome = definition.outcome === undefined ? {} : { "x-outcome": definition.outcome };
+    answerJson(response, definition.httpStatus, failureBody(reported, faults), { ...outcome, ...headers });
+}
--- a/src/connection/messageConnection.ts
+++ b/src/connection/messageConnection.ts
@@ -1,4 +1,3 @@
-import { on } from "node:events";
 import type { Socket } from "node:net";
 import type { Failure } from "../resultCode/resultCode.js";
 import { encodeFrame, FrameReader, maximumFrameBytes } from "./frameCodec.js";
@@ -49,13 +48,9 @@
 
     /** The received messages, not yet validated, until the connection ends or its stream is at fault. */
     async *messages(): AsyncGenerator<unknown, void, undefined> {
-        const chunks = on(this.socket, "data", { close: ["close", "end"] }) as AsyncIterable<[Buffer]>;
-        if (this.socket.destroyed) {
-            return;
-        }
         try {
-            for await (const [chunk] of chunks) {
-                const received = this.reader.push(chunk);
+            for await (const chunk of this.socket) {
+                const received = this.reader.push(chunk as Buffer);
                 if (received.err) {
                     this.faultOfStream = received.val;
                     return;
@@ -64,7 +59,7 @@
             }
         }
         catch {
-            // The socket's own error ends the stream; the "close" event has the same effect.
+            // An error of the socket ends the stream like an orderly close.
         }
         finally {
             this.socket.destroy();
--- a/src/logEvent/controlEvents.ts
+++ b/src/logEvent/controlEvents.ts
@@ -18,7 +18,7 @@
         number: 2111,
         level: "info",
         text: "A key was withdrawn.",
-        fields: ["team", "keyName", "operator", "version"],
+        fields: ["digest", "operator", "version"],
     },
     connectionRejected: {
         number: 2120,
--- /dev/null
+++ b/src/process/control/configurationService.ts
@@ -0,0 +1,126 @@
+import type { EventLog } from "../../logEvent/eventLog.js";
+import type { Failure } from "../../resultCode/resultCode.js";
+import { failure } from "../../resultCode/resultCode.js";
+import { canonicalDigest } from "../../util/canonicalDigest.js";
+import type { Clock } from "../../util/clock.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import type { Key, Manifest } from "../../version/manifest.js";
+import { manifestDifference } from "../../version/manifestDifference.js";
+import { readManifest } from "../../version/readManifest.js";
+import { withoutKeys } from "../../version/withoutKeys.js";
+import type { CommandLog } from "../replicatedLog/commandLog.js";
+import type { ConfigurationCommand, ConfigurationOutcome } from "../state/configurationCommand.js";
+import type { ControlCommand, ControlOutcome, ControlState } from "../state/controlState.js";
+
+/** Attempts to place a manifest when other changes come between. */
+const maximumRebases = 50;
+
+/** An accepted change. */
+export interface Acceptance {
+    /** Version from which the change is in force. */
+    readonly version: number;
+    /** Whether the same change had been accepted before. */
+    readonly repeated: boolean;
+}
+
+/** What the service uses. */
+export interface ConfigurationServiceOptions {
+    readonly state: ControlState;
+    readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+/** Takes the operators' changes of the configuration to the replicated log. */
+export class ConfigurationService {
+    constructor(private readonly options: ConfigurationServiceOptions) {}
+
+    /** Checks a manifest as a whole and has it accepted, or lists every fault. */
+    async submit(file: string, text: string, operator: string): Promise<Result<Acceptance, readonly Failure[]>> {
+        const manifest = readManifest(file, text);
+        if (manifest.err) {
+            return manifest;
+        }
+        const digest = canonicalDigest(manifest.val);
+        const accepted = await this.place(manifest.val, digest, operator);
+        if (accepted.err) {
+            return Err([accepted.val]);
+        }
+        const { version } = accepted.val;
+        const fields = { manifestNumber: manifest.val.number, digest, operator, version };
+        this.options.eventLog.write("manifestAccepted", fields);
+        return accepted;
+    }
+
+    /** Issues a key beside the manifest. */
+    async issueKey(team: string, key: Key, operator: string): Promise<Result<Acceptance, Failure>> {
+        const outcome = await this.propose({ kind: "issueKey", team, key, origin: this.originOf(operator) });
+        return outcome.err ? outcome : acceptanceOf(outcome.val);
+    }
+
+    /** Withdraws a key for ever. */
+    async withdrawKey(digest: string, operator: string): Promise<Result<Acceptance, Failure>> {
+        const outcome = await this.propose({ kind: "withdrawKey", digest, origin: this.originOf(operator) });
+        if (outcome.err) {
+            return outcome;
+        }
+        const accepted = acceptanceOf(outcome.val);
+        if (accepted.ok) {
+            this.options.eventLog.write("keyWithdrawn", { digest, operator, version: accepted.val.version });
+        }
+        return accepted;
+    }
+
+    private async place(manifest: Manifest, digest: string, operator: string): Promise<Result<Acceptance, Failure>> {
+        for (let attempt = 0; attempt < maximumRebases; attempt++) {
+            const outcome = await this.propose(this.submission(manifest, digest, operator));
+            if (outcome.err) {
+                return outcome;
+            }
+            if (outcome.val.kind !== "rebase") {
+                return acceptanceOf(outcome.val);
+            }
+        }
+        return Err(failure("quorumUnavailable"));
+    }
+
+    private submission(manifest: Manifest, digest: string, operator: string): ConfigurationCommand {
+        const section = this.options.state.configuration;
+        const effective = withoutKeys(manifest, section.withdrawnDigests);
+        return {
+            kind: "submitManifest",
+            number: manifest.number,
+            digest,
+            baseVersion: section.current.version,
+            change: manifestDifference(section.current.manifest, effective),
+            origin: this.originOf(operator),
+        };
+    }
+
+    private originOf(operator: string): ConfigurationCommand["origin"] {
+        return { operator, receivedAt: this.options.clock.unixNow() };
+    }
+
+    private async propose(command: ConfigurationCommand): Promise<Result<ConfigurationOutcome, Failure>> {
+        const committed = await this.options.commandLog.propose({ section: "configuration", command });
+        return committed.err ? committed : Ok(committed.val.outcome.outcome);
+    }
+}
+
+function acceptanceOf(outcome: ConfigurationOutcome): Result<Acceptance, Failure> {
+    switch (outcome.kind) {
+        case "accepted":
+            return Ok({ version: outcome.version, repeated: outcome.repeated });
+        case "conflict":
+            return Err(failure("manifestConflict", { number: outcome.number }));
+        case "stale":
+            return Err(failure("manifestStale", { number: outcome.number, current: outcome.current }));
+        case "unknownTeam":
+            return Err(failure("teamUnknown", { team: outcome.team }));
+        case "keyWasWithdrawn":
+            return Err(failure("keyWasWithdrawn"));
+        case "rebase":
+            return Err(failure("quorumUnavailable"));
+    }
+}
--- /dev/null
+++ b/src/process/control/entryTable.ts
@@ -0,0 +1,97 @@
+import type { EntryListing, EntryStatus } from "../../connection/entryMessages.js";
+import type { Milliseconds } from "../../util/clock.js";
+
+/** Longest time for which a permit lets an entry serve, in milliseconds from the sending of its request. */
+export const permitMilliseconds = 4000;
+
+/** What the leader knows of one process of an entry. */
+export interface EntryRecord {
+    readonly entry: string;
+    readonly incarnation: string;
+    readonly failureDomain: string;
+    readonly callerAddress: string;
+    /** Version that the entry last reported as in force. */
+    readonly version: number;
+    readonly status: EntryStatus;
+    /** When its last permit certainly ends, in monotonic milliseconds. */
+    readonly permitEndsAt: Milliseconds;
+    readonly connected: boolean;
+}
+
+/** The entries that may serve, as the leader sees them. */
+export class EntryTable {
+    private readonly records = new Map<string, EntryRecord>();
+    private listingNumber = 0;
+
+    /** Rises whenever a listing changes. */
+    get listingVersion(): number {
+        return this.listingNumber;
+    }
+
+    /** Every known entry whose permit may still hold. */
+    all(now: Milliseconds): readonly EntryRecord[] {
+        this.forget(now);
+        return [...this.records.values()];
+    }
+
+    /** Records what a connected entry tells of itself. */
+    report(record: EntryRecord): void {
+        const key = recordKey(record.entry, record.incarnation);
+        const before = this.records.get(key);
+        this.records.set(key, record);
+        if (before === undefined || differs(before, record)) {
+            this.listingNumber++;
+        }
+    }
+
+    /** Records that an entry's connection has ended; it may serve until its permit ends. */
+    disconnect(entry: string, incarnation: string): void {
+        const key = recordKey(entry, incarnation);
+        const before = this.records.get(key);
+        if (before !== undefined) {
+            this.records.set(key, { ...before, connected: false });
+            this.listingNumber++;
+        }
+    }
+
+    /** The connected entries for discovery. */
+    listings(): readonly EntryListing[] {
+        const connected = [...this.records.values()].filter(record => record.connected);
+        return connected.map(record => ({
+            entry: record.entry,
+            callerAddress: record.callerAddress,
+            failureDomain: record.failureDomain,
+            draining: record.status.draining,
+            load: record.status.runningRequests + record.status.waitingRequests,
+        }));
+    }
+
+    /** The entries that may still serve with a version older than the given one. */
+    behind(version: number, now: Milliseconds): readonly EntryRecord[] {
+        return this.all(now).filter(record => record.version < version && record.permitEndsAt > now);
+    }
+
+    private forget(now: Milliseconds): void {
+        for (const [key, record] of this.records) {
+            if (!record.connected && record.permitEndsAt <= now) {
+                this.records.delete(key);
+            }
+        }
+    }
+}
+
+function recordKey(entry: string, incarnation: string): string {
+    return `${entry}/${incarnation}`;
+}
+
+function differs(before: EntryRecord, after: EntryRecord): boolean {
+    return before.connected !== after.connected
+        || before.status.draining !== after.status.draining
+        || before.callerAddress !== after.callerAddress
+        || loadBand(before) !== loadBand(after);
+}
+
+/** Coarse load: the power of two at or above it, so that listings change seldom. */
+function loadBand(record: EntryRecord): number {
+    return Math.ceil(Math.log2(1 + record.status.runningRequests + record.status.waitingRequests));
+}
--- /dev/null
+++ b/src/process/replicatedLog/volatileCommandLog.ts
@@ -0,0 +1,32 @@
+import type { Failure } from "../../resultCode/resultCode.js";
+import { Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import { CommandLog } from "./commandLog.js";
+import type { CommittedCommand, FencingToken, StateMachine } from "./commandLog.js";
+
+/** A log of a single process that keeps nothing over a restart; for tests of the log's users. */
+export class VolatileCommandLog<Command, Outcome> extends CommandLog<Command, Outcome> {
+    private position = 0;
+
+    constructor(private readonly stateMachine: StateMachine<Command, Outcome>) {
+        super();
+    }
+
+    override propose(command: Command): Promise<Result<CommittedCommand<Outcome>, Failure>> {
+        this.position++;
+        const outcome = this.stateMachine.apply(command, this.position);
+        return Promise.resolve(Ok({ position: this.position, outcome }));
+    }
+
+    override confirmPosition(): Promise<Result<number, Failure>> {
+        return Promise.resolve(Ok(this.position));
+    }
+
+    override lease(): FencingToken | undefined {
+        return { fencingNumber: 1 };
+    }
+
+    override leaderAddress(): string | undefined {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/util/socketAddress.ts
@@ -0,0 +1,32 @@
+import type { AddressInfo, Server } from "node:net";
+
+/** The host and port of an address. */
+export interface HostAndPort {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Splits `host:port`; IPv6 hosts stand in brackets. */
+export function splitAddress(address: string): HostAndPort {
+    const separator = address.lastIndexOf(":");
+    const host = address.slice(0, separator).replace(/^\[|\]$/g, "");
+    return { host, port: Number(address.slice(separator + 1)) };
+}
+
+/** The address a listening server is bound to, as `host:port`. */
+export function boundAddress(server: Server): string {
+    const { address, port, family } = server.address() as AddressInfo;
+    return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
+}
+
+/** Starts listening; resolves with the bound address, rejects when the address cannot be used. */
+export function listen(server: Server, address: string): Promise<string> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => {
+            server.removeListener("error", reject);
+            resolve(boundAddress(server));
+        });
+    });
+}
