--- a/src/logEvent/entryEvents.ts
+++ b/src/logEvent/entryEvents.ts
@@ -26,4 +26,28 @@
         text: "The permit to serve has lapsed.",
         fields: ["version"],
     },
+    pressureBegan: {
+        number: 2220,
+        level: "warn",
+        text: "Requests of a tier can no longer all be served in time.",
+        fields: ["pool", "tier", "queued"],
+    },
+    pressureEnded: {
+        number: 2221,
+        level: "info",
+        text: "Requests of a tier can be served in time again.",
+        fields: ["pool", "tier"],
+    },
+    requestPreempted: {
+        number: 2222,
+        level: "info",
+        text: "A running request was interrupted for one of a higher tier; it will be resumed.",
+        fields: ["requestId", "pool", "tier", "forTier"],
+    },
+    neighbourSummaryStale: {
+        number: 2223,
+        level: "warn",
+        text: "The summary of the other entries is too old; admission is decided without it.",
+        fields: ["pool", "age"],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/request/admissionQueue.ts
+++ b/src/request/admissionQueue.ts
@@ -29,6 +29,13 @@
     readonly serviceTime: Milliseconds;
 }
 
+/** A running request that is to be interrupted and given back to the queue. */
+export interface Preemption {
+    readonly request: PendingRequest;
+    /** The tier for whose sake it is interrupted; always more important than the request's own. */
+    readonly forTier: number;
+}
+
 /** The requests of one pool at one entry that wait for an endpoint, and the order in which they go. */
 export abstract class AdmissionQueue {
     /** Number of waiting requests. */
@@ -48,4 +55,16 @@
 
     /** Records what a request that was taken really used. */
     abstract complete(request: PendingRequest, use: ActualUse, now: Milliseconds): void;
+
+    /** Releases a request that was taken and ended without use: its caller left or every endpoint failed. */
+    abstract abandon(request: PendingRequest, now: Milliseconds): void;
+
+    /** Takes back a request that was taken and preempted; it waits to be resumed and is never refused. */
+    abstract requeue(request: PendingRequest, now: Milliseconds): void;
+
+    /** Removes every waiting request of a withdrawn key; each must be answered at once. */
+    abstract withdrawKey(team: string, keyName: string): readonly Refusal[];
+
+    /** The running requests to interrupt now, so that more important ones meet their targets. */
+    abstract choosePreemptions(capacity: PoolCapacityView, now: Milliseconds): readonly Preemption[];
 }
--- /dev/null
+++ b/tests/request/admission/firstComeQueue.test.ts
@@ -0,0 +1,47 @@
+import { FirstComeQueue } from "../../../src/request/admission/firstComeQueue.js";
+import { describe, it } from "../../describe.js";
+import { classOf, requestOf, tenASecond } from "./requestBuilder.js";
+
+describe("FirstComeQueue", () => {
+    const first = requestOf("first", classOf(5));
+    const second = requestOf("second", classOf(0), { keyName: "key-b" });
+    const third = requestOf("third", classOf(0));
+
+    it("serves in the order of arrival, whatever the tier", t => {
+        const queue = new FirstComeQueue();
+        queue.offer(first, tenASecond);
+        queue.offer(second, tenASecond);
+        t.deepEqual([queue.take(), queue.take(), queue.take()], [first, second, undefined]);
+    });
+
+    it("refuses the newcomer when it is full and says when to come back", t => {
+        const queue = new FirstComeQueue(2);
+        queue.offer(first, tenASecond);
+        queue.offer(second, tenASecond);
+        t.deepEqual(queue.offer(third, { ...tenASecond, requestsPerSecond: 0.5 }), [
+            { request: third, code: "queueFull", retryAfter: 4_000 },
+        ]);
+    });
+
+    it("refuses what has waited as long as its class allows", t => {
+        const queue = new FirstComeQueue();
+        queue.offer(first, tenASecond);
+        t.deepEqual(queue.sweep(tenASecond, 9_999), []);
+        t.deepEqual(queue.sweep(tenASecond, 10_000).map(refusal => refusal.code), ["waitTooLong"]);
+        t.is(queue.length, 0);
+    });
+
+    it("removes the requests of a withdrawn key and no others", t => {
+        const queue = new FirstComeQueue();
+        [first, second, third].forEach(request => queue.offer(request, tenASecond));
+        t.deepEqual(queue.withdrawKey("team-a", "key-a").map(refusal => refusal.request), [first, third]);
+        t.is(queue.take(), second);
+    });
+
+    it("resumes a preempted request first", t => {
+        const queue = new FirstComeQueue();
+        queue.offer(first, tenASecond);
+        queue.requeue(second);
+        t.is(queue.take(), second);
+    });
+});
--- /dev/null
+++ b/tests/request/admission/requestBuilder.ts
@@ -0,0 +1,40 @@
+import type { PoolCapacityView } from "../../../src/request/admissionQueue.js";
+import type { PendingRequest } from "../../../src/request/pendingRequest.js";
+import type { RequestClass } from "../../../src/version/manifest.js";
+
+/** A pool that serves ten requests and a thousand tokens a second. */
+export const tenASecond: PoolCapacityView = { freeSlots: 1, tokensPerSecond: 1_000, requestsPerSecond: 10 };
+
+/** A class with a target of ten seconds. */
+export function classOf(tier: number, changes: Partial<RequestClass> = {}): RequestClass {
+    return {
+        name: `class-${tier}`,
+        tier,
+        weight: 1,
+        target: { totalMilliseconds: 10_000 },
+        preemptible: false,
+        maximumOutputTokens: 100,
+        ...changes,
+    };
+}
+
+/** A request of 100 prompt tokens that arrives at time 0. */
+export function requestOf(
+    id: string,
+    requestClass: RequestClass,
+    changes: Partial<PendingRequest> = {},
+): PendingRequest {
+    return {
+        id,
+        team: "team-a",
+        keyName: "key-a",
+        requestClass,
+        pool: "pool",
+        arrivedAt: 0,
+        promptTokens: 100,
+        maximumOutputTokens: 100,
+        prefixDigest: "",
+        idempotent: true,
+        ...changes,
+    };
+}
