feat(entry): serve callers from a followed configuration

Cause: the thin path needs an entry. Change: gullhall-entry follows the leader by version, holds a permit, answers discovery, queues and dispatches model calls (tokens checked by number, resumed on a break) and service calls.

--- /dev/null
+++ b/src/bin/gullhallEntry.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/** `gullhall-entry`: takes callers' requests and sends them to endpoints. */
+import { EntryProcess } from "../process/entry/entryProcess.js";
+import { entrySettingsSchema } from "../settings/entrySettings.js";
+import { readSettings } from "../settings/readSettings.js";
+import { runProgram } from "./runProgram.js";
+import { serverArguments } from "./serverArguments.js";
+
+const commandLine = await serverArguments("gullhall-entry", "Takes callers' requests and sends them to endpoints.");
+await runProgram({
+    role: "entry",
+    version: commandLine.version,
+    settings: await readSettings(commandLine.settings, entrySettingsSchema),
+    checkOnly: commandLine.checkSettings,
+    create: (settings, clock, eventLog) => new EntryProcess(settings, clock, eventLog),
+});
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -117,8 +117,8 @@
         }
         const [first] = accepted.val;
         const faults = accepted.val;
-        const single = faults.length === 1 && first !== undefined && first.code.startsWith("manifest");
-        const summary = single ? first : failure("manifestInvalid", { count: faults.length });
+        const decided = faults.length === 1 && first?.code.startsWith("manifest") === true;
+        const summary = decided ? first : failure("manifestInvalid", { count: faults.length });
         const unavailable = faults.find(({ code }) => code === "quorumUnavailable" || code === "notLeader");
         answerFailure(response, unavailable ?? summary, {}, faults);
     }
--- /dev/null
+++ b/src/connection/entry/controlConnection.ts
@@ -0,0 +1,161 @@
+import { Decoder } from "cbor-x";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { match } from "ts-pattern";
+import type { EntryConfiguration } from "../../process/entry/entryConfiguration.js";
+import type { ServingPermit } from "../../process/entry/servingPermit.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { splitAddress } from "../../util/socketAddress.js";
+import type { ConfigurationSnapshot } from "../../version/configurationChange.js";
+import { entryProtocolVersion } from "../entryMessages.js";
+import type { ControlToEntry, EntryListing, EntryStatus, EntryToControl } from "../entryMessages.js";
+import { MessageConnection } from "../messageConnection.js";
+
+/** How often an entry asks for a new permit, in milliseconds. */
+const permitInterval: Milliseconds = 400;
+
+/** Longest wait for a connection or for an answer, in milliseconds. */
+const answerTimeout: Milliseconds = 1500;
+
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** Who an entry is, as it tells control processes. */
+export interface EntryIdentity {
+    readonly cluster: string;
+    readonly entry: string;
+    readonly incarnation: string;
+    readonly failureDomain: string;
+    readonly callerAddress: string;
+}
+
+/** What a connection to a control process works on. */
+export interface ControlConnectionContext {
+    readonly identity: EntryIdentity;
+    readonly clock: Clock;
+    readonly configuration: EntryConfiguration;
+    readonly permit: ServingPermit;
+    readonly status: () => EntryStatus;
+    readonly onListing: (entries: readonly EntryListing[]) => void;
+}
+
+/** Why a connection to a control process has ended. */
+export interface ControlConnectionEnd {
+    /** Address of the leader's port for entries, when the other side named it. */
+    readonly leaderAddress: string | undefined;
+}
+
+/** One connection of an entry to a control process: follows the configuration and renews the permit. */
+export class ControlConnection {
+    private readonly socket: Socket;
+    private readonly connection: MessageConnection;
+    private readonly ended = new AbortController();
+    private readonly sentAt = new Map<number, Milliseconds>();
+    private readonly parts: Uint8Array[] = [];
+    private nextNumber = 1;
+    private leaderAddress: string | undefined;
+
+    constructor(
+        address: string,
+        private readonly context: ControlConnectionContext,
+        private readonly stop: AbortSignal,
+    ) {
+        this.socket = connect(splitAddress(address));
+        this.connection = new MessageConnection(this.socket);
+    }
+
+    /** Serves the connection until it ends, stays silent for too long, or names another leader. */
+    async run(): Promise<ControlConnectionEnd> {
+        const close = (): void => {
+            this.socket.destroy();
+        };
+        this.stop.addEventListener("abort", close, { once: true });
+        this.socket.setTimeout(answerTimeout, close);
+        this.greet();
+        const renewing = this.renew();
+        try {
+            for await (const message of this.connection.messages()) {
+                if (!this.handle(message as ControlToEntry)) {
+                    break;
+                }
+            }
+        }
+        finally {
+            this.ended.abort();
+            this.stop.removeEventListener("abort", close);
+            close();
+        }
+        await renewing;
+        return { leaderAddress: this.leaderAddress };
+    }
+
+    private send(message: EntryToControl): void {
+        this.connection.send(message);
+    }
+
+    private greet(): void {
+        const version = this.context.configuration.current.version;
+        this.send({ kind: "hello", protocol: entryProtocolVersion, ...this.context.identity, version });
+    }
+
+    private async renew(): Promise<void> {
+        const { clock, configuration, status } = this.context;
+        while (!this.ended.signal.aborted) {
+            const number = this.nextNumber++;
+            this.sentAt.set(number, clock.now());
+            this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
+            await clock.sleep(permitInterval, this.ended.signal);
+        }
+    }
+
+    /** @returns Whether the connection is still of use. */
+    private handle(message: ControlToEntry): boolean {
+        return match(message)
+            .with({ kind: "refused" }, () => false)
+            .with({ kind: "redirect" }, ({ leaderAddress }) => {
+                this.leaderAddress = leaderAddress;
+                return false;
+            })
+            .with({ kind: "snapshotPart" }, part => {
+                this.takePart(part.bytes, part.last);
+                return true;
+            })
+            .with({ kind: "changes" }, ({ changes }) => {
+                const followed = this.context.configuration.apply(changes);
+                this.reportVersion();
+                return followed;
+            })
+            .with({ kind: "permit" }, permit => {
+                this.takePermit(permit);
+                return true;
+            })
+            .exhaustive();
+    }
+
+    private takePart(bytes: Uint8Array, last: boolean): void {
+        this.parts.push(bytes);
+        if (last) {
+            const whole = Buffer.concat(this.parts.splice(0));
+            this.context.configuration.replace(decoder.decode(whole) as ConfigurationSnapshot);
+            this.reportVersion();
+        }
+    }
+
+    /** Tells the control process at once that a version is in force, ahead of the next regular request. */
+    private reportVersion(): void {
+        const number = this.nextNumber++;
+        this.sentAt.set(number, this.context.clock.now());
+        const { configuration, status } = this.context;
+        this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
+    }
+
+    private takePermit(permit: Extract<ControlToEntry, { kind: "permit"; }>): void {
+        const sentAt = this.sentAt.get(permit.number);
+        this.sentAt.delete(permit.number);
+        if (sentAt !== undefined) {
+            this.context.permit.grant(sentAt, permit.validMilliseconds, permit.version);
+        }
+        if (permit.entries !== undefined) {
+            this.context.onListing(permit.entries);
+        }
+    }
+}
--- a/src/connection/httpAnswer.ts
+++ b/src/connection/httpAnswer.ts
@@ -1,6 +1,7 @@
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { definitionOf, describeFailure } from "../resultCode/resultCode.js";
 import type { Failure } from "../resultCode/resultCode.js";
+import type { Milliseconds } from "../util/clock.js";
 
 /** The JSON body of a failure. */
 export interface FailureBody {
@@ -57,3 +58,8 @@
     const outcome = definition.outcome === undefined ? {} : { "x-outcome": definition.outcome };
     answerJson(response, definition.httpStatus, failureBody(reported, faults), { ...outcome, ...headers });
 }
+
+/** The `retry-after` header, in whole seconds; no header where waiting does not help. */
+export function retryAfterHeader(retryAfter: Milliseconds | undefined): Readonly<Record<string, string>> {
+    return retryAfter === undefined ? {} : { "retry-after": String(Math.ceil(retryAfter / 1000)) };
+}
--- /dev/null
+++ b/src/process/entry/entryProcess.ts
@@ -0,0 +1,89 @@
+import { createServer } from "node:http";
+import { CallerServer, discoverySeconds } from "../../connection/entry/callerServer.js";
+import type { EventLog } from "../../logEvent/eventLog.js";
+import type { EntrySettings } from "../../settings/entrySettings.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { DisposableStore } from "../../util/disposableStore.js";
+import { listen } from "../../util/socketAddress.js";
+import { keepControlLink } from "./controlLink.js";
+import { EntryProcessState } from "./entryProcessState.js";
+
+/** How often waiting requests are looked at for those whose time has run out, in milliseconds. */
+const sweepInterval: Milliseconds = 50;
+
+/** The addresses at which an entry serves. */
+export interface EntryAddresses {
+    readonly callerAddress: string;
+    readonly metricsAddress: string;
+}
+
+/** An entry process: takes callers' requests and sends them to endpoints. */
+export class EntryProcess implements AsyncDisposable {
+    private readonly store = new DisposableStore();
+    private readonly stopping = new AbortController();
+    private readonly state: EntryProcessState;
+
+    constructor(private readonly settings: EntrySettings, private readonly clock: Clock, eventLog: EventLog) {
+        this.state = this.store.add(new EntryProcessState(settings, clock, eventLog, discoverySeconds));
+    }
+
+    /** Starts to serve; resolves with the bound addresses. */
+    async start(): Promise<EntryAddresses> {
+        const metricsAddress = await this.listenForMetrics();
+        const callerServer = new CallerServer(this.state);
+        const callerAddress = await callerServer.start();
+        const tasks = [this.followControl(callerAddress), this.sweepQueues()];
+        this.store.defer(async () => {
+            this.stopping.abort();
+            await Promise.all(tasks);
+        });
+        this.store.add(callerServer);
+        return { callerAddress, metricsAddress };
+    }
+
+    /** Leaves discovery, serves through the time for which callers keep its address, then ends what is idle. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.state.draining = true;
+        await this.clock.sleep(discoverySeconds * 1000);
+        await this.store.dispose();
+    }
+
+    private followControl(callerAddress: string): Promise<void> {
+        const { cluster, name, failureDomain, controlAddresses } = this.settings;
+        const { state, clock } = this;
+        return keepControlLink(
+            controlAddresses,
+            {
+                identity: { cluster, entry: name, incarnation: state.incarnation, failureDomain, callerAddress },
+                clock,
+                configuration: state.configuration,
+                permit: state.permit,
+                status: () => state.status(),
+                onListing: listings => {
+                    state.discovery.update(listings);
+                },
+            },
+            this.stopping.signal,
+        );
+    }
+
+    private async sweepQueues(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            this.state.sweep(this.clock.now());
+            await this.clock.sleep(sweepInterval, this.stopping.signal);
+        }
+    }
+
+    private listenForMetrics(): Promise<string> {
+        const server = createServer((request, response) => {
+            request.resume();
+            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+            response.end(this.state.metrics.exposition());
+        });
+        this.store.defer(() => {
+            server.close();
+            server.closeAllConnections();
+        });
+        return listen(server, this.settings.metricsAddress);
+    }
+}
--- /dev/null
+++ b/src/request/requestContext.ts
@@ -0,0 +1,25 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EventLog } from "../logEvent/eventLog.js";
+import type { EndpointClients } from "../process/entry/endpointClients.js";
+import type { EntryMetrics } from "../process/entry/entryMetrics.js";
+import type { PoolDispatcher } from "../process/entry/poolDispatcher.js";
+import type { Clock } from "../util/clock.js";
+import type { Identity, ResolvedRoute } from "../version/compiledConfiguration.js";
+
+/** What the task of one request works with. */
+export interface RequestContext {
+    readonly requestId: string;
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly body: Buffer;
+    /** Undefined on a route that is open to all, when no key came with the request. */
+    readonly identity: Identity | undefined;
+    readonly resolved: ResolvedRoute;
+    readonly dispatcher: PoolDispatcher;
+    readonly clients: EndpointClients;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+    readonly metrics: EntryMetrics;
+    /** Aborts when the caller has closed its connection. */
+    readonly callerLeft: AbortSignal;
+}
--- a/src/resultCode/entryCodes.ts
+++ b/src/resultCode/entryCodes.ts
@@ -121,4 +121,25 @@
         text: "The limit on concurrent requests is reached.",
         advice: "Try again when an earlier request is answered.",
     },
+    callerLeft: {
+        number: 1312,
+        httpStatus: 499,
+        outcome: "notRun",
+        text: "The caller closed the connection before the request was started.",
+        advice: "Nothing is left to do.",
+    },
+    endpointRefused: {
+        number: 1322,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "The endpoint refused the request.",
+        advice: "Try again shortly.",
+    },
+    draining: {
+        number: 1313,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "This entry is stopping.",
+        advice: "Use another entry: {entries}.",
+    },
 } as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
