--- /dev/null
+++ b/src/standIn/modelEngine/modelEngine.ts
@@ -0,0 +1,129 @@
+import type { Clock } from "../../util/clock.js";
+import { LaggedValue } from "../laggedValue.js";
+import type { StandInCall } from "../standInCall.js";
+import { StandInServer } from "../standInServer.js";
+import { Batch } from "./batch.js";
+import { CacheEventLog } from "./cacheEventLog.js";
+import { CompletionCalls } from "./completionCalls.js";
+import { EngineCounters } from "./engineFigures.js";
+import { engineOptionsSchema } from "./engineOptions.js";
+import type { EngineOptions, EngineOptionsInput } from "./engineOptions.js";
+import { EngineOrders } from "./engineOrders.js";
+import { EngineState } from "./engineState.js";
+import { takeLoadReport } from "./loadReport.js";
+import type { EngineLoadReport } from "./loadReport.js";
+import { PrefixCache } from "./prefixCache.js";
+import { StepLoop } from "./stepLoop.js";
+
+/**
+ * A stand-in for a model engine (docs/INTERFACES.md, "Model engines").
+ *
+ *     await using engine = new ModelEngine({ name: "engine-1", models: ["alpha"] }, new SystemClock());
+ *     await engine.start();                                     // engine.address is "127.0.0.1:PORT"
+ *     engine.faults.set({ kind: "breakStreams", afterTokens: 5, times: 1 });
+ *     engine.record.containing(keyText);                        // [] when no key arrived
+ *     expectedAnswer("alpha", promptText({ messages }));        // what a caller must get (answerPlan.ts)
+ *
+ * A prompt that contains `[answer-tokens: 37]` is answered by 37 tokens.
+ */
+export class ModelEngine extends StandInServer {
+    /** Models, adapters, role and whether the engine leaves. */
+    readonly state: EngineState;
+    /** Orders received, in order. */
+    readonly orders: EngineOrders;
+    private readonly options: EngineOptions;
+    private readonly cacheEvents: CacheEventLog;
+    private readonly cache: PrefixCache;
+    private readonly batch: Batch;
+    private readonly counters = new EngineCounters();
+    private readonly load: LaggedValue<EngineLoadReport>;
+    private readonly loop: StepLoop;
+    private readonly completions: CompletionCalls;
+
+    constructor(options: EngineOptionsInput, clock: Clock) {
+        super(clock);
+        this.options = engineOptionsSchema.parse(options);
+        this.state = new EngineState(this.options);
+        this.cacheEvents = new CacheEventLog(this.options);
+        this.cache = new PrefixCache(this.options.cacheTokens, change => {
+            this.cacheEvents.publish(change);
+        });
+        this.batch = new Batch(this.options, this.cache);
+        this.load = new LaggedValue(this.options.reportLagMilliseconds, this.takeReport());
+        this.orders = new EngineOrders(this.options, this.state, clock, this.ended, () => {
+            this.noteLoad();
+        });
+        this.loop = new StepLoop(this.batch, clock, this.faults, () => {
+            this.noteLoad();
+        });
+        this.completions = new CompletionCalls(this.options, this.state, this.batch, this.loop, this.counters);
+    }
+
+    override async start(port = 0): Promise<string> {
+        const first = this.address.endsWith(":0");
+        const address = await super.start(port);
+        if (first) {
+            void this.loop.run(this.ended);
+        }
+        return address;
+    }
+
+    override figures(): unknown {
+        return { ...this.counters.read(), orders: this.orders.received };
+    }
+
+    override control(): boolean {
+        return false;
+    }
+
+    protected override isWork(call: StandInCall): boolean {
+        return call.path.endsWith("/completions");
+    }
+
+    protected override handle(call: StandInCall): void {
+        const [, , collection, id] = call.path.split("/");
+        const name = `${call.method} ${collection ?? ""}`;
+        switch (name) {
+            case "POST chat":
+            case "POST completions":
+                this.completions.complete(call, collection === "chat" ? "chat" : "text");
+                return;
+            case "POST requests":
+                this.completions.cancel(call, id ?? "");
+                return;
+            case "GET load":
+                call.answer(200, this.load.read(this.clock.now()), this.leavingHeader());
+                return;
+            case "GET cache-events":
+                call.answer(200, this.cacheEvents.after(Number(call.url.searchParams.get("after") ?? "0")));
+                return;
+            case "POST orders":
+                this.orders.post(call);
+                return;
+            case "GET orders":
+                this.orders.get(call, id ?? "");
+                return;
+            default:
+                call.refuse(404, `no such call: ${call.method} ${call.path}`);
+        }
+    }
+
+    protected override onCrash(): void {
+        this.batch.clear("crashed");
+        this.cache.clear();
+        this.cacheEvents.skip();
+    }
+
+    private leavingHeader(): Readonly<Record<string, string>> {
+        return this.state.leaving ? { "x-leaving": "true" } : {};
+    }
+
+    private noteLoad(): void {
+        this.load.write(this.takeReport(), this.clock.now());
+    }
+
+    private takeReport(): EngineLoadReport {
+        const { options, state, batch, cache } = this;
+        return takeLoadReport({ options, state, batch, cache }, this.clock.unixNow());
+    }
+}
--- /dev/null
+++ b/src/standIn/standInCall.ts
@@ -0,0 +1,93 @@
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { z } from "zod";
+import { Err, Ok } from "../util/result.js";
+import type { Result } from "../util/result.js";
+import type { FaultSet } from "./faultSet.js";
+import type { RequestRecord } from "./requestRecord.js";
+
+/** One call that a stand-in handles: the whole request and the means to answer it. */
+export class StandInCall {
+    readonly method: string;
+    readonly url: URL;
+
+    constructor(
+        private readonly request: IncomingMessage,
+        readonly response: ServerResponse,
+        readonly body: Buffer,
+        /** Position of the call in the record. */
+        readonly number: number,
+        readonly faults: FaultSet,
+        private readonly record: RequestRecord,
+    ) {
+        this.method = request.method ?? "GET";
+        this.url = new URL(request.url ?? "/", "http://stand-in");
+    }
+
+    /** Path without the query. */
+    get path(): string {
+        return this.url.pathname;
+    }
+
+    /** First value of a header, by its name in lower case. */
+    header(name: string): string | undefined {
+        const value = this.request.headers[name];
+        return typeof value === "string" ? value : value?.[0];
+    }
+
+    /** The body as JSON of a schema, or a sentence that says what is wrong. */
+    json<Schema extends z.ZodType>(schema: Schema): Result<z.output<Schema>, string> {
+        const value = parseJson(this.body);
+        if (value.err) {
+            return Err(value.val);
+        }
+        const outcome = schema.safeParse(value.val);
+        return outcome.success ? Ok(outcome.data) : Err(outcome.error.message);
+    }
+
+    /** Begins an answer whose body is written by the caller of this method. */
+    begin(status: number, headers: OutgoingHttpHeaders): void {
+        this.record.update(this.number, { status });
+        this.response.writeHead(status, headers);
+    }
+
+    /** Answers with a JSON body, or loses the answer where a fault says so. */
+    answer(status: number, body?: unknown, headers: OutgoingHttpHeaders = {}): void {
+        if (this.faults.strike("loseAnswers", this.path) !== undefined) {
+            this.drop();
+            return;
+        }
+        this.answerAlways(status, body, headers);
+    }
+
+    /** Answers with a JSON body, whatever the faults are. */
+    answerAlways(status: number, body?: unknown, headers: OutgoingHttpHeaders = {}): void {
+        const text = body === undefined ? "" : JSON.stringify(body);
+        const type = body === undefined ? {} : { "content-type": "application/json" };
+        this.begin(status, { ...type, "content-length": Buffer.byteLength(text), ...headers });
+        this.response.end(text);
+    }
+
+    /** Refuses because of what the caller sent. */
+    refuse(status: number, message: string, headers: OutgoingHttpHeaders = {}): void {
+        this.answerAlways(status, { error: { message } }, headers);
+    }
+
+    /** Refuses with the word that nothing ran. */
+    refuseNotRun(status: 429 | 503, message: string, headers: OutgoingHttpHeaders = {}): void {
+        this.refuse(status, message, { "x-not-run": "true", ...headers });
+    }
+
+    /** Destroys the connection. */
+    drop(): void {
+        this.response.destroy();
+    }
+}
+
+function parseJson(body: Buffer): Result<unknown, string> {
+    try {
+        return Ok(JSON.parse(body.toString("utf8")) as unknown);
+    }
+    catch (error) {
+        return Err(String(error));
+    }
+}
