--- /dev/null
+++ b/tests/process/usage/usageLedger.test.ts
@@ -0,0 +1,270 @@
+import fastCheck from "fast-check";
+import { createHash } from "node:crypto";
+import { chargeOf } from "../../../src/process/usage/charge.js";
+import type { UsageRecord } from "../../../src/process/usage/usageCommand.js";
+import { UsageLedger } from "../../../src/process/usage/usageLedger.js";
+import { quantityNames } from "../../../src/process/usage/usageTotals.js";
+import type { UsageTotals } from "../../../src/process/usage/usageTotals.js";
+import { describe, it } from "../../describe.js";
+
+const length = 1_000;
+
+function recordAt(finishedAt: number, fields: Partial<UsageRecord> = {}): UsageRecord {
+    return {
+        team: "derwent",
+        requestClass: "draft",
+        outcome: "complete",
+        finishedAt,
+        requests: 1,
+        promptTokens: 10,
+        cachedTokens: 4,
+        outputTokens: 7,
+        endpointTime: 20,
+        price: 100,
+        cut: 9,
+        ...fields,
+    };
+}
+
+function openLedger(incarnation = "entry-1/a"): UsageLedger {
+    const ledger = new UsageLedger();
+    ledger.apply({ kind: "setUsageWindow", length, at: 0 });
+    ledger.apply({ kind: "beginIncarnation", entry: "entry-1", incarnation, startedAt: 1, at: 1 });
+    return ledger;
+}
+
+function deliver(ledger: UsageLedger, firstSequence: number, records: readonly UsageRecord[], at = 500): unknown {
+    return ledger.apply({ kind: "recordUsage", incarnation: "entry-1/a", firstSequence, records, at });
+}
+
+describe("UsageLedger", () => {
+    describe("recordUsage", () => {
+        it("counts only what is new of an overlapping delivery and refuses a gap", t => {
+            const ledger = openLedger();
+            t.deepEqual(deliver(ledger, 1, [recordAt(1), recordAt(2)]), { kind: "recorded", through: 2 });
+            t.deepEqual(deliver(ledger, 2, [recordAt(2), recordAt(3)]), { kind: "recorded", through: 3 });
+            t.deepEqual(deliver(ledger, 1, [recordAt(1)]), { kind: "recorded", through: 3 });
+            t.deepEqual(deliver(ledger, 5, [recordAt(1)]), { kind: "gap", expected: 4 });
+            t.is(ledger.openWindows()[0]?.lines[0]?.totals.requests, 3n);
+        });
+
+        it("refuses what is no count", t => {
+            for (const fields of [{ price: -1 }, { requests: 0.5 }, { cachedTokens: 11 }, { cut: 101 }]) {
+                t.deepEqual(deliver(openLedger(), 1, [recordAt(1, fields)]), {
+                    kind: "refused",
+                    reason: "malformedRecord",
+                });
+            }
+        });
+
+        it("never counts an incarnation again after it was forgotten", t => {
+            const ledger = openLedger();
+            deliver(ledger, 1, [recordAt(1)]);
+            ledger.apply({ kind: "endIncarnation", incarnation: "entry-1/a", at: 10 });
+            const later = 10 + 8 * 24 * 3_600_000;
+            const begin = { kind: "beginIncarnation", entry: "entry-1", at: later } as const;
+            t.deepEqual(ledger.apply({ ...begin, incarnation: "entry-1/b", startedAt: later }), { kind: "accepted" });
+            t.deepEqual(deliver(ledger, 1, [recordAt(1)]), { kind: "incarnationUnknown" });
+            const again = ledger.apply({ ...begin, incarnation: "entry-1/a", startedAt: 1 });
+            t.deepEqual(again, { kind: "startTooOld", after: 1 });
+        });
+
+        it("applies each record exactly once over random losses, resends, ends and restored snapshots", t => {
+            const step = fastCheck.oneof(
+                fastCheck.record({ kind: fastCheck.constant("make" as const), price: fastCheck.nat(1_000) }),
+                fastCheck.record({
+                    kind: fastCheck.constant("send" as const),
+                    from: fastCheck.nat(8),
+                    lost: fastCheck.boolean(),
+                }),
+                fastCheck.record({ kind: fastCheck.constant("crash" as const) }),
+                fastCheck.record({ kind: fastCheck.constant("seal" as const) }),
+                fastCheck.record({ kind: fastCheck.constant("restore" as const) }),
+            );
+            const property = fastCheck.property(fastCheck.array(step, { maxLength: 60 }), steps => {
+                const run = new DeliveryRun();
+                steps.forEach((next, index) => {
+                    run.now = index * 300;
+                    run.take(next);
+                });
+                run.finish();
+                t.is(run.countedPrice(), run.madePrice);
+                t.is(run.countedRequests(), run.madeRequests);
+            });
+            fastCheck.assert(property, { seed: 6, numRuns: 400 });
+        });
+    });
+
+    describe("sealWindow", () => {
+        it("fixes bytes whose sums and digest agree, and gives them again", t => {
+            const ledger = openLedger();
+            deliver(ledger, 1, [recordAt(5), recordAt(6, { team: "\"\u2028x", outcome: "cut" }), recordAt(7)]);
+            t.deepEqual(ledger.apply({ kind: "sealWindow", window: 0, at: 999 }), {
+                kind: "refused",
+                reason: "windowNotOver",
+            });
+            const first = ledger.apply({ kind: "sealWindow", window: 0, at: 1_000 });
+            const sealed = ledger.nextUnreported();
+            const text = Buffer.from(sealed?.bytes ?? []).toString("utf8");
+            const parsed = JSON.parse(text) as { lines: Record<string, number>[]; totals: Record<string, number>; };
+            t.is(sealed?.digest, createHash("sha256").update(text).digest("hex"));
+            for (const name of quantityNames) {
+                t.is(parsed.lines.reduce((sum, line) => sum + (line[name] ?? 0), 0), parsed.totals[name] ?? -1);
+            }
+            t.is(parsed.totals["requests"], 3);
+            t.deepEqual(ledger.apply({ kind: "sealWindow", window: 0, at: 5_000 }), first);
+            deliver(ledger, 4, [recordAt(8)], 1_200);
+            t.is(ledger.nextUnreported()?.digest, sealed?.digest);
+        });
+
+        it("counts a late record as a correction of its own window", t => {
+            const ledger = openLedger();
+            ledger.apply({ kind: "sealWindow", window: 0, at: 1_000 });
+            ledger.apply({ kind: "sealWindow", window: 1_000, at: 2_000 });
+            deliver(ledger, 1, [recordAt(8), recordAt(1_500), recordAt(2_100), recordAt(99_999)], 2_500);
+            const lines = ledger.openWindows().flatMap(window =>
+                window.lines.map(line => [window.start, line.correctionOf])
+            );
+            t.deepEqual(lines, [[2_000, 0], [2_000, 1_000], [2_000, undefined]]);
+        });
+
+        it("changes the length of windows only after those in use", t => {
+            const ledger = openLedger();
+            deliver(ledger, 1, [recordAt(400)]);
+            ledger.apply({ kind: "setUsageWindow", length: 300, at: 500 });
+            deliver(ledger, 2, [recordAt(900), recordAt(1_350)], 1_400);
+            t.deepEqual(ledger.openWindows().map(window => [window.start, window.end]), [[0, 1_000], [1_300, 1_600]]);
+            ledger.apply({ kind: "sealWindow", window: 0, at: 1_400 });
+            t.is(ledger.oldestOpenWindow()?.end, 1_300);
+        });
+    });
+
+    describe("usageReported", () => {
+        it("is refused for other bytes and repeated without effect", t => {
+            const ledger = openLedger();
+            ledger.apply({ kind: "sealWindow", window: 0, at: 1_000 });
+            const digest = ledger.nextUnreported()?.digest ?? "";
+            const reported = { kind: "usageReported", window: 0, at: 1_100 } as const;
+            t.is(ledger.apply({ ...reported, digest: "0" }).kind, "refused");
+            t.is(ledger.apply({ ...reported, digest }).kind, "accepted");
+            t.is(ledger.apply({ ...reported, digest }).kind, "accepted");
+            t.is(ledger.nextUnreported(), undefined);
+        });
+    });
+});
+
+describe("chargeOf", () => {
+    const price = {
+        requestClass: "draft",
+        perRequest: 5,
+        perMillionPromptTokens: 300_000,
+        perMillionCachedTokens: 100_000,
+        perMillionOutputTokens: 1_500_000,
+    };
+    const consumption = { promptTokens: 10, cachedTokens: 4, outputTokens: 7 };
+    const cases = [
+        { outcome: "complete", charge: { price: 17, cut: 3 } },
+        { outcome: "cut", charge: { price: 12, cut: 2 } },
+        { outcome: "failed", charge: { price: 0, cut: 0 } },
+    ] as const;
+    for (const { outcome, charge } of cases) {
+        it(`adds exactly and rounds down once for a request that is ${outcome}`, t => {
+            t.deepEqual(chargeOf({ ...consumption, outcome }, price, 200_000), charge);
+        });
+    }
+});
+
+type DeliveryStep =
+    | { readonly kind: "make"; readonly price: number; }
+    | { readonly kind: "send"; readonly from: number; readonly lost: boolean; }
+    | { readonly kind: "crash" | "seal" | "restore"; };
+
+/** An entry that delivers its records over a lossy link, and restarts; the log survives. */
+class DeliveryRun {
+    now = 0;
+    madePrice = 0n;
+    madeRequests = 0n;
+    private ledger = new UsageLedger();
+    private readonly incarnations: { readonly name: string; records: UsageRecord[]; acknowledged: number; }[] = [];
+
+    constructor() {
+        this.ledger.apply({ kind: "setUsageWindow", length, at: 0 });
+        this.begin();
+    }
+
+    take(step: DeliveryStep): void {
+        switch (step.kind) {
+            case "make":
+                this.madePrice += BigInt(step.price);
+                this.madeRequests += 1n;
+                this.current().records.push(recordAt(this.now, { price: step.price, cut: 0 }));
+                break;
+            case "send":
+                this.incarnations.forEach(incarnation => {
+                    this.send(incarnation, Math.max(0, incarnation.acknowledged - step.from), step.lost);
+                });
+                break;
+            case "crash":
+                this.ledger.apply({ kind: "endIncarnation", incarnation: this.current().name, at: this.now });
+                this.begin();
+                break;
+            case "seal":
+                this.ledger.apply({
+                    kind: "sealWindow",
+                    window: this.ledger.oldestOpenWindow()?.start ?? 0,
+                    at: this.now,
+                });
+                break;
+            case "restore": {
+                const restored = new UsageLedger();
+                restored.restore(structuredClone(this.ledger.snapshot()));
+                this.ledger = restored;
+                break;
+            }
+        }
+    }
+
+    finish(): void {
+        this.incarnations.forEach(incarnation => {
+            this.send(incarnation, 0, false);
+        });
+    }
+
+    countedPrice(): bigint {
+        return this.sum("price");
+    }
+
+    countedRequests(): bigint {
+        return this.sum("requests");
+    }
+
+    private sum(name: keyof UsageTotals): bigint {
+        const open = this.ledger.openWindows().flatMap(window => window.lines.map(line => line.totals[name]));
+        const sealed = this.ledger.sealedWindows().map(window => window.totals[name]);
+        return [...open, ...sealed].reduce((left, right) => left + right, 0n);
+    }
+
+    private current(): { readonly name: string; records: UsageRecord[]; acknowledged: number; } {
+        return this.incarnations[this.incarnations.length - 1] ?? { name: "", records: [], acknowledged: 0 };
+    }
+
+    private begin(): void {
+        const name = `entry-1/${this.incarnations.length}`;
+        this.incarnations.push({ name, records: [], acknowledged: 0 });
+        const begin = { kind: "beginIncarnation", entry: "entry-1", incarnation: name } as const;
+        this.ledger.apply({ ...begin, startedAt: this.now, at: this.now });
+    }
+
+    private send(
+        incarnation: { name: string; records: UsageRecord[]; acknowledged: number; },
+        from: number,
+        lost: boolean,
+    ): void {
+        const records = incarnation.records.slice(from);
+        const command = { kind: "recordUsage", incarnation: incarnation.name, firstSequence: from + 1 } as const;
+        const outcome = this.ledger.apply({ ...command, records, at: this.now });
+        if (!lost && outcome.kind === "recorded") {
+            incarnation.acknowledged = outcome.through;
+        }
+    }
+}
