--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -26,9 +26,6 @@
 /** Largest headers of a request, in bytes. */
 const maximumHeaderBytes = 16 * 1024;
 
-/** Time for which a caller may keep the list of entries, in seconds. */
-export const discoverySeconds = 10;
-
 /** Paths of model calls and their forms. */
 const modelPaths: ReadonlyMap<string, ModelCallForm> = new Map([
     ["/v1/chat/completions", "chat"],
@@ -70,7 +67,7 @@
         }
         if (path === "/v1/entries" && request.method === "GET") {
             answerJson(response, 200, this.state.discovery.answer(), {
-                "cache-control": `max-age=${discoverySeconds}`,
+                "cache-control": `max-age=${this.state.settings.discoverySeconds}`,
             });
             return;
         }
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -1,5 +1,5 @@
 import { createServer } from "node:http";
-import { CallerServer, discoverySeconds } from "../../connection/entry/callerServer.js";
+import { CallerServer } from "../../connection/entry/callerServer.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntrySettings } from "../../settings/entrySettings.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -24,7 +24,7 @@
     private readonly state: EntryProcessState;
 
     constructor(private readonly settings: EntrySettings, private readonly clock: Clock, eventLog: EventLog) {
-        this.state = this.store.add(new EntryProcessState(settings, clock, eventLog, discoverySeconds));
+        this.state = this.store.add(new EntryProcessState(settings, clock, eventLog));
     }
 
     /** Starts to serve; resolves with the bound addresses. */
@@ -44,7 +44,7 @@
     /** Leaves discovery, serves through the time for which callers keep its address, then ends what is idle. */
     async [Symbol.asyncDispose](): Promise<void> {
         this.state.draining = true;
-        await this.clock.sleep(discoverySeconds * 1000);
+        await this.clock.sleep(this.settings.discoverySeconds * 1000);
         await this.store.dispose();
     }
 
--- a/src/process/entry/entryProcessState.ts
+++ b/src/process/entry/entryProcessState.ts
@@ -38,10 +38,9 @@
         readonly settings: EntrySettings,
         readonly clock: Clock,
         readonly eventLog: EventLog,
-        discoverySeconds: number,
     ) {
         const seed = Buffer.from(this.incarnation, "hex").readInt32BE(0);
-        this.discovery = new Discovery(new RandomSource(seed), discoverySeconds);
+        this.discovery = new Discovery(new RandomSource(seed), settings.discoverySeconds);
         this.configuration.onChange(configuration => {
             this.updatePools(configuration);
             eventLog.write("configurationInForce", { version: configuration.version });
--- /dev/null
+++ b/src/quickstart/startedProgram.ts
@@ -0,0 +1,41 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+/** A program of the package that was started for the quickstart or a test, and its first line of output. */
+export class StartedProgram implements AsyncDisposable {
+    private constructor(
+        /** The running process. */
+        readonly process: ChildProcess,
+        /** The JSON object that the program printed when it began to serve. */
+        readonly shown: Readonly<Record<string, string>>,
+        /** Resolves when the process has ended. */
+        readonly closed: Promise<void>,
+    ) {}
+
+    /**
+     * Starts a program and waits until it serves; rejects when it ends before.
+     *
+     * @param name File name below `src/bin`, without extension.
+     */
+    static async start(name: string, programArguments: readonly string[]): Promise<StartedProgram> {
+        const path = fileURLToPath(new URL(`../bin/${name}.js`, import.meta.url));
+        const started = spawn(process.execPath, [path, ...programArguments], { stdio: ["ignore", "pipe", "inherit"] });
+        const lines = createInterface({ input: started.stdout });
+        const firstLine = once(lines, "line") as Promise<[string]>;
+        const closed = once(started, "close").then(() => undefined);
+        const line = await Promise.race([firstLine, closed]);
+        if (line === undefined) {
+            throw new Error(`${name} ended before it served.`);
+        }
+        return new StartedProgram(started, JSON.parse(line[0]) as Readonly<Record<string, string>>, closed);
+    }
+
+    /** Asks the program to stop and waits for its end. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.process.kill("SIGTERM");
+        await this.closed;
+    }
+}
