feat(control): replicate a log among control processes

Cause: configuration, keys, orders and reports must survive the loss of VMs, under one process in charge.

--- /dev/null
+++ b/src/process/replicatedLog/fileLogStorage.ts
@@ -0,0 +1,165 @@
+import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
+import type { FileHandle } from "node:fs/promises";
+import { join } from "node:path";
+import type { Failure } from "../../resultCode/resultCode.js";
+import { failure } from "../../resultCode/resultCode.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import { LogStorage } from "./logStorage.js";
+
+/** Ending of a file that is not complete yet; such files are ignored and overwritten. */
+const temporaryEnding = ".tmp";
+
+/** Files in one folder of the local disk. */
+export class FileLogStorage extends LogStorage {
+    private readonly appending = new Map<string, FileHandle>();
+
+    private constructor(private readonly folder: string) {
+        super();
+    }
+
+    /** Opens a folder, and creates it where it is missing. */
+    static async open(folder: string): Promise<Result<FileLogStorage, Failure>> {
+        return attempt("open", folder, async () => {
+            await mkdir(folder, { recursive: true, mode: 0o700 });
+            await syncFolder(join(folder, ".."));
+            return new FileLogStorage(folder);
+        });
+    }
+
+    override async list(): Promise<Result<readonly string[], Failure>> {
+        return attempt("list", this.folder, async () => {
+            const names = await readdir(this.folder);
+            return names.filter(name => !name.endsWith(temporaryEnding));
+        });
+    }
+
+    override async read(name: string): Promise<Result<Uint8Array | undefined, Failure>> {
+        return attempt("read", name, async () => {
+            try {
+                return await readFile(this.pathOf(name));
+            }
+            catch (error) {
+                if (errorCodeOf(error) === "ENOENT") {
+                    return undefined;
+                }
+                throw error;
+            }
+        });
+    }
+
+    override async replace(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
+        return attempt("replace", name, async () => {
+            await this.release(name);
+            const temporary = this.pathOf(name) + temporaryEnding;
+            await writeSynced(temporary, bytes);
+            await rename(temporary, this.pathOf(name));
+            await syncFolder(this.folder);
+        });
+    }
+
+    override async append(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
+        return attempt("append", name, async () => {
+            const handle = await this.appendingHandle(name);
+            const { size } = await handle.stat();
+            try {
+                await handle.appendFile(bytes);
+            }
+            catch (error) {
+                await handle.truncate(size);
+                await handle.sync();
+                throw error;
+            }
+            await syncOrHalt(handle);
+        });
+    }
+
+    override async truncate(name: string, length: number): Promise<Result<void, Failure>> {
+        return attempt("truncate", name, async () => {
+            const handle = await this.appendingHandle(name);
+            await handle.truncate(length);
+            await handle.sync();
+        });
+    }
+
+    override async remove(name: string): Promise<Result<void, Failure>> {
+        return attempt("remove", name, async () => {
+            await this.release(name);
+            await rm(this.pathOf(name), { force: true });
+            await syncFolder(this.folder);
+        });
+    }
+
+    override async close(): Promise<void> {
+        for (const name of [...this.appending.keys()]) {
+            await this.release(name);
+        }
+    }
+
+    private pathOf(name: string): string {
+        return join(this.folder, name);
+    }
+
+    private async appendingHandle(name: string): Promise<FileHandle> {
+        const known = this.appending.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const handle = await open(this.pathOf(name), "a");
+        this.appending.set(name, handle);
+        return handle;
+    }
+
+    private async release(name: string): Promise<void> {
+        const handle = this.appending.get(name);
+        this.appending.delete(name);
+        await handle?.close();
+    }
+}
+
+/** A sync that failed; what reached the disk is unknown, even where the system reports a full disk. */
+class SyncError extends Error {}
+
+async function syncOrHalt(handle: FileHandle): Promise<void> {
+    try {
+        await handle.datasync();
+    }
+    catch (error) {
+        throw new SyncError(String(error));
+    }
+}
+
+async function writeSynced(path: string, bytes: Uint8Array): Promise<void> {
+    const handle = await open(path, "w");
+    try {
+        await handle.writeFile(bytes);
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+}
+
+async function syncFolder(folder: string): Promise<void> {
+    const handle = await open(folder, "r");
+    try {
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+}
+
+function errorCodeOf(error: unknown): string | undefined {
+    return error instanceof Error && "code" in error ? String(error.code) : undefined;
+}
+
+async function attempt<T>(operation: string, name: string, action: () => Promise<T>): Promise<Result<T, Failure>> {
+    try {
+        return Ok(await action());
+    }
+    catch (error) {
+        const full = ["ENOSPC", "EDQUOT", "EFBIG"].includes(errorCodeOf(error) ?? "");
+        return Err(failure(full ? "storageFull" : "storageFailed", { operation, name, reason: String(error) }));
+    }
+}
--- /dev/null
+++ b/src/process/replicatedLog/logSegments.ts
@@ -0,0 +1,232 @@
+import { z } from "zod";
+import type { Failure } from "../../resultCode/resultCode.js";
+import { failure } from "../../resultCode/resultCode.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import { checkOwner, fileFormat, ownerOf, segmentFileName, segmentSequence } from "./groupFiles.js";
+import type { GroupFiles } from "./groupFiles.js";
+import type { LogEntry } from "./logEntry.js";
+import { logEntrySchema } from "./logEntry.js";
+import { decodeValue, encodeRecord, scanRecords } from "./recordCodec.js";
+
+/** Size above which the next batch starts a new segment, in bytes. */
+const segmentBytes = 4 * 1024 * 1024;
+
+const headerSchema = z.object({
+    format: z.literal(fileFormat),
+    cluster: z.string(),
+    group: z.string(),
+    memberId: z.string(),
+    basePosition: z.int().nonnegative(),
+    baseTerm: z.int().nonnegative(),
+    afterSnapshot: z.boolean(),
+});
+
+const batchSchema = z.object({ entries: z.array(logEntrySchema) });
+
+/** Where a log starts: the position and term of the entry before its first one. */
+export interface LogBase {
+    readonly position: number;
+    readonly term: number;
+}
+
+/** One file of the log. */
+interface Segment {
+    readonly sequence: number;
+    readonly name: string;
+    readonly base: LogBase;
+    readonly bytes: number;
+}
+
+/** What was read from one segment. */
+interface LoadedSegment {
+    readonly segment: Segment;
+    readonly afterSnapshot: boolean;
+    readonly entries: readonly LogEntry[];
+}
+
+/** The entries that stand in the segments. */
+export interface StoredLog {
+    readonly base: LogBase;
+    readonly entries: readonly LogEntry[];
+}
+
+/**
+ * The files that hold the entries: each a header record, then one record for each batch that was synced together.
+ *
+ * A segment whose base lies before the last position replaces the entries behind its base, so that no synced byte is
+ * ever cut; one that says `afterSnapshot` replaces all entries.
+ */
+export class LogSegments {
+    private segments: readonly Segment[] = [];
+
+    constructor(private readonly files: GroupFiles) {}
+
+    /** Whether the group has any segment. */
+    get empty(): boolean {
+        return this.segments.length === 0;
+    }
+
+    /** Reads all segments and cuts a torn tail off the last one; anything worse is refused. */
+    async load(): Promise<Result<StoredLog, Failure>> {
+        const sequences = await this.listSequences();
+        if (sequences.err) {
+            return sequences;
+        }
+        let stored: StoredLog | undefined;
+        for (const sequence of sequences.val) {
+            const loaded = await this.loadSegment(sequence, sequence === sequences.val.at(-1));
+            if (loaded.err) {
+                return loaded;
+            }
+            const joined = joinSegment(stored, loaded.val);
+            if (joined.err) {
+                return joined;
+            }
+            stored = joined.val;
+            this.segments = [...this.segments, loaded.val.segment];
+        }
+        return Ok(stored ?? { base: { position: 0, term: 0 }, entries: [] });
+    }
+
+    /**
+     * Makes a batch durable.
+     *
+     * @param base The entry before the batch; later entries are replaced.
+     * @param replaces Whether entries behind the base stand in the log.
+     */
+    async append(entries: readonly LogEntry[], base: LogBase, replaces: boolean): Promise<Result<void, Failure>> {
+        if (replaces || (this.segments.at(-1)?.bytes ?? Infinity) > segmentBytes) {
+            const started = await this.start(base, false);
+            if (started.err) {
+                return started;
+            }
+        }
+        const current = this.segments.at(-1);
+        if (current === undefined) {
+            return Err(failure("logIncomplete", { reason: "no segment is open" }));
+        }
+        const record = encodeRecord({ entries });
+        const appended = await this.files.storage.append(current.name, record);
+        if (appended.ok) {
+            this.segments = [...this.segments.slice(0, -1), { ...current, bytes: current.bytes + record.length }];
+        }
+        return appended;
+    }
+
+    /** Starts a new segment behind a base. */
+    async start(base: LogBase, afterSnapshot: boolean): Promise<Result<void, Failure>> {
+        const sequence = (this.segments.at(-1)?.sequence ?? 0) + 1;
+        const name = segmentFileName(this.files.group, sequence);
+        const header = encodeRecord({
+            format: fileFormat,
+            ...ownerOf(this.files),
+            basePosition: base.position,
+            baseTerm: base.term,
+            afterSnapshot,
+        });
+        const written = await this.files.storage.replace(name, header);
+        if (written.ok) {
+            this.segments = [...this.segments, { sequence, name, base, bytes: header.length }];
+        }
+        return written;
+    }
+
+    /** Removes the oldest segments that hold nothing behind a committed position; returns the base of the rest. */
+    async removeUpTo(position: number): Promise<Result<LogBase | undefined, Failure>> {
+        const kept = this.segments.findLastIndex((segment, index) =>
+            segment.base.position <= position
+            && this.segments.slice(index + 1).every(later => later.base.position >= segment.base.position)
+        );
+        for (let index = 0; index < kept; index += 1) {
+            const removed = await this.removeFirst();
+            if (removed.err) {
+                return removed;
+            }
+        }
+        return Ok(this.segments[0]?.base);
+    }
+
+    /** Replaces all segments by an empty one that follows on a snapshot. */
+    async restart(base: LogBase): Promise<Result<void, Failure>> {
+        const started = await this.start(base, true);
+        if (started.err) {
+            return started;
+        }
+        while (this.segments.length > 1) {
+            const removed = await this.removeFirst();
+            if (removed.err) {
+                return removed;
+            }
+        }
+        return Ok(undefined);
+    }
+
+    private async removeFirst(): Promise<Result<void, Failure>> {
+        const removed = await this.files.storage.remove(this.segments[0]?.name ?? "");
+        if (removed.ok) {
+            this.segments = this.segments.slice(1);
+        }
+        return removed;
+    }
+
+    private async listSequences(): Promise<Result<readonly number[], Failure>> {
+        const names = await this.files.storage.list();
+        if (names.err) {
+            return names;
+        }
+        const sequences = names.val.map(name => segmentSequence(this.files.group, name))
+            .filter(sequence => sequence !== undefined)
+            .sort((a, b) => a - b);
+        const gap = sequences.find((sequence, index) => index > 0 && sequence !== (sequences[index - 1] ?? 0) + 1);
+        if (gap !== undefined) {
+            return Err(failure("logIncomplete", { reason: `segment ${gap - 1} is missing` }));
+        }
+        return Ok(sequences);
+    }
+
+    private async loadSegment(sequence: number, isLast: boolean): Promise<Result<LoadedSegment, Failure>> {
+        const name = segmentFileName(this.files.group, sequence);
+        const bytes = await this.files.storage.read(name);
+        if (bytes.err) {
+            return bytes;
+        }
+        const scan = scanRecords(bytes.val ?? new Uint8Array());
+        const [headerBody, ...batchBodies] = scan.bodies;
+        const torn = isLast && scan.ending === "torn";
+        if (headerBody === undefined || (scan.ending !== "clean" && !torn)) {
+            return Err(failure("logDamaged", { name, offset: scan.soundBytes }));
+        }
+        const header = headerSchema.parse(decodeValue(headerBody));
+        const owner = checkOwner(this.files, name, header);
+        if (owner.err) {
+            return owner;
+        }
+        if (torn) {
+            const cut = await this.files.storage.truncate(name, scan.soundBytes);
+            if (cut.err) {
+                return cut;
+            }
+        }
+        const base = { position: header.basePosition, term: header.baseTerm };
+        const entries = batchBodies.flatMap(body => batchSchema.parse(decodeValue(body)).entries);
+        const segment = { sequence, name, base, bytes: scan.soundBytes };
+        return Ok({ segment, afterSnapshot: header.afterSnapshot, entries });
+    }
+}
+
+/** Puts the entries of a segment behind those of the segments before it. */
+function joinSegment(stored: StoredLog | undefined, loaded: LoadedSegment): Result<StoredLog, Failure> {
+    const { segment: { name, base }, entries } = loaded;
+    if (entries.some((entry, index) => entry.position !== base.position + 1 + index)) {
+        return Err(failure("logIncomplete", { reason: `entries are missing inside ${name}` }));
+    }
+    if (stored === undefined || loaded.afterSnapshot || base.position < stored.base.position) {
+        return Ok({ base, entries });
+    }
+    const kept = base.position - stored.base.position;
+    if (kept > stored.entries.length) {
+        return Err(failure("logIncomplete", { reason: `no entries lead up to ${name}` }));
+    }
+    return Ok({ base: stored.base, entries: [...stored.entries.slice(0, kept), ...entries] });
+}
--- /dev/null
+++ b/src/process/replicatedLog/logSnapshot.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+import type { Failure } from "../../resultCode/resultCode.js";
+import { failure } from "../../resultCode/resultCode.js";
+import { bytesSchema } from "../../util/bytesSchema.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import { checkOwner, fileFormat, ownerOf, snapshotFileName } from "./groupFiles.js";
+import type { GroupFiles } from "./groupFiles.js";
+import { membershipSchema } from "./membership.js";
+import { decodeValue, encodeRecord, scanRecords } from "./recordCodec.js";
+
+/** Schema of {@link LogSnapshot}. */
+export const logSnapshotSchema = z.object({
+    position: z.int().positive(),
+    term: z.int().nonnegative(),
+    membership: membershipSchema,
+    state: bytesSchema,
+}).readonly();
+
+/** The state after all entries up to a position, which replaces those entries. */
+export type LogSnapshot = z.infer<typeof logSnapshotSchema>;
+
+const snapshotFileSchema = z.object({
+    format: z.literal(fileFormat),
+    cluster: z.string(),
+    group: z.string(),
+    memberId: z.string(),
+    snapshot: logSnapshotSchema,
+});
+
+/** Makes a snapshot durable in place of the former one. */
+export async function saveSnapshot(files: GroupFiles, snapshot: LogSnapshot): Promise<Result<void, Failure>> {
+    const record = encodeRecord({ format: fileFormat, ...ownerOf(files), snapshot });
+    return files.storage.replace(snapshotFileName(files.group), record);
+}
+
+/** Reads the newest snapshot; undefined when there is none. */
+export async function loadSnapshot(files: GroupFiles): Promise<Result<LogSnapshot | undefined, Failure>> {
+    const name = snapshotFileName(files.group);
+    const bytes = await files.storage.read(name);
+    if (bytes.err) {
+        return bytes;
+    }
+    if (bytes.val === undefined) {
+        return Ok(undefined);
+    }
+    const scan = scanRecords(bytes.val);
+    const body = scan.bodies[0];
+    if (body === undefined || scan.bodies.length > 1 || scan.ending !== "clean") {
+        return Err(failure("logDamaged", { name, offset: scan.soundBytes }));
+    }
+    const stored = snapshotFileSchema.parse(decodeValue(body));
+    const owner = checkOwner(files, name, stored);
+    return owner.ok ? Ok(stored.snapshot) : owner;
+}
