feat(request): add the tiered admission queue with fairness, deadlines, preemption and neighbours

Cause: a first-come queue sheds the top tier for the lowest and lets one team's flood delay all others. Change: TieredQueue decides by tier who is shed or preempted, shares service between classes and teams by virtual token counters with predicted and corrected lengths, sets aside work that cannot meet its target, refuses early with spread retry-after times, serves every class by a floor, answers a withdrawn key's requests at once, and holds lower tiers back while the fixed-size summary of the other entries shows a shortage above them. Found on the way: the property over random histories showed that a shed request could take with it the room that was being made for it; that room now passes to the request for whose sake it was shed.

--- a/src/request/admission/firstComeQueue.ts
+++ b/src/request/admission/firstComeQueue.ts
@@ -33,7 +33,10 @@
         return [];
     }
 
-    override take(): PendingRequest | undefined {
+    override take(capacity: PoolCapacityView): PendingRequest | undefined {
+        if (capacity.freeSlots <= 0) {
+            return undefined;
+        }
         const request = this.resumed.first ?? this.waiting.first;
         if (request !== undefined) {
             this.remove(request);
--- /dev/null
+++ b/src/request/admission/serviceFloor.ts
@@ -0,0 +1,90 @@
+import type { Milliseconds } from "../../util/clock.js";
+import type { ClassQueue } from "./classQueue.js";
+
+/** A waiting class that had no service for this long goes next, in milliseconds. */
+export const longestTimeWithoutService: Milliseconds = 10_000;
+
+/** Share of all served tokens that is divided between the waiting classes by weight, whatever their tier. */
+const floorShare = 0.04;
+
+/** Largest saved-up claim of a class, in tokens. */
+const largestCredit = 20_000;
+
+interface FloorState {
+    credit: number;
+    waitingSince: Milliseconds | undefined;
+}
+
+/**
+ * The floor against starvation: it moves the order of service and never decides who is shed.
+ *
+ * A waiting class earns credit from a small share of what is served, by weight; it goes next when its credit pays for a
+ * request, or when it had no service for {@link longestTimeWithoutService}.
+ */
+export class ServiceFloor {
+    private readonly states = new Map<ClassQueue, FloorState>();
+
+    /** Notes that a class has a waiting request. */
+    noteWaiting(waiting: ClassQueue, now: Milliseconds): void {
+        const state = this.states.get(waiting);
+        if (state === undefined) {
+            this.states.set(waiting, { credit: 0, waitingSince: now });
+        }
+        else {
+            state.waitingSince ??= now;
+        }
+    }
+
+    /** Notes that a request of a class was taken, and divides the floor's share of it. */
+    noteServed(served: ClassQueue, tokens: number, now: Milliseconds): void {
+        const state = this.states.get(served);
+        if (state !== undefined) {
+            state.credit = Math.max(0, state.credit - tokens);
+            state.waitingSince = served.size === 0 ? undefined : now;
+        }
+        this.divide(tokens * floorShare);
+    }
+
+    /** Notes that a class may have become empty without service. */
+    noteRemoved(emptied: ClassQueue): void {
+        const state = this.states.get(emptied);
+        if (state !== undefined && emptied.size === 0) {
+            state.waitingSince = undefined;
+        }
+    }
+
+    /** The class that must go next; undefined when the tiers decide. */
+    due(now: Milliseconds, costOfNext: (waiting: ClassQueue) => number): ClassQueue | undefined {
+        let longest: ClassQueue | undefined;
+        let longestWait = longestTimeWithoutService;
+        let paid: ClassQueue | undefined;
+        for (const [waiting, state] of this.states) {
+            if (state.waitingSince === undefined || waiting.size === 0) {
+                continue;
+            }
+            const wait = now - state.waitingSince;
+            if (wait >= longestWait) {
+                longest = waiting;
+                longestWait = wait;
+            }
+            if (paid === undefined && state.credit > 0 && state.credit >= costOfNext(waiting)) {
+                paid = waiting;
+            }
+        }
+        return longest ?? paid;
+    }
+
+    private divide(tokens: number): void {
+        let weights = 0;
+        for (const waiting of this.states.keys()) {
+            weights += waiting.size === 0 ? 0 : waiting.weight;
+        }
+        for (const [waiting, state] of this.states) {
+            if (waiting.size === 0) {
+                state.credit = 0;
+                continue;
+            }
+            state.credit = Math.min(largestCredit, state.credit + (tokens * waiting.weight) / weights);
+        }
+    }
+}
--- /dev/null
+++ b/src/request/admission/serviceTimes.ts
@@ -0,0 +1,40 @@
+import type { Milliseconds } from "../../util/clock.js";
+import { RunningQuantile } from "../../util/runningQuantile.js";
+import type { RequestClass } from "../../version/manifest.js";
+
+/** Quantile of the service time that a request must be able to fit before its target. */
+const cautiousQuantile = 0.9;
+
+/** Share of the total target that remains for waiting, however slow the pool is. */
+const smallestWaitingShare = 0.1;
+
+/** Share of the first-token target that may be spent in the queue. */
+const firstTokenWaitingShare = 0.5;
+
+/** Learns how long the requests of a class run, and from it how long one may wait. */
+export class ServiceTimes {
+    private readonly cautious = new RunningQuantile(cautiousQuantile);
+    private readonly typical = new RunningQuantile(0.5);
+
+    /** Learns from a completed request. */
+    learn(serviceTime: Milliseconds): void {
+        this.cautious.add(serviceTime);
+        this.typical.add(serviceTime);
+    }
+
+    /** Longest wait with which nine requests in ten still meet the target; what newcomers are admitted by. */
+    admissibleWait(requestClass: RequestClass): Milliseconds {
+        return waitLeft(requestClass, this.cautious.value ?? 0);
+    }
+
+    /** Longest wait with which a typical request still meets the target; what waiting requests are ordered by. */
+    latestStart(requestClass: RequestClass): Milliseconds {
+        return waitLeft(requestClass, this.typical.value ?? 0);
+    }
+}
+
+function waitLeft(requestClass: RequestClass, serviceTime: Milliseconds): Milliseconds {
+    const { totalMilliseconds, firstTokenMilliseconds } = requestClass.target;
+    const beforeTotal = Math.max(totalMilliseconds * smallestWaitingShare, totalMilliseconds - serviceTime);
+    return Math.min(beforeTotal, (firstTokenMilliseconds ?? Infinity) * firstTokenWaitingShare);
+}
--- a/src/request/admissionQueue.ts
+++ b/src/request/admissionQueue.ts
@@ -44,7 +44,7 @@
     /** Takes a request in; returns the requests that must be refused for it, perhaps the request itself. */
     abstract offer(request: PendingRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[];
 
-    /** Removes and returns the request that goes next, or undefined when none waits. */
+    /** Removes and returns the request that goes next, or undefined when none waits or no slot is free. */
     abstract take(capacity: PoolCapacityView, now: Milliseconds): PendingRequest | undefined;
 
     /** Removes a waiting request whose caller left or whose key was withdrawn; false when it does not wait. */
--- a/src/resultCode/entryCodes.ts
+++ b/src/resultCode/entryCodes.ts
@@ -100,6 +100,13 @@
         text: "The key was withdrawn while the request waited.",
         advice: "Ask the operator for a key.",
     },
+    keyWithdrawnWhileRunning: {
+        number: 1335,
+        httpStatus: 401,
+        outcome: "run",
+        text: "The key was withdrawn while the request waited to be resumed.",
+        advice: "Ask the operator for a key.",
+    },
     requestRateExceeded: {
         number: 1340,
         httpStatus: 429,
--- a/tests/request/admission/firstComeQueue.test.ts
+++ b/tests/request/admission/firstComeQueue.test.ts
@@ -11,7 +11,11 @@
         const queue = new FirstComeQueue();
         queue.offer(first, tenASecond);
         queue.offer(second, tenASecond);
-        t.deepEqual([queue.take(), queue.take(), queue.take()], [first, second, undefined]);
+        t.deepEqual([queue.take(tenASecond), queue.take(tenASecond), queue.take(tenASecond)], [
+            first,
+            second,
+            undefined,
+        ]);
     });
 
     it("refuses the newcomer when it is full and says when to come back", t => {
@@ -35,13 +39,13 @@
         const queue = new FirstComeQueue();
         [first, second, third].forEach(request => queue.offer(request, tenASecond));
         t.deepEqual(queue.withdrawKey("team-a", "key-a").map(refusal => refusal.request), [first, third]);
-        t.is(queue.take(), second);
+        t.is(queue.take(tenASecond), second);
     });
 
     it("resumes a preempted request first", t => {
         const queue = new FirstComeQueue();
         queue.offer(first, tenASecond);
         queue.requeue(second);
-        t.is(queue.take(), second);
+        t.is(queue.take(tenASecond), second);
     });
 });
--- /dev/null
+++ b/tests/request/admission/tieredQueue.property.test.ts
@@ -0,0 +1,233 @@
+import fastCheck from "fast-check";
+import assert from "node:assert/strict";
+import { ListedTeamWeights } from "../../../src/request/admission/teamWeights.js";
+import { TieredQueue } from "../../../src/request/admission/tieredQueue.js";
+import type { PoolCapacityView } from "../../../src/request/admissionQueue.js";
+import type { PendingRequest } from "../../../src/request/pendingRequest.js";
+import { RandomSource } from "../../../src/util/randomSource.js";
+import { describe, it } from "../../describe.js";
+import { QueueModel } from "./queueModel.js";
+import type { Step } from "./queueModel.js";
+import { classOf, requestOf } from "./requestBuilder.js";
+
+const maximumLength = 6;
+
+const step: fastCheck.Arbitrary<Step> = fastCheck.oneof(
+    {
+        weight: 8,
+        arbitrary: fastCheck.record({
+            kind: fastCheck.constant("offer" as const),
+            tier: fastCheck.integer({ min: 0, max: 5 }),
+            team: fastCheck.integer({ min: 0, max: 3 }),
+            preemptible: fastCheck.boolean(),
+        }),
+    },
+    {
+        weight: 8,
+        arbitrary: fastCheck.record({
+            kind: fastCheck.constantFrom(
+                "take" as const,
+                "take" as const,
+                "complete" as const,
+                "abandon" as const,
+                "remove" as const,
+                "preempt" as const,
+                "sweep" as const,
+            ),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fastCheck.record({
+            kind: fastCheck.constant("withdraw" as const),
+            team: fastCheck.integer({ min: 0, max: 3 }),
+        }),
+    },
+    {
+        weight: 2,
+        arbitrary: fastCheck.record({
+            kind: fastCheck.constant("pass" as const),
+            time: fastCheck.integer({ min: 1, max: 4_000 }),
+        }),
+    },
+);
+
+describe("TieredQueue", () => {
+    describe("over any history", () => {
+        it("sheds nothing above a lower tier, loses nothing and answers everything", t => {
+            const rates = fastCheck.record({
+                requestsPerSecond: fastCheck.constantFrom(0.2, 2, 50),
+                tokensPerSecond: fastCheck.constantFrom(0, 20, 5_000),
+                freeSlots: fastCheck.constant(0),
+            });
+            const history = fastCheck.array(step, { minLength: 20, maxLength: 120 });
+            const property = fastCheck.property(history, rates, (steps, capacity) => {
+                assert.deepEqual(runHistory(steps, capacity), []);
+            });
+            t.notThrows(() => {
+                fastCheck.assert(property, { seed: 11, numRuns: 600, includeErrorInReport: true });
+            });
+        });
+    });
+
+    describe("shares of service", () => {
+        it("converge to the weights of teams, whatever the lengths", t => {
+            const weights = fastCheck.integer({ min: 1, max: 5 });
+            const property = fastCheck.property(fastCheck.integer(), weights, (seed, weight) => {
+                const tokens = serveBacklog(seed, new Map([["team-0", 1], ["team-1", weight]]));
+                const ratio = (tokens.get("team-1") ?? 0) / (tokens.get("team-0") ?? 1);
+                assert.ok(Math.abs(ratio / weight - 1) < 0.1, `${ratio} instead of ${weight}`);
+            });
+            t.notThrows(() => {
+                fastCheck.assert(property, { seed: 12, numRuns: 20 });
+            });
+        });
+    });
+
+    describe("the floor", () => {
+        it("serves every waiting class within 30 s while the top tier never pauses", t => {
+            const rate = fastCheck.integer({ min: 1, max: 20 });
+            const tiers = fastCheck.uniqueArray(fastCheck.integer({ min: 1, max: 5 }), { minLength: 1 });
+            const property = fastCheck.property(rate, tiers, (perSecond, lowerTiers) => {
+                assert.ok(longestPause(perSecond, lowerTiers) <= 30_000);
+            });
+            t.notThrows(() => {
+                fastCheck.assert(property, { seed: 13, numRuns: 30 });
+            });
+        });
+    });
+});
+
+/** Serves two teams that always wait, eight requests at a time; returns the tokens that each was served. */
+function serveBacklog(seed: number, weights: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
+    const random = new RandomSource(seed);
+    const queue = new TieredQueue({ weights: new ListedTeamWeights(weights) });
+    const patient = classOf(1, { target: { totalMilliseconds: 1e9 }, maximumOutputTokens: 10_000 });
+    const capacity = { freeSlots: 1, tokensPerSecond: 1_000, requestsPerSecond: 10 };
+    const tokens = new Map<string, number>();
+    const running: PendingRequest[] = [];
+    const offer = (team: string, number: number): void => {
+        const request = requestOf(`${team}-${number}`, patient, { team, maximumOutputTokens: 10_000 });
+        queue.offer(request, capacity, 0);
+    };
+    [...weights.keys()].forEach(team => {
+        for (let number = 0; number < 20; number += 1) {
+            offer(team, number);
+        }
+    });
+    for (let turn = 0; turn < 4_000; turn += 1) {
+        const taken = queue.take(capacity, turn);
+        if (taken?.team === undefined) {
+            break;
+        }
+        running.push(taken);
+        offer(taken.team, 1_000 + turn);
+        const ended = running.length > 8 ? running.shift() : undefined;
+        if (ended?.team !== undefined) {
+            const outputTokens = Math.ceil(random.logNormal(ended.team === "team-0" ? 50 : 200, 0.8));
+            queue.complete(ended, { promptTokens: 100, cachedTokens: 0, outputTokens, serviceTime: 100 });
+            tokens.set(ended.team, (tokens.get(ended.team) ?? 0) + 100 + outputTokens);
+        }
+    }
+    return tokens;
+}
+
+/** Serves a top tier that never pauses; returns the longest time that a waiting lower tier had no service. */
+function longestPause(perSecond: number, lowerTiers: readonly number[]): number {
+    const queue = new TieredQueue({ maximumLength: 10_000 });
+    const capacity = { freeSlots: 1, tokensPerSecond: 0, requestsPerSecond: 1e6 };
+    const lastServed = new Map(lowerTiers.map(tier => [tier, 0]));
+    const classes = [0, ...lowerTiers].map(tier => classOf(tier, { target: { totalMilliseconds: 1e6 } }));
+    let longest = 0;
+    for (let turn = 0; turn < perSecond * 90; turn += 1) {
+        const now = (turn * 1_000) / perSecond;
+        classes.forEach(each =>
+            queue.offer(requestOf(`${each.tier}-${turn}`, each, { arrivedAt: now }), capacity, now)
+        );
+        const tier = queue.take(capacity, now)?.requestClass.tier ?? 0;
+        lastServed.set(tier, now);
+        longest = Math.max(longest, ...lowerTiers.map(lower => now - (lastServed.get(lower) ?? 0)));
+    }
+    return longest;
+}
+
+function runHistory(steps: readonly Step[], capacity: PoolCapacityView): readonly string[] {
+    const queue = new TieredQueue({ maximumLength });
+    const model = new QueueModel(queue, maximumLength);
+    let now = 0;
+    steps.forEach((each, index) => {
+        now += each.kind === "pass" ? each.time : 0;
+        runStep(each, index, queue, model, capacity, now);
+        if (!model.agrees) {
+            model.violations.push(`after step ${index} the queue counts ${queue.length}`);
+        }
+    });
+    const withSlots = { ...capacity, freeSlots: 1 };
+    while (model.violations.length === 0 && queue.length > 0) {
+        model.take(withSlots, now);
+    }
+    return model.violations;
+}
+
+function runStep(
+    each: Step,
+    index: number,
+    queue: TieredQueue,
+    model: QueueModel,
+    capacity: PoolCapacityView,
+    now: number,
+): void {
+    const use = { promptTokens: 100, cachedTokens: 0, outputTokens: 20 + index, serviceTime: 500 };
+    const running = model.in("running")[index % 3];
+    const waiting = model.in("waiting", "resumable")[index % 4];
+    switch (each.kind) {
+        case "offer": {
+            const changes = { preemptible: each.preemptible, name: `tier-${each.tier}-${each.preemptible}` };
+            const owner = { team: `team-${each.team}`, keyName: "key" };
+            const request = requestOf(`request-${index}`, classOf(each.tier, changes), { ...owner, arrivedAt: now });
+            model.offer(request, capacity, now);
+            break;
+        }
+        case "take":
+            model.take({ ...capacity, freeSlots: 1 }, now);
+            break;
+        case "complete":
+            if (running !== undefined) {
+                queue.complete(running, use);
+                model.states.set(running, "ended");
+            }
+            break;
+        case "abandon":
+            if (running !== undefined) {
+                queue.abandon(running);
+                model.states.set(running, "ended");
+            }
+            break;
+        case "remove":
+            if (waiting !== undefined) {
+                if (!queue.remove(waiting)) {
+                    model.violations.push(`${waiting.id} was not there to be removed`);
+                }
+                model.states.set(waiting, "ended");
+            }
+            break;
+        case "preempt":
+            model.preempt(capacity, now);
+            break;
+        case "sweep":
+            model.refuse(queue.sweep(capacity, now), now);
+            break;
+        case "withdraw": {
+            const team = `team-${each.team}`;
+            const expected = model.in("waiting", "resumable").filter(request => request.team === team).length;
+            const refusals = queue.withdrawKey(team, "key");
+            if (refusals.length !== expected) {
+                model.violations.push(`${refusals.length} of ${expected} requests of a withdrawn key were answered`);
+            }
+            model.refuse(refusals, now);
+            break;
+        }
+        case "pass":
+            break;
+    }
+}
