feat(control): run the control process on the replicated log

Cause: the volatile log loses everything. Change: gullhall-control opens the replicated log over its data folder and TCP peers; permits come only from a confirmed leader whose state has reached the confirmed position; a new leader waits out the permits of an earlier one before it says that a version is in force everywhere.

--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -106,11 +106,13 @@
     private async answerPermit(request: PermitRequest, hello: Hello): Promise<void> {
         const { clock, commandLog, entries, state } = this.context;
         const receivedAt = clock.now();
-        const confirmed = await commandLog.confirmPosition();
-        if (confirmed.err) {
+        const confirmed = await commandLog.confirmPosition(this.closing.signal);
+        const term = commandLog.leadingTerm();
+        if (confirmed.err || term === undefined || !await this.reached(confirmed.val)) {
             this.send({ kind: "redirect", leaderAddress: this.context.leaderEntryAddress() });
             return;
         }
+        entries.enterTerm(term, clock.now());
         this.record(request, hello, receivedAt);
         const listing = entries.listingVersion;
         this.send({
@@ -123,6 +125,10 @@
         this.sentListing = listing;
     }
 
+    private reached(position: number): Promise<boolean> {
+        return this.context.commandLog.waitForPosition(position, this.closing.signal);
+    }
+
     private record(request: PermitRequest, hello: Hello, receivedAt: Milliseconds): void {
         this.context.entries.report({
             entry: hello.entry,
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -4,7 +4,8 @@
 import { z } from "zod";
 import type { ConfigurationService } from "../../process/control/configurationService.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
-import type { ControlState } from "../../process/state/controlState.js";
+import type { CommandLog } from "../../process/replicatedLog/commandLog.js";
+import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { nameSchema } from "../../settings/commonSettings.js";
@@ -14,7 +15,6 @@
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import { listen } from "../../util/socketAddress.js";
-import type { WakeUp } from "../../util/wakeUp.js";
 import { answerFailure, answerJson } from "../httpAnswer.js";
 import { readBody } from "../httpBody.js";
 
@@ -44,7 +44,9 @@
     readonly state: ControlState;
     readonly configuration: ConfigurationService;
     readonly entries: EntryTable;
-    readonly applied: WakeUp;
+    readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    /** Address to listen on. */
+    readonly address: string;
 }
 
 /** Answers the operators' calls over HTTP; each call carries an operator's token. */
@@ -57,7 +59,7 @@
 
     /** Starts to listen; resolves with the bound address. */
     start(): Promise<string> {
-        return listen(this.server, this.options.settings.operatorAddress);
+        return listen(this.server, this.options.address);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -144,25 +146,37 @@
 
     /** Answers when no entry can still serve with an older version. */
     private async waitInForce(response: ServerResponse, version: number): Promise<void> {
-        const { clock, entries } = this.options;
+        const { clock, entries, commandLog } = this.options;
         const end = clock.now() + maximumInForceWait;
-        let behind = entries.behind(version, clock.now());
-        while (behind.length > 0 && clock.now() < end && !response.destroyed) {
+        for (;;) {
+            const term = commandLog.leadingTerm();
+            if (term === undefined) {
+                answerFailure(response, failure("notLeader", { leader: commandLog.leaderAddress() ?? "unknown" }));
+                return;
+            }
+            const now = clock.now();
+            entries.enterTerm(term, now);
+            const behind = entries.behind(version, now);
+            const complete = behind.length === 0 && !entries.mayMissEntries(now);
+            if (complete) {
+                answerJson(response, 200, { version });
+                return;
+            }
+            if (now >= end || response.destroyed) {
+                const names = behind.map(record => record.entry).join(", ");
+                answerFailure(response, failure("waitTimedOut", { version, entries: names }));
+                return;
+            }
             await clock.sleep(inForceInterval);
-            behind = entries.behind(version, clock.now());
         }
-        if (behind.length > 0) {
-            const names = behind.map(record => record.entry).join(", ");
-            answerFailure(response, failure("waitTimedOut", { version, entries: names }));
-            return;
-        }
-        answerJson(response, 200, { version });
     }
 
     private status(): unknown {
-        const { state, entries, clock, settings } = this.options;
+        const { state, entries, clock, settings, commandLog } = this.options;
         return {
             control: settings.name,
+            leader: commandLog.leaderAddress(),
+            leadingTerm: commandLog.leadingTerm(),
             version: state.configuration.current.version,
             manifest: state.configuration.newestManifest,
             entries: entries.all(clock.now()),
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -4,22 +4,20 @@
 import type { EntryConnectionContext } from "../../connection/control/entryConnection.js";
 import { OperatorServer } from "../../connection/control/operatorServer.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
+import { describeFailure } from "../../resultCode/resultCode.js";
 import type { ControlSettings } from "../../settings/controlSettings.js";
 import type { Clock } from "../../util/clock.js";
 import { DisposableStore } from "../../util/disposableStore.js";
 import { listen } from "../../util/socketAddress.js";
 import { WakeUp } from "../../util/wakeUp.js";
-import { VolatileCommandLog } from "../replicatedLog/volatileCommandLog.js";
+import type { CommandLog } from "../replicatedLog/commandLog.js";
 import { ControlState } from "../state/controlState.js";
+import type { ControlCommand, ControlOutcome } from "../state/controlState.js";
 import { ConfigurationService } from "./configurationService.js";
+import { openControlLog, ownAddresses } from "./controlLog.js";
+import type { ControlAddresses } from "./controlLog.js";
 import { EntryTable } from "./entryTable.js";
 
-/** The addresses at which a control process serves. */
-export interface ControlAddresses {
-    readonly operatorAddress: string;
-    readonly entryAddress: string;
-}
-
 /** A control process: holds the replicated state, answers operators and serves entries. */
 export class ControlProcess implements AsyncDisposable {
     private readonly store = new DisposableStore();
@@ -35,31 +33,48 @@
         private readonly eventLog: EventLog,
     ) {}
 
-    /** Starts to serve; resolves with the bound addresses. */
+    /** Starts to serve; resolves with the addresses, rejects when the state cannot be opened. */
     async start(): Promise<ControlAddresses> {
-        const { settings, clock, eventLog, state, entries, applied } = this;
-        const commandLog = new VolatileCommandLog(state);
-        const configuration = new ConfigurationService({ state, commandLog, clock, eventLog });
-        const operatorServer = new OperatorServer({ settings, clock, state, configuration, entries, applied });
-        const operatorAddress = await this.store.add(operatorServer).start();
-        const entryAddress = await this.listenForEntries({
+        const { settings, clock, eventLog, state, entries, store } = this;
+        const commandLog = await openControlLog({ settings, state, clock, eventLog, store });
+        if (commandLog.err) {
+            throw new Error(describeFailure(commandLog.val));
+        }
+        const addresses = ownAddresses(settings);
+        await this.listenForOperators(commandLog.val, addresses.operatorAddress);
+        await this.listenForEntries(addresses.entryAddress, {
             cluster: settings.cluster,
             clock,
             eventLog,
             state,
-            commandLog,
+            commandLog: commandLog.val,
             entries,
-            applied,
-            leaderEntryAddress: () => undefined,
+            applied: this.applied,
+            leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
-        return { operatorAddress, entryAddress };
+        return addresses;
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
         await this.store.dispose();
     }
 
-    private listenForEntries(context: EntryConnectionContext): Promise<string> {
+    private leaderEntryAddress(commandLog: CommandLog<ControlCommand, ControlOutcome>): string | undefined {
+        const leader = commandLog.leaderAddress();
+        return this.settings.controls.find(control => control.operatorAddress === leader)?.entryAddress;
+    }
+
+    private async listenForOperators(
+        commandLog: CommandLog<ControlCommand, ControlOutcome>,
+        address: string,
+    ): Promise<void> {
+        const { settings, clock, state, entries, eventLog } = this;
+        const configuration = new ConfigurationService({ state, commandLog, clock, eventLog });
+        const server = new OperatorServer({ settings, clock, state, configuration, entries, commandLog, address });
+        await this.store.add(server).start();
+    }
+
+    private async listenForEntries(address: string, context: EntryConnectionContext): Promise<void> {
         const sockets = new Set<Socket>();
         const server = createServer(socket => {
             sockets.add(socket);
@@ -70,6 +85,6 @@
             server.close();
             sockets.forEach(socket => socket.destroy());
         });
-        return listen(server, this.settings.entryAddress);
+        await listen(server, address);
     }
 }
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -18,16 +18,33 @@
     readonly connected: boolean;
 }
 
-/** The entries that may serve, as the leader sees them. */
+/** The entries that may serve, as the leader of one term sees them. */
 export class EntryTable {
     private readonly records = new Map<string, EntryRecord>();
     private listingNumber = 0;
+    private term: number | undefined;
+    private earlierPermitsEndAt: Milliseconds = Number.POSITIVE_INFINITY;
 
     /** Rises whenever a listing changes. */
     get listingVersion(): number {
         return this.listingNumber;
     }
 
+    /** Starts anew when this process leads in a term that the table does not know yet. */
+    enterTerm(term: number, now: Milliseconds): void {
+        if (term !== this.term) {
+            this.term = term;
+            this.records.clear();
+            this.earlierPermitsEndAt = now + permitMilliseconds;
+            this.listingNumber++;
+        }
+    }
+
+    /** Whether entries that an earlier leader knew may still serve without this one knowing them. */
+    mayMissEntries(now: Milliseconds): boolean {
+        return now < this.earlierPermitsEndAt;
+    }
+
     /** Every known entry whose permit may still hold. */
     all(now: Milliseconds): readonly EntryRecord[] {
         this.forget(now);
--- a/src/process/replicatedLog/commandLog.ts
+++ b/src/process/replicatedLog/commandLog.ts
@@ -52,4 +52,10 @@
 
     /** Address of the leader's operator interface, as far as known. */
     abstract leaderAddress(): string | undefined;
+
+    /** The term in which this process leads; undefined while it does not. */
+    abstract leadingTerm(): number | undefined;
+
+    /** Waits until the state of this process has applied a position; false when the signal came first. */
+    abstract waitForPosition(position: number, signal?: AbortSignal): Promise<boolean>;
 }
--- a/src/process/replicatedLog/replicatedLog.ts
+++ b/src/process/replicatedLog/replicatedLog.ts
@@ -179,8 +179,11 @@
         return leaderId === undefined ? undefined : findMember(membership, leaderId)?.operatorAddress;
     }
 
-    /** Waits until this member has applied a position; false when the signal came first. */
-    async waitForPosition(position: number, signal?: AbortSignal): Promise<boolean> {
+    override leadingTerm(): number | undefined {
+        return this.replica.leadership?.term;
+    }
+
+    override async waitForPosition(position: number, signal?: AbortSignal): Promise<boolean> {
         const ended = signal === undefined ? this.stopping.signal : AbortSignal.any([signal, this.stopping.signal]);
         while (this.applier.appliedPosition < position && !ended.aborted) {
             await this.applier.changed.wait(ended);
--- a/src/process/replicatedLog/volatileCommandLog.ts
+++ b/src/process/replicatedLog/volatileCommandLog.ts
@@ -29,4 +29,12 @@
     override leaderAddress(): string | undefined {
         return undefined;
     }
+
+    override leadingTerm(): number {
+        return 1;
+    }
+
+    override waitForPosition(position: number): Promise<boolean> {
+        return Promise.resolve(position <= this.position);
+    }
 }
--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -5,11 +5,15 @@
 import { DisposableStore } from "../util/disposableStore.js";
 import { keyDigest } from "../util/keyDigest.js";
 import { runGullhall } from "./commandLine.js";
+import { freeAddresses } from "./freeAddresses.js";
 import { StartedProgram } from "./startedProgram.js";
 
 /** Failure domains of the quickstart's cluster. */
 const failureDomains = ["hobart-a", "hobart-b", "kingston-c"] as const;
 
+/** Addresses of one control process: for peers, operators and entries. */
+const addressesPerControl = 3;
+
 /** How long callers may keep a discovery answer, in seconds; short, so that the stop is quick. */
 const discoverySeconds = 1;
 
@@ -41,7 +45,7 @@
     async start(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "gullhall-"));
         this.store.defer(() => rm(this.folder, { recursive: true, force: true }));
-        this.controls = [await this.startControl("control-1", failureDomains[0])];
+        await this.startControls();
         await Promise.all(
             failureDomains.map((failureDomain, index) => this.startEntry(`entry-${index + 1}`, failureDomain)),
         );
@@ -72,14 +76,34 @@
         await this.store.dispose();
     }
 
-    private async startControl(name: string, failureDomain: string): Promise<StartedProgram> {
+    private async startControls(): Promise<void> {
+        const addresses = await freeAddresses(failureDomains.length * addressesPerControl);
+        const controls = failureDomains.map((failureDomain, index) => ({
+            failureDomain,
+            name: `control-${index + 1}`,
+            peerAddress: addresses[index * addressesPerControl] ?? "",
+            operatorAddress: addresses[index * addressesPerControl + 1] ?? "",
+            entryAddress: addresses[index * addressesPerControl + 2] ?? "",
+        }));
+        const listed = controls.map(({ name, peerAddress, operatorAddress, entryAddress }) => ({
+            name,
+            peerAddress,
+            operatorAddress,
+            entryAddress,
+        }));
+        this.controls = await Promise.all(
+            controls.map(({ name, failureDomain }) => this.startControl(name, failureDomain, listed)),
+        );
+    }
+
+    private async startControl(name: string, failureDomain: string, controls: object): Promise<StartedProgram> {
         const settings = await this.writeFile(`${name}.json`, {
             cluster: "quickstart",
             name,
             failureDomain,
             logStyle: "hidden",
-            operatorAddress: "127.0.0.1:0",
-            entryAddress: "127.0.0.1:0",
+            controls,
+            peerSecurity: { kind: "plainOnLoopback" },
             dataFolder: join(this.folder, name),
             operators: [{ name: "operator", tokenDigest: keyDigest(this.operatorToken) }],
         });
--- a/src/settings/controlSettings.ts
+++ b/src/settings/controlSettings.ts
@@ -4,8 +4,24 @@
 /** Schema of the settings of `gullhall-control`. */
 export const controlSettingsSchema = z.strictObject({
     ...commonSettings,
-    operatorAddress: addressSchema.describe("Where operators are answered, over HTTP."),
-    entryAddress: addressSchema.describe("Where entries connect."),
+    controls: z.array(
+        z.strictObject({
+            name: nameSchema,
+            peerAddress: addressSchema.describe("Where the other control processes connect."),
+            operatorAddress: addressSchema.describe("Where operators are answered, over HTTP."),
+            entryAddress: addressSchema.describe("Where entries connect."),
+        }).readonly(),
+    ).min(1).readonly().describe("Every control process, this one included; the same on each VM."),
+    peerSecurity: z.discriminatedUnion("kind", [
+        z.strictObject({
+            kind: z.literal("mutualTls"),
+            keyFile: z.string().min(1),
+            certificateFile: z.string().min(1),
+            authorityFile: z.string().min(1),
+        }).readonly(),
+        z.strictObject({ kind: z.literal("plainOnLoopback") }).readonly(),
+        z.strictObject({ kind: z.literal("plainWithoutProof") }).readonly(),
+    ]).describe("How control processes prove to each other who they are."),
     dataFolder: z.string().min(1).describe("Folder of the durable state."),
     operators: z.array(
         z.strictObject({
@@ -13,7 +29,10 @@
             tokenDigest: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hexadecimal"),
         }).readonly(),
     ).readonly().describe("Operators and the SHA-256 digests of their tokens."),
-}).readonly();
+}).readonly().refine(settings => settings.controls.some(control => control.name === settings.name), {
+    path: ["name"],
+    error: "must be the name of one of the controls",
+});
 
 /** Settings of `gullhall-control`. */
 export type ControlSettings = z.output<typeof controlSettingsSchema>;
