feat(control): compose usage, claims and acts into the replicated state

Cause: the sections stood apart. Change: one state of four sections, and proposals whose outcome type follows from the section.

--- a/src/process/control/configurationService.ts
+++ b/src/process/control/configurationService.ts
@@ -9,9 +9,9 @@
 import { manifestDifference } from "../../version/manifestDifference.js";
 import { readManifest } from "../../version/readManifest.js";
 import { withoutKeys } from "../../version/withoutKeys.js";
-import type { CommandLog } from "../replicatedLog/commandLog.js";
 import type { ConfigurationCommand, ConfigurationOutcome } from "../state/configurationCommand.js";
-import type { ControlCommand, ControlOutcome, ControlState } from "../state/controlState.js";
+import type { ControlProposals } from "../state/controlProposals.js";
+import type { ControlState } from "../state/controlState.js";
 
 /** Attempts to place a manifest when other changes come between. */
 const maximumRebases = 50;
@@ -27,7 +27,7 @@
 /** What the service uses. */
 export interface ConfigurationServiceOptions {
     readonly state: ControlState;
-    readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly proposals: ControlProposals;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -102,9 +102,8 @@
         return { operator, receivedAt: this.options.clock.unixNow() };
     }
 
-    private async propose(command: ConfigurationCommand): Promise<Result<ConfigurationOutcome, Failure>> {
-        const committed = await this.options.commandLog.propose({ section: "configuration", command });
-        return committed.err ? committed : Ok(committed.val.outcome.outcome);
+    private propose(command: ConfigurationCommand): Promise<Result<ConfigurationOutcome, Failure>> {
+        return this.options.proposals.propose("configuration", command);
     }
 }
 
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -11,6 +11,7 @@
 import { listen } from "../../util/socketAddress.js";
 import { WakeUp } from "../../util/wakeUp.js";
 import type { CommandLog } from "../replicatedLog/commandLog.js";
+import { ControlProposals } from "../state/controlProposals.js";
 import { ControlState } from "../state/controlState.js";
 import type { ControlCommand, ControlOutcome } from "../state/controlState.js";
 import { ConfigurationService } from "./configurationService.js";
@@ -69,7 +70,12 @@
         address: string,
     ): Promise<void> {
         const { settings, clock, state, entries, eventLog } = this;
-        const configuration = new ConfigurationService({ state, commandLog, clock, eventLog });
+        const configuration = new ConfigurationService({
+            state,
+            proposals: new ControlProposals(commandLog),
+            clock,
+            eventLog,
+        });
         const server = new OperatorServer({ settings, clock, state, configuration, entries, commandLog, address });
         await this.store.add(server).start();
     }
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -1,23 +1,36 @@
 import { Decoder, Encoder } from "cbor-x";
+import { match } from "ts-pattern";
+import type { ClaimCommand, ClaimOutcome } from "../claims/claimCommand.js";
+import { ClaimTable } from "../claims/claimTable.js";
+import { ActLedger } from "../platform/actLedger.js";
+import type { PlatformCommand, PlatformOutcome } from "../platform/platformCommand.js";
 import { StateMachine } from "../replicatedLog/commandLog.js";
+import type { UsageCommand, UsageOutcomeOfCommand } from "../usage/usageCommand.js";
+import { UsageLedger } from "../usage/usageLedger.js";
 import type { ConfigurationCommand, ConfigurationOutcome } from "./configurationCommand.js";
 import { ConfigurationSection } from "./configurationSection.js";
 import type { ConfigurationSectionData } from "./configurationSection.js";
 
 /** A command of the control processes' replicated log. */
-export interface ControlCommand {
-    readonly section: "configuration";
-    readonly command: ConfigurationCommand;
-}
+export type ControlCommand =
+    | { readonly section: "configuration"; readonly command: ConfigurationCommand; }
+    | { readonly section: "usage"; readonly command: UsageCommand; }
+    | { readonly section: "claims"; readonly command: ClaimCommand; }
+    | { readonly section: "platform"; readonly command: PlatformCommand; };
 
 /** What applying a command gave. */
-export interface ControlOutcome {
-    readonly section: "configuration";
-    readonly outcome: ConfigurationOutcome;
-}
+export type ControlOutcome =
+    | { readonly section: "configuration"; readonly outcome: ConfigurationOutcome; }
+    | { readonly section: "usage"; readonly outcome: UsageOutcomeOfCommand; }
+    | { readonly section: "claims"; readonly outcome: ClaimOutcome; }
+    | { readonly section: "platform"; readonly outcome: PlatformOutcome; };
 
+/** The state as plain data, encoded in snapshots. */
 interface ControlStateData {
     readonly configuration: ConfigurationSectionData;
+    readonly usage: ReturnType<UsageLedger["snapshot"]>;
+    readonly claims: ReturnType<ClaimTable["snapshot"]>;
+    readonly platform: ReturnType<ActLedger["snapshot"]>;
 }
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
@@ -26,6 +39,9 @@
 /** The state that every control process derives from the log, made of one section for each subject. */
 export class ControlState extends StateMachine<ControlCommand, ControlOutcome> {
     readonly configuration = new ConfigurationSection();
+    readonly usage = new UsageLedger();
+    readonly claims = new ClaimTable();
+    readonly platform = new ActLedger();
 
     /** @param onApplied Called after each applied command. */
     constructor(private readonly onApplied: () => void = () => undefined) {
@@ -33,19 +49,56 @@
     }
 
     override apply(command: ControlCommand): ControlOutcome {
-        const outcome = { section: command.section, outcome: this.configuration.apply(command.command) };
+        const outcome = match(command)
+            .returnType<ControlOutcome>()
+            .with({ section: "configuration" }, ({ section, command: change }) => ({
+                section,
+                outcome: this.configuration.apply(change),
+            }))
+            .with({ section: "usage" }, ({ section, command: usage }) => ({ section, outcome: this.applyUsage(usage) }))
+            .with({ section: "claims" }, ({ section, command: claim }) => ({
+                section,
+                outcome: this.claims.apply(claim, incarnation => this.isRunning(incarnation)),
+            }))
+            .with({ section: "platform" }, ({ section, command: act }) => ({
+                section,
+                outcome: this.platform.apply(act),
+            }))
+            .exhaustive();
         this.onApplied();
         return outcome;
     }
 
     override snapshot(): Uint8Array {
-        const data: ControlStateData = { configuration: this.configuration.toData() };
+        const data: ControlStateData = {
+            configuration: this.configuration.toData(),
+            usage: this.usage.snapshot(),
+            claims: this.claims.snapshot(),
+            platform: this.platform.snapshot(),
+        };
         return encoder.encode(data);
     }
 
     override restore(snapshot: Uint8Array): void {
         const data = decoder.decode(snapshot) as ControlStateData;
         this.configuration.restore(data.configuration);
+        this.usage.restore(data.usage);
+        this.claims.restore(data.claims);
+        this.platform.restore(data.platform);
         this.onApplied();
     }
+
+    /** The end of an incarnation concerns its claims too. */
+    private applyUsage(command: UsageCommand): UsageOutcomeOfCommand {
+        const outcome = this.usage.apply(command);
+        if (command.kind === "endIncarnation") {
+            this.claims.apply(command, incarnation => this.isRunning(incarnation));
+        }
+        return outcome;
+    }
+
+    private isRunning(incarnation: string): boolean {
+        const known = this.usage.incarnations.find(incarnation);
+        return known !== undefined && known.endedAt === undefined;
+    }
 }
