feat(usage): bill ended requests through the replicated log

Cause: usage was counted nowhere. Change: entries register their incarnation before their first permit, add up ended requests and deliver them numbered, resent until confirmed; the leader ends incarnations whose permit has lapsed, sets and seals windows and ends claims that are due. Conclusion: delivery under crashes is to be checked against the engines' records.

--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -5,6 +5,7 @@
 import { permitMilliseconds } from "../../process/control/entryTable.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { CommandLog } from "../../process/replicatedLog/commandLog.js";
+import type { ControlProposals } from "../../process/state/controlProposals.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { definitionOf } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -25,6 +26,7 @@
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 
 type Hello = Extract<EntryToControl, { kind: "hello"; }>;
+type UsageMessage = Extract<EntryToControl, { kind: "usage"; }>;
 type PermitRequest = Extract<EntryToControl, { kind: "permitRequest"; }>;
 
 /** What the connections of entries share within a control process. */
@@ -34,6 +36,7 @@
     readonly eventLog: EventLog;
     readonly state: ControlState;
     readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly proposals: ControlProposals;
     readonly entries: EntryTable;
     /** Woken after each applied command. */
     readonly applied: WakeUp;
@@ -99,6 +102,7 @@
     private async handle(message: Exclude<EntryToControl, Hello>, hello: Hello): Promise<void> {
         await match(message)
             .with({ kind: "permitRequest" }, request => this.answerPermit(request, hello))
+            .with({ kind: "usage" }, usage => this.takeUsage(usage))
             .exhaustive();
     }
 
@@ -112,6 +116,9 @@
             this.send({ kind: "redirect", leaderAddress: this.context.leaderEntryAddress() });
             return;
         }
+        if (!await this.register(hello)) {
+            return;
+        }
         entries.enterTerm(term, clock.now());
         this.record(request, hello, receivedAt);
         const listing = entries.listingVersion;
@@ -125,6 +132,35 @@
         this.sentListing = listing;
     }
 
+    /** Registers the entry's incarnation; false when it may not be used, after telling the entry. */
+    private async register(hello: Hello): Promise<boolean> {
+        const { proposals, state, clock } = this.context;
+        const { entry, incarnation, startedAt } = hello;
+        const known = state.usage.incarnations.find(incarnation);
+        if (known !== undefined) {
+            if (known.endedAt !== undefined) {
+                this.send({ kind: "incarnationEnded", incarnation });
+            }
+            return known.endedAt === undefined;
+        }
+        const begin = { kind: "beginIncarnation" as const, entry, incarnation, startedAt, at: clock.unixNow() };
+        const begun = await proposals.propose("usage", begin, this.closing.signal);
+        if (begun.ok && begun.val.kind === "startTooOld") {
+            this.send({ kind: "incarnationEnded", incarnation });
+        }
+        return begun.ok && begun.val.kind === "accepted";
+    }
+
+    private async takeUsage(message: UsageMessage): Promise<void> {
+        const { incarnation, firstSequence, records } = message;
+        const at = this.context.clock.unixNow();
+        const command = { kind: "recordUsage" as const, incarnation, firstSequence, records, at };
+        const taken = await this.context.proposals.propose("usage", command, this.closing.signal);
+        if (taken.ok) {
+            this.send({ kind: "usageTaken", incarnation, outcome: taken.val });
+        }
+    }
+
     private reached(position: number): Promise<boolean> {
         return this.context.commandLog.waitForPosition(position, this.closing.signal);
     }
--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -130,6 +130,8 @@
             clock: this.state.clock,
             eventLog: this.state.eventLog,
             metrics: this.state.metrics,
+            usage: this.state.usage,
+            configuration: this.state.configuration,
             callerLeft: callerLeft.signal,
         });
     }
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -4,7 +4,8 @@
 import { match } from "ts-pattern";
 import type { EntryConfiguration } from "../../process/entry/entryConfiguration.js";
 import type { ServingPermit } from "../../process/entry/servingPermit.js";
-import type { Clock, Milliseconds } from "../../util/clock.js";
+import type { UsageRecorder } from "../../process/entry/usageRecorder.js";
+import type { Clock, Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import type { ConfigurationSnapshot } from "../../version/configurationChange.js";
 import { entryProtocolVersion } from "../entryMessages.js";
@@ -24,13 +25,19 @@
     readonly cluster: string;
     readonly entry: string;
     readonly incarnation: string;
+    /** Wall-clock time at which the incarnation began, in Unix milliseconds. */
+    readonly startedAt: UnixMilliseconds;
     readonly failureDomain: string;
     readonly callerAddress: string;
 }
 
 /** What a connection to a control process works on. */
 export interface ControlConnectionContext {
-    readonly identity: EntryIdentity;
+    /** The identity at present; its incarnation changes when control has declared the last one over. */
+    readonly identity: () => EntryIdentity;
+    /** Begins a new incarnation if the given one is the present one. */
+    readonly renewIncarnation: (ended: string) => void;
+    readonly usage: UsageRecorder;
     readonly clock: Clock;
     readonly configuration: EntryConfiguration;
     readonly permit: ServingPermit;
@@ -52,6 +59,7 @@
     private readonly sentAt = new Map<number, Milliseconds>();
     private readonly parts: Uint8Array[] = [];
     private nextNumber = 1;
+    private awaitingUsage = false;
     private leaderAddress: string | undefined;
 
     constructor(
@@ -94,7 +102,7 @@
 
     private greet(): void {
         const version = this.context.configuration.current.version;
-        this.send({ kind: "hello", protocol: entryProtocolVersion, ...this.context.identity, version });
+        this.send({ kind: "hello", protocol: entryProtocolVersion, ...this.context.identity(), version });
     }
 
     private async renew(): Promise<void> {
@@ -103,10 +111,20 @@
             const number = this.nextNumber++;
             this.sentAt.set(number, clock.now());
             this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
+            this.deliverUsage();
             await clock.sleep(permitInterval, this.ended.signal);
         }
     }
 
+    /** Sends usage records, one message at a time. */
+    private deliverUsage(): void {
+        const delivery = this.awaitingUsage ? undefined : this.context.usage.nextDelivery();
+        if (delivery !== undefined) {
+            this.awaitingUsage = true;
+            this.send({ kind: "usage", ...delivery });
+        }
+    }
+
     /** @returns Whether the connection is still of use. */
     private handle(message: ControlToEntry): boolean {
         return match(message)
@@ -115,6 +133,15 @@
                 this.leaderAddress = leaderAddress;
                 return false;
             })
+            .with({ kind: "incarnationEnded" }, ({ incarnation }) => {
+                this.context.renewIncarnation(incarnation);
+                return false;
+            })
+            .with({ kind: "usageTaken" }, ({ incarnation, outcome }) => {
+                this.context.usage.confirm(incarnation, outcome);
+                this.awaitingUsage = false;
+                return true;
+            })
             .with({ kind: "snapshotPart" }, part => {
                 this.takePart(part.bytes, part.last);
                 return true;
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import type { UsageOutcomeOfCommand } from "../process/usage/usageCommand.js";
 import type { ConfigurationSnapshot, VersionedChange } from "../version/configurationChange.js";
 
 /** Version of the protocol between entries and control processes. */
@@ -14,6 +15,23 @@
     waitingRequests: count,
 }).readonly();
 
+/** Usage records in one message at most. */
+const maximumUsageRecords = 1000;
+
+const usageRecordSchema = z.strictObject({
+    team: shortText,
+    requestClass: shortText,
+    outcome: z.enum(["complete", "cut", "failed"]),
+    finishedAt: count,
+    requests: count,
+    promptTokens: count,
+    cachedTokens: count,
+    outputTokens: count,
+    endpointTime: count,
+    price: count,
+    cut: count,
+}).readonly();
+
 /** Messages from an entry to a control process. */
 export const entryToControlSchema = z.discriminatedUnion("kind", [
     z.strictObject({
@@ -23,6 +41,8 @@
         entry: shortText,
         /** Differs at each start of the entry's process. */
         incarnation: shortText,
+        /** Wall-clock time at which the incarnation began, in Unix milliseconds. */
+        startedAt: count,
         failureDomain: shortText,
         callerAddress: shortText,
         /** Version of the configuration that the entry holds; 0 for none. */
@@ -35,6 +55,13 @@
         version: count,
         status: entryStatusSchema,
     }),
+    z.strictObject({
+        kind: z.literal("usage"),
+        incarnation: shortText,
+        /** Sequence number of the first record, from 1 within the incarnation. */
+        firstSequence: z.int().min(1),
+        records: z.array(usageRecordSchema).max(maximumUsageRecords).readonly(),
+    }),
 ]);
 
 /** What an entry tells of itself with each permit request. */
@@ -61,6 +88,10 @@
     | { readonly kind: "redirect"; readonly leaderAddress: string | undefined; }
     /** Bytes of an encoded {@link ConfigurationSnapshot}; the last part completes it. */
     | { readonly kind: "snapshotPart"; readonly bytes: Uint8Array; readonly last: boolean; }
+    /** The incarnation was declared over while it could not be reached; the entry goes on under a new one. */
+    | { readonly kind: "incarnationEnded"; readonly incarnation: string; }
+    /** What became of the usage records of a message. */
+    | { readonly kind: "usageTaken"; readonly incarnation: string; readonly outcome: UsageOutcomeOfCommand; }
     | { readonly kind: "changes"; readonly changes: readonly VersionedChange[]; }
     | {
         readonly kind: "permit";
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -18,6 +18,8 @@
 import { openControlLog, ownAddresses } from "./controlLog.js";
 import type { ControlAddresses } from "./controlLog.js";
 import { EntryTable } from "./entryTable.js";
+import { runLeaderDuties } from "./leaderDuties.js";
+import type { LeaderDutyContext } from "./leaderDuties.js";
 
 /** A control process: holds the replicated state, answers operators and serves entries. */
 export class ControlProcess implements AsyncDisposable {
@@ -42,17 +44,20 @@
             throw new Error(describeFailure(commandLog.val));
         }
         const addresses = ownAddresses(settings);
-        await this.listenForOperators(commandLog.val, addresses.operatorAddress);
+        const proposals = new ControlProposals(commandLog.val);
+        await this.listenForOperators(commandLog.val, proposals, addresses.operatorAddress);
         await this.listenForEntries(addresses.entryAddress, {
             cluster: settings.cluster,
             clock,
             eventLog,
             state,
             commandLog: commandLog.val,
+            proposals,
             entries,
             applied: this.applied,
             leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
+        this.runDuties({ state, commandLog: commandLog.val, proposals, entries, clock });
         return addresses;
     }
 
@@ -60,6 +65,16 @@
         await this.store.dispose();
     }
 
+    /** Runs the leader's recurring duties until the process stops. */
+    private runDuties(context: LeaderDutyContext): void {
+        const stopping = new AbortController();
+        const duties = runLeaderDuties(context, stopping.signal);
+        this.store.defer(async () => {
+            stopping.abort();
+            await duties;
+        });
+    }
+
     private leaderEntryAddress(commandLog: CommandLog<ControlCommand, ControlOutcome>): string | undefined {
         const leader = commandLog.leaderAddress();
         return this.settings.controls.find(control => control.operatorAddress === leader)?.entryAddress;
@@ -67,12 +82,13 @@
 
     private async listenForOperators(
         commandLog: CommandLog<ControlCommand, ControlOutcome>,
+        proposals: ControlProposals,
         address: string,
     ): Promise<void> {
         const { settings, clock, state, entries, eventLog } = this;
         const configuration = new ConfigurationService({
             state,
-            proposals: new ControlProposals(commandLog),
+            proposals,
             clock,
             eventLog,
         });
--- /dev/null
+++ b/src/process/control/leaderDuties.ts
@@ -0,0 +1,87 @@
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import type { CommandLog } from "../replicatedLog/commandLog.js";
+import type { ControlProposals } from "../state/controlProposals.js";
+import type { ControlCommand, ControlOutcome, ControlState } from "../state/controlState.js";
+import type { EntryTable } from "./entryTable.js";
+
+/** How often the leader looks for something that is due, in milliseconds. */
+const dutyInterval: Milliseconds = 500;
+
+/** How long after the end of a window late records of it are awaited before it is sealed, in milliseconds. */
+const sealDelay: Milliseconds = 10_000;
+
+/** What the leader's duties work on. */
+export interface LeaderDutyContext {
+    readonly state: ControlState;
+    readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly proposals: ControlProposals;
+    readonly entries: EntryTable;
+    readonly clock: Clock;
+}
+
+/** Does, while this process leads, what falls due with time: ends incarnations, sets and seals windows, ends claims. */
+export async function runLeaderDuties(context: LeaderDutyContext, stop: AbortSignal): Promise<void> {
+    const duties = new LeaderDuties(context, stop);
+    while (!stop.aborted) {
+        await duties.runOnce();
+        await context.clock.sleep(dutyInterval, stop);
+    }
+}
+
+class LeaderDuties {
+    constructor(private readonly context: LeaderDutyContext, private readonly stop: AbortSignal) {}
+
+    async runOnce(): Promise<void> {
+        const { commandLog, entries, clock } = this.context;
+        const term = commandLog.leadingTerm();
+        if (term === undefined) {
+            return;
+        }
+        entries.enterTerm(term, clock.now());
+        await this.endIncarnations();
+        await this.setWindowLength();
+        await this.sealWindow();
+        await this.expireClaims();
+    }
+
+    /** Declares incarnations over whose permit has surely ended. */
+    private async endIncarnations(): Promise<void> {
+        const { state, entries, clock, proposals } = this.context;
+        if (entries.mayMissEntries(clock.now())) {
+            return;
+        }
+        const alive = new Set(entries.all(clock.now()).map(record => record.incarnation));
+        for (const { incarnation } of state.usage.incarnations.running()) {
+            if (!alive.has(incarnation)) {
+                const command = { kind: "endIncarnation" as const, incarnation, at: clock.unixNow() };
+                await proposals.propose("usage", command, this.stop);
+            }
+        }
+    }
+
+    private async setWindowLength(): Promise<void> {
+        const { state, clock, proposals } = this.context;
+        const seconds = state.configuration.current.manifest?.billing.windowSeconds;
+        if (seconds !== undefined && seconds * 1000 !== state.usage.windowLength) {
+            const command = { kind: "setUsageWindow" as const, length: seconds * 1000, at: clock.unixNow() };
+            await proposals.propose("usage", command, this.stop);
+        }
+    }
+
+    private async sealWindow(): Promise<void> {
+        const { state, clock, proposals } = this.context;
+        const window = state.usage.oldestOpenWindow();
+        if (window !== undefined && clock.unixNow() >= window.end + sealDelay) {
+            const command = { kind: "sealWindow" as const, window: window.start, at: clock.unixNow() };
+            await proposals.propose("usage", command, this.stop);
+        }
+    }
+
+    private async expireClaims(): Promise<void> {
+        const { state, clock, proposals } = this.context;
+        const due = state.claims.nextExpiry();
+        if (due !== undefined && due <= clock.unixNow()) {
+            await proposals.propose("claims", { kind: "expireClaims", at: clock.unixNow() }, this.stop);
+        }
+    }
+}
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -54,7 +54,18 @@
         return keepControlLink(
             controlAddresses,
             {
-                identity: { cluster, entry: name, incarnation: state.incarnation, failureDomain, callerAddress },
+                identity: () => ({
+                    cluster,
+                    entry: name,
+                    incarnation: state.incarnation.name,
+                    startedAt: state.incarnation.startedAt,
+                    failureDomain,
+                    callerAddress,
+                }),
+                renewIncarnation: ended => {
+                    state.renewIncarnation(ended);
+                },
+                usage: state.usage,
                 clock,
                 configuration: state.configuration,
                 permit: state.permit,
--- a/src/process/entry/entryProcessState.ts
+++ b/src/process/entry/entryProcessState.ts
@@ -1,4 +1,4 @@
-import { randomBytes } from "node:crypto";
+import { randomInt } from "node:crypto";
 import type { EntryStatus } from "../../connection/entryMessages.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import { FirstComeQueue } from "../../request/admission/firstComeQueue.js";
@@ -13,40 +13,57 @@
 import { EndpointClients } from "./endpointClients.js";
 import { EndpointState } from "./endpointState.js";
 import { EntryConfiguration } from "./entryConfiguration.js";
+import { createIncarnation } from "./entryIncarnation.js";
+import type { EntryIncarnation } from "./entryIncarnation.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { PoolDispatcher } from "./poolDispatcher.js";
 import { ServingPermit } from "./servingPermit.js";
+import { UsageRecorder } from "./usageRecorder.js";
 
-/** Bytes of the random name of a process start. */
-const incarnationBytes = 6;
+/** Number of seeds of the random choices of a process. */
+const seeds = 2 ** 31;
 
 /** Everything that an entry process holds beside its tasks. */
 export class EntryProcessState implements Disposable {
-    /** Differs at each start. */
-    readonly incarnation = randomBytes(incarnationBytes).toString("hex");
     readonly configuration = new EntryConfiguration();
     readonly permit = new ServingPermit();
     readonly metrics = new EntryMetrics();
     readonly clients = new EndpointClients();
     readonly discovery: Discovery;
+    readonly usage: UsageRecorder;
     /** Whether the process is about to stop; it still serves those who come. */
     draining = false;
     private readonly dispatchers = new Map<string, PoolDispatcher>();
     private requestCount = 0;
+    private currentIncarnation: EntryIncarnation;
 
     constructor(
         readonly settings: EntrySettings,
         readonly clock: Clock,
         readonly eventLog: EventLog,
     ) {
-        const seed = Buffer.from(this.incarnation, "hex").readInt32BE(0);
-        this.discovery = new Discovery(new RandomSource(seed), settings.discoverySeconds);
+        this.currentIncarnation = createIncarnation(clock.unixNow());
+        this.usage = new UsageRecorder(this.currentIncarnation.name);
+        this.discovery = new Discovery(new RandomSource(randomInt(seeds)), settings.discoverySeconds);
         this.configuration.onChange(configuration => {
             this.updatePools(configuration);
             eventLog.write("configurationInForce", { version: configuration.version });
         });
     }
 
+    /** Differs at each start, and after control has declared the last one over. */
+    get incarnation(): EntryIncarnation {
+        return this.currentIncarnation;
+    }
+
+    /** Begins a new incarnation if the given one is the present one. */
+    renewIncarnation(ended: string): void {
+        if (ended === this.currentIncarnation.name) {
+            this.currentIncarnation = createIncarnation(this.clock.unixNow());
+            this.usage.enterIncarnation(this.currentIncarnation.name);
+        }
+    }
+
     /** Why no request may be served now; undefined when they may. */
     unreadiness(): Failure | undefined {
         if (this.permit.holds(this.configuration.current.version, this.clock.now())) {
@@ -58,7 +75,7 @@
     /** A request identifier that no other entry and no other start of this one uses. */
     nextRequestId(): string {
         this.requestCount++;
-        return `${this.settings.name}-${this.incarnation}-${this.requestCount}`;
+        return `${this.settings.name}-${this.incarnation.name}-${this.requestCount}`;
     }
 
     /** The dispatcher of a pool of the configuration in force. */
--- a/src/process/usage/openWindows.ts
+++ b/src/process/usage/openWindows.ts
@@ -22,6 +22,11 @@
         return this.grids[0]?.start;
     }
 
+    /** Length that was set last, or undefined before the first. */
+    get length(): Milliseconds | undefined {
+        return this.grids.at(-1)?.length;
+    }
+
     /** Sets the length of the windows after the last one that holds usage or contains `now`. */
     setLength(length: Milliseconds, now: UnixMilliseconds): void {
         const last = this.grids.at(-1);
--- a/src/process/usage/usageLedger.ts
+++ b/src/process/usage/usageLedger.ts
@@ -1,5 +1,5 @@
 import { match } from "ts-pattern";
-import type { UnixMilliseconds } from "../../util/clock.js";
+import type { Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 import { IncarnationTable } from "./incarnationTable.js";
 import type { IncarnationTableSnapshot } from "./incarnationTable.js";
 import { OpenWindows } from "./openWindows.js";
@@ -41,6 +41,11 @@
         return this.incarnationTable;
     }
 
+    /** Length of windows that was set last, in milliseconds; undefined before the first. */
+    get windowLength(): Milliseconds | undefined {
+        return this.windows.length;
+    }
+
     /** Applies the next command of the log. */
     apply(command: UsageCommand): UsageOutcomeOfCommand {
         return match(command)
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -3,6 +3,7 @@
 import { match } from "ts-pattern";
 import { retryAfterHeader } from "../../connection/httpAnswer.js";
 import type { Placement, Refused } from "../../process/entry/poolDispatcher.js";
+import type { UsageOutcome } from "../../process/usage/usageCommand.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -39,6 +40,7 @@
     private text = "";
     private nextToken = 0;
     private lastTokenAt: Milliseconds | undefined;
+    private endpointTime: Milliseconds = 0;
 
     constructor(private readonly context: RequestContext, private readonly body: ModelBody) {
         const { requestId, response, resolved, identity, clock } = context;
@@ -81,6 +83,7 @@
                 })
                 .with({ kind: "callerLeft" }, () => {
                     this.context.metrics.countEnd(this.labels, "callerLeft", false);
+                    this.recordUsage("cut", undefined);
                     return true;
                 })
                 .with({ kind: "notRun" }, { kind: "broken" }, ({ reason }) => {
@@ -121,6 +124,7 @@
         }
         finally {
             ended.abort();
+            this.endpointTime += clock.now() - placement.startedAt;
             this.context.dispatcher.release(placement, {
                 promptTokens: this.pending.promptTokens,
                 cachedTokens: 0,
@@ -176,12 +180,29 @@
 
     private finish(finishReason: string, usage: EngineUsage): void {
         this.writer.finish(finishReason, usage);
+        this.recordUsage("complete", usage);
         const total = this.context.clock.now() - this.pending.arrivedAt;
         this.context.metrics.recordTime(this.labels, "total", total);
         const withinTarget = total <= this.pending.requestClass.target.totalMilliseconds;
         this.context.metrics.countEnd(this.labels, "answered", withinTarget);
     }
 
+    /** Has the request billed; tokens that the engine did not count are estimated before the answer is whole. */
+    private recordUsage(outcome: UsageOutcome, usage: EngineUsage | undefined): void {
+        const { configuration, clock } = this.context;
+        const ended = {
+            team: this.pending.team ?? "",
+            requestClass: this.pending.requestClass.name,
+            outcome,
+            promptTokens: usage?.prompt_tokens ?? (this.nextToken > 0 ? this.pending.promptTokens : 0),
+            cachedTokens: usage?.cached_tokens ?? 0,
+            outputTokens: this.nextToken,
+            endpointTime: this.endpointTime,
+            finishedAt: clock.unixNow(),
+        };
+        this.context.usage.record(ended, configuration.current);
+    }
+
     private refuse(refused: Refused): void {
         const { requestId, eventLog, metrics } = this.context;
         this.writer.fail(refused.failure, retryAfterHeader(refused.retryAfter));
@@ -199,6 +220,7 @@
     private fail(reported: Failure, reason: string): void {
         const { requestId, eventLog, metrics } = this.context;
         this.writer.fail(reported);
+        this.recordUsage(this.nextToken > 0 ? "cut" : "failed", undefined);
         metrics.countEnd(this.labels, "failed", false);
         eventLog.write("requestFailed", { requestId, ...this.labels, endpoint: reason, code: reported.code });
     }
--- a/src/request/requestContext.ts
+++ b/src/request/requestContext.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EventLog } from "../logEvent/eventLog.js";
 import type { EndpointClients } from "../process/entry/endpointClients.js";
+import type { EntryConfiguration } from "../process/entry/entryConfiguration.js";
 import type { EntryMetrics } from "../process/entry/entryMetrics.js";
 import type { PoolDispatcher } from "../process/entry/poolDispatcher.js";
+import type { UsageRecorder } from "../process/entry/usageRecorder.js";
 import type { Clock } from "../util/clock.js";
 import type { Identity, ResolvedRoute } from "../version/compiledConfiguration.js";
 
@@ -20,6 +22,8 @@
     readonly clock: Clock;
     readonly eventLog: EventLog;
     readonly metrics: EntryMetrics;
+    readonly usage: UsageRecorder;
+    readonly configuration: EntryConfiguration;
     /** Aborts when the caller has closed its connection. */
     readonly callerLeft: AbortSignal;
 }
--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -2,8 +2,10 @@
 import { pipeline } from "node:stream/promises";
 import { answerFailure, retryAfterHeader } from "../../connection/httpAnswer.js";
 import type { Placement } from "../../process/entry/poolDispatcher.js";
+import type { UsageOutcome } from "../../process/usage/usageCommand.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
+import type { Milliseconds } from "../../util/clock.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { RequestContext } from "../requestContext.js";
 
@@ -37,6 +39,7 @@
 export class ServiceRequest {
     private readonly pending: PendingRequest;
     private readonly labels;
+    private endpointTime: Milliseconds = 0;
 
     constructor(private readonly context: RequestContext) {
         const { requestId, resolved, identity, clock, request } = context;
@@ -70,6 +73,7 @@
                 return;
             }
             if (end === "unknown" && !this.pending.idempotent) {
+                this.recordUsage("failed");
                 this.fail(failure("endpointFailed"), undefined);
                 return;
             }
@@ -99,6 +103,7 @@
         }
         finally {
             const serviceTime = clock.now() - placement.startedAt;
+            this.endpointTime += serviceTime;
             dispatcher.release(placement, { promptTokens: 0, cachedTokens: 0, outputTokens: 0, serviceTime });
         }
     }
@@ -119,11 +124,27 @@
             return "callerLeft";
         }
         const total = clock.now() - this.pending.arrivedAt;
+        this.recordUsage("complete");
         metrics.recordTime(this.labels, "total", total);
         metrics.countEnd(this.labels, "answered", total <= this.pending.requestClass.target.totalMilliseconds);
         return "answered";
     }
 
+    private recordUsage(outcome: UsageOutcome): void {
+        const { usage, configuration, clock } = this.context;
+        const ended = {
+            team: this.pending.team ?? "",
+            requestClass: this.pending.requestClass.name,
+            outcome,
+            promptTokens: 0,
+            cachedTokens: 0,
+            outputTokens: 0,
+            endpointTime: this.endpointTime,
+            finishedAt: clock.unixNow(),
+        };
+        usage.record(ended, configuration.current);
+    }
+
     private forwardedHeaders(): OutgoingHttpHeaders {
         const headers: OutgoingHttpHeaders = { "x-request-id": this.pending.id };
         for (const name of forwardedRequestHeaders) {
--- a/src/version/compiledConfiguration.ts
+++ b/src/version/compiledConfiguration.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationSnapshot } from "./configurationChange.js";
-import type { Key, Manifest, Pool, RequestClass, Route, Team } from "./manifest.js";
+import type { Key, Manifest, Pool, Price, RequestClass, Route, Team } from "./manifest.js";
 
 /** The team and key that a request was authenticated as. */
 export interface Identity {
@@ -23,6 +23,7 @@
     private readonly pools: ReadonlyMap<string, Pool>;
     private readonly modelRoutes = new Map<string, readonly Route[]>();
     private readonly serviceRoutes: readonly Route[];
+    private readonly prices: ReadonlyMap<string, Price>;
     private readonly routeTeams = new Map<string, ReadonlySet<string>>();
 
     constructor(snapshot: ConfigurationSnapshot) {
@@ -31,6 +32,7 @@
         this.manifest = manifest;
         this.classes = new Map(manifest?.classes.map(requestClass => [requestClass.name, requestClass]));
         this.pools = new Map(manifest?.pools.map(pool => [pool.name, pool]));
+        this.prices = new Map(manifest?.billing.prices.map(price => [price.requestClass, price]));
         this.serviceRoutes = (manifest?.routes ?? [])
             .filter(route => route.kind === "service")
             .sort((left, right) => (right.pathPrefix ?? "").length - (left.pathPrefix ?? "").length);
@@ -43,6 +45,16 @@
         return this.manifest?.pools ?? [];
     }
 
+    /** The cut in millionths of the price. */
+    get cutPerMillion(): number {
+        return this.manifest?.billing.cutPerMillion ?? 0;
+    }
+
+    /** Prices of a request class; undefined for one that costs nothing. */
+    priceOf(requestClass: string): Price | undefined {
+        return this.prices.get(requestClass);
+    }
+
     /** The team and key of a key's digest; undefined for an unknown or withdrawn key. */
     identify(digest: string): Identity | undefined {
         return this.identities.get(digest);
