--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -17,42 +17,93 @@
 /** How long callers may keep a discovery answer, in seconds; short, so that the stop is quick. */
 const discoverySeconds = 1;
 
+/** A program of a cluster that can be started again with the same settings. */
+export class ClusterMember implements AsyncDisposable {
+    private running: StartedProgram | undefined;
+
+    constructor(
+        readonly name: string,
+        private readonly program: "gullhallControl" | "gullhallEntry",
+        private readonly settingsFile: string,
+        /** Folder of its durable state; entries have none. */
+        readonly dataFolder: string,
+    ) {}
+
+    /** The running program; throws while it does not run. */
+    get started(): StartedProgram {
+        if (this.running === undefined) {
+            throw new Error(`${this.name} does not run.`);
+        }
+        return this.running;
+    }
+
+    /** Starts the program and waits until it serves. */
+    async start(): Promise<void> {
+        this.running = await StartedProgram.start(this.program, ["--settings", this.settingsFile]);
+    }
+
+    /** Ends the program at once, as the loss of its VM would. */
+    async kill(): Promise<void> {
+        await this.running?.kill();
+        this.running = undefined;
+    }
+
+    /** Deletes the durable state of a program that does not run. */
+    async loseDisk(): Promise<void> {
+        await rm(this.dataFolder, { recursive: true, force: true });
+    }
+
+    /** Stops the program gracefully, if it runs. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.running?.resume();
+        await this.running?.[Symbol.asyncDispose]();
+        this.running = undefined;
+    }
+}
+
 /** A cluster of real programs on loopback, with stand-ins for the outside systems. */
 export class Cluster implements AsyncDisposable {
     /** Token of the cluster's operator. */
     readonly operatorToken = createKey();
     private readonly store = new DisposableStore();
     private folder = "";
-    private controls: readonly StartedProgram[] = [];
-    private readonly entryPrograms: StartedProgram[] = [];
+    private addresses: readonly ControlAddressSettings[] = [];
+    private controlMembers: readonly ClusterMember[] = [];
+    private entryMembers: readonly ClusterMember[] = [];
+
+    /** The control processes. */
+    get controls(): readonly ClusterMember[] {
+        return this.controlMembers;
+    }
+
+    /** The entries. */
+    get entries(): readonly ClusterMember[] {
+        return this.entryMembers;
+    }
 
     /** Caller addresses of the entries. */
     get entryAddresses(): readonly string[] {
-        return this.entryPrograms.map(entry => entry.shown["callerAddress"] ?? "");
+        return this.entryMembers.map(entry => entry.started.shown["callerAddress"] ?? "");
     }
 
     /** Operator addresses of the control processes. */
     get operatorAddresses(): readonly string[] {
-        return this.controls.map(control => control.shown["operatorAddress"] ?? "");
-    }
-
-    /** Folder of the cluster's files. */
-    get dataFolder(): string {
-        return this.folder;
+        return this.addresses.map(address => address.operatorAddress);
     }
 
     /** Starts control processes and one entry in each failure domain. */
     async start(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "gullhall-"));
         this.store.defer(() => rm(this.folder, { recursive: true, force: true }));
-        await this.startControls();
-        await Promise.all(
-            failureDomains.map((failureDomain, index) => this.startEntry(`entry-${index + 1}`, failureDomain)),
-        );
+        this.addresses = await takeControlAddresses();
+        this.controlMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareControl(index)));
+        this.entryMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareEntry(index)));
+        this.controlMembers.forEach(member => this.store.add(member));
+        await Promise.all([...this.controlMembers, ...this.entryMembers].map(member => member.start()));
     }
 
     /** Starts a stand-in; returns its address. */
-    async startStandIn(role: "engine" | "service", name: string, options: object): Promise<string> {
+    async startStandIn(role: "engine" | "service" | "platform", name: string, options: object): Promise<string> {
         const flags = [role, "--name", name, "--options", JSON.stringify(options)];
         const program = this.store.add(await StartedProgram.start("gullhallStandIn", flags));
         return program.shown["address"] ?? "";
@@ -72,54 +123,53 @@
 
     /** Stops the entries, then the rest, each gracefully. */
     async [Symbol.asyncDispose](): Promise<void> {
-        await Promise.all(this.entryPrograms.map(entry => entry[Symbol.asyncDispose]()));
+        await Promise.all(this.entryMembers.map(entry => entry[Symbol.asyncDispose]()));
         await this.store.dispose();
     }
 
-    private async startControls(): Promise<void> {
-        const addresses = await freeAddresses(failureDomains.length * addressesPerControl);
-        const controls = failureDomains.map((failureDomain, index) => ({
-            failureDomain,
-            name: `control-${index + 1}`,
-            peerAddress: addresses[index * addressesPerControl] ?? "",
-            operatorAddress: addresses[index * addressesPerControl + 1] ?? "",
-            entryAddress: addresses[index * addressesPerControl + 2] ?? "",
-        }));
-        const listed = controls.map(({ name, peerAddress, operatorAddress, entryAddress }) => ({
-            name,
-            peerAddress,
-            operatorAddress,
-            entryAddress,
-        }));
-        this.controls = await Promise.all(
-            controls.map(({ name, failureDomain }) => this.startControl(name, failureDomain, listed)),
-        );
-    }
-
-    private async startControl(name: string, failureDomain: string, controls: object): Promise<StartedProgram> {
+    private async prepareControl(index: number): Promise<ClusterMember> {
+        const name = this.addresses[index]?.name ?? "";
+        const dataFolder = join(this.folder, name);
         const settings = await this.writeFile(`${name}.json`, {
             cluster: "quickstart",
             name,
-            failureDomain,
+            failureDomain: failureDomains[index],
             logStyle: "hidden",
-            controls,
+            controls: this.addresses,
             peerSecurity: { kind: "plainOnLoopback" },
-            dataFolder: join(this.folder, name),
+            dataFolder,
             operators: [{ name: "operator", tokenDigest: keyDigest(this.operatorToken) }],
         });
-        return this.store.add(await StartedProgram.start("gullhallControl", ["--settings", settings]));
+        return new ClusterMember(name, "gullhallControl", settings, dataFolder);
     }
 
-    private async startEntry(name: string, failureDomain: string): Promise<void> {
+    private async prepareEntry(index: number): Promise<ClusterMember> {
+        const name = `entry-${index + 1}`;
         const settings = await this.writeFile(`${name}.json`, {
             cluster: "quickstart",
             name,
-            failureDomain,
+            failureDomain: failureDomains[index],
             logStyle: "hidden",
             callerAddress: "127.0.0.1:0",
-            controlAddresses: this.controls.map(control => control.shown["entryAddress"]),
+            controlAddresses: this.addresses.map(address => address.entryAddress),
             discoverySeconds,
         });
-        this.entryPrograms.push(await StartedProgram.start("gullhallEntry", ["--settings", settings]));
+        return new ClusterMember(name, "gullhallEntry", settings, "");
     }
 }
+
+/** Addresses of a control process, as its settings give them. */
+interface ControlAddressSettings {
+    readonly name: string;
+    readonly peerAddress: string;
+    readonly operatorAddress: string;
+    readonly entryAddress: string;
+}
+
+async function takeControlAddresses(): Promise<readonly ControlAddressSettings[]> {
+    const free = await freeAddresses(failureDomains.length * addressesPerControl);
+    return failureDomains.map((failureDomain, index) => {
+        const [peerAddress = "", operatorAddress = "", entryAddress = ""] = free.slice(index * addressesPerControl);
+        return { name: `control-${failureDomain}`, peerAddress, operatorAddress, entryAddress };
+    });
+}
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -33,6 +33,22 @@
         return new StartedProgram(started, JSON.parse(line[0]) as Readonly<Record<string, string>>, closed);
     }
 
+    /** Ends the program at once, as the loss of its VM would, and waits for its end. */
+    async kill(): Promise<void> {
+        this.process.kill("SIGKILL");
+        await this.closed;
+    }
+
+    /** Stops the program from running, as a stalled VM would, until {@link resume}. */
+    pause(): void {
+        this.process.kill("SIGSTOP");
+    }
+
+    /** Lets a paused program go on. */
+    resume(): void {
+        this.process.kill("SIGCONT");
+    }
+
     /** Asks the program to stop and waits for its end. */
     async [Symbol.asyncDispose](): Promise<void> {
         this.process.kill("SIGTERM");
