feat(operator): split the command line and the operator interface, add diff, explain and full status

Cause: the command line was one file with the thin path's commands, and the operator server one file with all calls; waiting for a version trusted a table that a new leader has not filled yet. Entries show /v1/state and a metrics page with HELP and TYPE lines. Advice of result codes has its places filled (it showed {entries} before).

--- a/src/bin/runProgram.ts
+++ b/src/bin/runProgram.ts
@@ -4,14 +4,9 @@
 import type { Failure } from "../resultCode/resultCode.js";
 import { SystemClock } from "../util/clock.js";
 import type { Clock } from "../util/clock.js";
+import { exitFailure, exitUsage } from "../util/exitCode.js";
 import type { Result } from "../util/result.js";
 
-/** Exit code of a program that was asked for something it cannot do. */
-export const exitUsage = 2;
-
-/** Exit code of a program that failed while it ran. */
-export const exitFailure = 1;
-
 /** A process that serves until it is stopped. */
 export interface ServingProcess extends AsyncDisposable {
     /** Starts to serve; resolves with what is shown on standard output. */
--- a/src/bin/serverArguments.ts
+++ b/src/bin/serverArguments.ts
@@ -1,5 +1,8 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { commandError } from "../operator/commandError.js";
+import { failure } from "../resultCode/resultCode.js";
+import { exitUsage } from "../util/exitCode.js";
 import { packageVersion } from "../util/packageVersion.js";
 
 /** The command line of a serving program. */
@@ -20,9 +23,11 @@
         .option("check-settings", { type: "boolean", default: false, describe: "Check the settings and end" })
         .version(version)
         .strict()
-        .fail((message, error, usage) => {
-            process.stderr.write(`${message || String(error)}\n\n${usage.help() as unknown as string}\n`);
-            process.exit(2);
+        .fail((message: string | undefined, error: Error | undefined) => {
+            const reason = message ?? error?.message ?? "unknown";
+            const reported = failure("commandLineInvalid", { reason, program: programName });
+            process.stderr.write(`${commandError(reported).message}\n`);
+            process.exit(exitUsage);
         })
         .parseAsync();
     return { settings: parsed.settings, checkSettings: parsed.checkSettings, version };
--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -106,6 +106,10 @@
     private async answerPermit(request: PermitRequest, hello: Hello): Promise<void> {
         const { clock, commandLog, entries, state } = this.context;
         const receivedAt = clock.now();
+        const token = commandLog.lease(receivedAt, 0);
+        if (token !== undefined) {
+            entries.observeTerm(token.fencingNumber, receivedAt);
+        }
         const confirmed = await commandLog.confirmPosition();
         if (confirmed.err) {
             this.send({ kind: "redirect", leaderAddress: this.context.leaderEntryAddress() });
@@ -129,6 +133,7 @@
             incarnation: hello.incarnation,
             failureDomain: hello.failureDomain,
             callerAddress: hello.callerAddress,
+            metricsAddress: hello.metricsAddress,
             version: request.version,
             status: request.status,
             permitEndsAt: receivedAt + permitMilliseconds,
--- /dev/null
+++ b/src/connection/control/keyCalls.ts
@@ -0,0 +1,71 @@
+import { match, P } from "ts-pattern";
+import { z } from "zod";
+import type { ConfigurationService } from "../../process/control/configurationService.js";
+import type { ControlState } from "../../process/state/controlState.js";
+import { failure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
+import { nameSchema } from "../../settings/commonSettings.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import { findKeyDigest } from "../../version/findKeyDigest.js";
+import { answerFailure } from "../httpAnswer.js";
+import { answerResult, readCall } from "./operatorExchange.js";
+import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
+
+const digestSchema = z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hexadecimal");
+const issueSchema = z.strictObject({ team: nameSchema, name: nameSchema, digest: digestSchema });
+const withdrawSchema = z.union([
+    z.strictObject({ digest: digestSchema }),
+    z.strictObject({ team: nameSchema, name: nameSchema }),
+]);
+
+/** What the calls use. */
+export interface KeyCallsOptions {
+    readonly state: ControlState;
+    readonly configuration: ConfigurationService;
+}
+
+/** The operators' calls that concern keys. */
+export class KeyCalls {
+    /** The calls of this group. */
+    readonly routes: readonly OperatorRoute[] = [
+        { method: "POST", path: "/v1/keys/issue", answer: exchange => this.issue(exchange) },
+        { method: "POST", path: "/v1/keys/withdraw", answer: exchange => this.withdraw(exchange) },
+    ];
+
+    constructor(private readonly options: KeyCallsOptions) {}
+
+    private async issue({ request, response, operator }: OperatorExchange): Promise<void> {
+        const call = await readCall(request, issueSchema);
+        if (call.err) {
+            answerFailure(response, call.val);
+            return;
+        }
+        const { team, name, digest } = call.val;
+        answerResult(response, await this.options.configuration.issueKey(team, { name, digest }, operator));
+    }
+
+    private async withdraw({ request, response, operator }: OperatorExchange): Promise<void> {
+        const call = await readCall(request, withdrawSchema);
+        if (call.err) {
+            answerFailure(response, call.val);
+            return;
+        }
+        const digest = this.digestOf(call.val);
+        if (digest.err) {
+            answerFailure(response, digest.val);
+            return;
+        }
+        answerResult(response, await this.options.configuration.withdrawKey(digest.val, operator));
+    }
+
+    private digestOf(call: z.output<typeof withdrawSchema>): Result<string, Failure> {
+        return match(call)
+            .with({ digest: P.string }, ({ digest }) => Ok(digest))
+            .with({ team: P.string }, ({ team, name }) => {
+                const digest = findKeyDigest(this.options.state.configuration.current, team, name);
+                return digest === undefined ? Err(failure("keyNameUnknown", { team, name })) : Ok(digest);
+            })
+            .exhaustive();
+    }
+}
--- /dev/null
+++ b/src/connection/control/manifestCalls.ts
@@ -0,0 +1,99 @@
+import type { ConfigurationService } from "../../process/control/configurationService.js";
+import type { CommandLog } from "../../process/replicatedLog/commandLog.js";
+import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
+import { failure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
+import type { Clock } from "../../util/clock.js";
+import { answerFailure, answerJson } from "../httpAnswer.js";
+import { readBody } from "../httpBody.js";
+import { leaderToken } from "./operatorExchange.js";
+import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
+
+/** Largest accepted manifest, in bytes. */
+const maximumManifestBytes = 64 * 1024 * 1024;
+
+/** What the calls use. */
+export interface ManifestCallsOptions {
+    readonly state: ControlState;
+    readonly configuration: ConfigurationService;
+    readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly clock: Clock;
+}
+
+/** The operators' calls that concern manifests. */
+export class ManifestCalls {
+    /** The calls of this group. */
+    readonly routes: readonly OperatorRoute[] = [
+        { method: "PUT", path: "/v1/manifest", answer: exchange => this.submit(exchange) },
+        {
+            method: "GET",
+            path: "/v1/manifest",
+            answer: exchange => {
+                this.show(exchange);
+            },
+        },
+        { method: "POST", path: "/v1/manifest/difference", answer: exchange => this.compare(exchange) },
+    ];
+
+    constructor(private readonly options: ManifestCallsOptions) {}
+
+    private show({ response }: OperatorExchange): void {
+        answerJson(response, 200, this.options.state.configuration.current.manifest ?? {});
+    }
+
+    private async submit({ request, response, operator }: OperatorExchange): Promise<void> {
+        const body = await readBody(request, maximumManifestBytes);
+        if (body.err) {
+            answerFailure(response, body.val);
+            return;
+        }
+        const text = body.val.toString("utf8");
+        const accepted = await this.options.configuration.submit(fileName(request.headers), text, operator);
+        if (accepted.err) {
+            this.answerFaults({ response }, accepted.val);
+            return;
+        }
+        answerJson(response, 200, accepted.val);
+    }
+
+    /** Says what a manifest would change, without accepting it. */
+    private async compare({ request, response }: OperatorExchange): Promise<void> {
+        const token = leaderToken(this.options.commandLog, this.options.clock.now());
+        if (token.err) {
+            request.resume();
+            answerFailure(response, token.val);
+            return;
+        }
+        const body = await readBody(request, maximumManifestBytes);
+        if (body.err) {
+            answerFailure(response, body.val);
+            return;
+        }
+        const text = body.val.toString("utf8");
+        const compared = this.options.configuration.compare(fileName(request.headers), text);
+        if (compared.err) {
+            this.answerFaults({ response }, compared.val);
+            return;
+        }
+        answerJson(response, 200, compared.val);
+    }
+
+    private answerFaults({ response }: Pick<OperatorExchange, "response">, faults: readonly Failure[]): void {
+        const unavailable = faults.find(({ code }) => code === "quorumUnavailable" || code === "notLeader");
+        if (unavailable !== undefined) {
+            answerFailure(response, unavailable);
+            return;
+        }
+        const [first] = faults;
+        if (faults.length === 1 && (first?.code === "manifestStale" || first?.code === "manifestConflict")) {
+            answerFailure(response, first);
+            return;
+        }
+        answerFailure(response, failure("manifestInvalid", { count: faults.length }), {}, faults);
+    }
+}
+
+function fileName(headers: OperatorExchange["request"]["headers"]): string {
+    const name = headers["x-file-name"];
+    return typeof name === "string" ? name : "manifest";
+}
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -1,59 +1,37 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { match, P } from "ts-pattern";
-import { z } from "zod";
-import type { ConfigurationService } from "../../process/control/configurationService.js";
-import type { EntryTable } from "../../process/control/entryTable.js";
-import type { ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
-import type { Failure } from "../../resultCode/resultCode.js";
-import { nameSchema } from "../../settings/commonSettings.js";
-import type { ControlSettings } from "../../settings/controlSettings.js";
-import type { Clock, Milliseconds } from "../../util/clock.js";
 import { keyDigest } from "../../util/keyDigest.js";
-import { Err, Ok } from "../../util/result.js";
-import type { Result } from "../../util/result.js";
 import { listen } from "../../util/socketAddress.js";
-import type { WakeUp } from "../../util/wakeUp.js";
-import { answerFailure, answerJson } from "../httpAnswer.js";
-import { readBody } from "../httpBody.js";
-
-/** Largest accepted manifest, in bytes. */
-const maximumManifestBytes = 64 * 1024 * 1024;
-
-/** Largest accepted body of other calls, in bytes. */
-const maximumCallBytes = 64 * 1024;
-
-/** Longest wait for a version to be in force everywhere, in milliseconds. */
-const maximumInForceWait: Milliseconds = 30_000;
-
-/** How often a wait looks at permits that end, in milliseconds. */
-const inForceInterval: Milliseconds = 50;
-
-const issueKeySchema = z.strictObject({
-    team: nameSchema,
-    name: nameSchema,
-    digest: z.string().regex(/^[0-9a-f]{64}$/),
-});
-const withdrawKeySchema = z.strictObject({ digest: z.string().regex(/^[0-9a-f]{64}$/) });
+import { answerFailure } from "../httpAnswer.js";
+import { ExplainCalls } from "./explainCalls.js";
+import { KeyCalls } from "./keyCalls.js";
+import type { KeyCallsOptions } from "./keyCalls.js";
+import { ManifestCalls } from "./manifestCalls.js";
+import type { OperatorRoute } from "./operatorExchange.js";
+import { StatusCalls } from "./statusCalls.js";
+import type { StatusCallsOptions } from "./statusCalls.js";
 
 /** What the server uses. */
-export interface OperatorServerOptions {
-    readonly settings: ControlSettings;
-    readonly clock: Clock;
-    readonly state: ControlState;
-    readonly configuration: ConfigurationService;
-    readonly entries: EntryTable;
-    readonly applied: WakeUp;
-}
+export interface OperatorServerOptions extends KeyCallsOptions, StatusCallsOptions {}
 
 /** Answers the operators' calls over HTTP; each call carries an operator's token. */
 export class OperatorServer implements AsyncDisposable {
+    private readonly routes: ReadonlyMap<string, OperatorRoute>;
     private readonly server = createServer((request, response) => {
         void this.answer(request, response);
     });
 
-    constructor(private readonly options: OperatorServerOptions) {}
+    constructor(private readonly options: OperatorServerOptions) {
+        const groups = [
+            new ManifestCalls(options),
+            new KeyCalls(options),
+            new StatusCalls(options),
+            new ExplainCalls(options),
+        ];
+        const routes = groups.flatMap(group => group.routes);
+        this.routes = new Map(routes.map(route => [`${route.method} ${route.path}`, route]));
+    }
 
     /** Starts to listen; resolves with the bound address. */
     start(): Promise<string> {
@@ -75,22 +53,14 @@
             answerFailure(response, failure("operatorUnauthorized"));
             return;
         }
+        const method = request.method ?? "GET";
         const { pathname, searchParams } = new URL(request.url ?? "/", "http://control");
-        await match([request.method, pathname] as const)
-            .with(["PUT", "/v1/manifest"], () => this.submitManifest(request, response, operator))
-            .with(["GET", "/v1/manifest"], () => {
-                answerJson(response, 200, this.options.state.configuration.current.manifest ?? {});
-            })
-            .with(["POST", "/v1/keys/issue"], () => this.issueKey(request, response, operator))
-            .with(["POST", "/v1/keys/withdraw"], () => this.withdrawKey(request, response, operator))
-            .with(["GET", "/v1/in-force"], () => this.waitInForce(response, Number(searchParams.get("version"))))
-            .with(["GET", "/v1/status"], () => {
-                answerJson(response, 200, this.status());
-            })
-            .with([P._, P._], ([method, path]) => {
-                answerFailure(response, failure("requestUnknown", { method: method ?? "?", path }));
-            })
-            .exhaustive();
+        const route = this.routes.get(`${method} ${pathname}`);
+        if (route === undefined) {
+            answerFailure(response, failure("requestUnknown", { method, path: pathname }));
+            return;
+        }
+        await route.answer({ request, response, operator, query: searchParams });
     }
 
     private operatorOf(request: IncomingMessage): string | undefined {
@@ -101,96 +71,4 @@
         const digest = keyDigest(token);
         return this.options.settings.operators.find(operator => operator.tokenDigest === digest)?.name;
     }
-
-    private async submitManifest(request: IncomingMessage, response: ServerResponse, operator: string): Promise<void> {
-        const body = await readBody(request, maximumManifestBytes);
-        if (body.err) {
-            answerFailure(response, body.val);
-            return;
-        }
-        const name = request.headers["x-file-name"];
-        const file = typeof name === "string" ? name : "manifest";
-        const accepted = await this.options.configuration.submit(file, body.val.toString("utf8"), operator);
-        if (accepted.ok) {
-            answerJson(response, 200, accepted.val);
-            return;
-        }
-        const [first] = accepted.val;
-        const faults = accepted.val;
-        const decided = faults.length === 1 && first?.code.startsWith("manifest") === true;
-        const summary = decided ? first : failure("manifestInvalid", { count: faults.length });
-        const unavailable = faults.find(({ code }) => code === "quorumUnavailable" || code === "notLeader");
-        answerFailure(response, unavailable ?? summary, {}, faults);
-    }
-
-    private async issueKey(request: IncomingMessage, response: ServerResponse, operator: string): Promise<void> {
-        const call = await readCall(request, issueKeySchema);
-        if (call.err) {
-            answerFailure(response, call.val);
-            return;
-        }
-        const { team, name, digest } = call.val;
-        answerResult(response, await this.options.configuration.issueKey(team, { name, digest }, operator));
-    }
-
-    private async withdrawKey(request: IncomingMessage, response: ServerResponse, operator: string): Promise<void> {
-        const call = await readCall(request, withdrawKeySchema);
-        if (call.err) {
-            answerFailure(response, call.val);
-            return;
-        }
-        answerResult(response, await this.options.configuration.withdrawKey(call.val.digest, operator));
-    }
-
-    /** Answers when no entry can still serve with an older version. */
-    private async waitInForce(response: ServerResponse, version: number): Promise<void> {
-        const { clock, entries } = this.options;
-        const end = clock.now() + maximumInForceWait;
-        let behind = entries.behind(version, clock.now());
-        while (behind.length > 0 && clock.now() < end && !response.destroyed) {
-            await clock.sleep(inForceInterval);
-            behind = entries.behind(version, clock.now());
-        }
-        if (behind.length > 0) {
-            const names = behind.map(record => record.entry).join(", ");
-            answerFailure(response, failure("waitTimedOut", { version, entries: names }));
-            return;
-        }
-        answerJson(response, 200, { version });
-    }
-
-    private status(): unknown {
-        const { state, entries, clock, settings } = this.options;
-        return {
-            control: settings.name,
-            version: state.configuration.current.version,
-            manifest: state.configuration.newestManifest,
-            entries: entries.all(clock.now()),
-        };
-    }
-}
-
-function answerResult(response: ServerResponse, result: Result<unknown, Failure>): void {
-    if (result.err) {
-        answerFailure(response, result.val);
-        return;
-    }
-    answerJson(response, 200, result.val);
-}
-
-async function readCall<Schema extends z.ZodType>(
-    request: IncomingMessage,
-    schema: Schema,
-): Promise<Result<z.output<Schema>, Failure>> {
-    const body = await readBody(request, maximumCallBytes);
-    if (body.err) {
-        return body;
-    }
-    try {
-        const call = schema.safeParse(JSON.parse(body.val.toString("utf8")));
-        return call.success ? Ok(call.data) : Err(failure("requestMalformed", { reason: z.prettifyError(call.error) }));
-    }
-    catch {
-        return Err(failure("requestMalformed", { reason: "not JSON" }));
-    }
 }
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -26,6 +26,7 @@
     readonly incarnation: string;
     readonly failureDomain: string;
     readonly callerAddress: string;
+    readonly metricsAddress: string;
 }
 
 /** What a connection to a control process works on. */
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -25,6 +25,8 @@
         incarnation: shortText,
         failureDomain: shortText,
         callerAddress: shortText,
+        /** Where operators reach its metrics and state. */
+        metricsAddress: shortText,
         /** Version of the configuration that the entry holds; 0 for none. */
         version: count,
     }),
--- /dev/null
+++ b/src/connection/metrics/metricsServer.ts
@@ -0,0 +1,48 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { expositionContentType } from "../../process/metrics/expositionWriter.js";
+import { failure } from "../../resultCode/resultCode.js";
+import { listen } from "../../util/socketAddress.js";
+import { answerFailure, answerJson } from "../httpAnswer.js";
+
+/** What a metrics address shows. */
+export interface MetricsPages {
+    /** The page in the text exposition format. */
+    readonly exposition: () => string;
+    /** The state as plain data. */
+    readonly state: () => object;
+}
+
+/** Shows a process's metrics at `/metrics` and its state at `/v1/state`. */
+export class MetricsServer implements Disposable {
+    private readonly server = createServer((request, response) => {
+        request.resume();
+        this.answer(request, response);
+    });
+
+    constructor(private readonly pages: MetricsPages) {}
+
+    /** Starts to listen; resolves with the bound address. */
+    start(address: string): Promise<string> {
+        return listen(this.server, address);
+    }
+
+    [Symbol.dispose](): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private answer(request: IncomingMessage, response: ServerResponse): void {
+        const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
+        if (request.method !== "GET" || (path !== "/metrics" && path !== "/v1/state")) {
+            answerFailure(response, failure("requestUnknown", { method: request.method ?? "?", path }));
+            return;
+        }
+        if (path === "/v1/state") {
+            answerJson(response, 200, this.pages.state());
+            return;
+        }
+        response.writeHead(200, { "content-type": expositionContentType });
+        response.end(this.pages.exposition());
+    }
+}
--- /dev/null
+++ b/src/operator/acceptedChange.ts
@@ -0,0 +1,34 @@
+import { Err, Ok } from "../util/result.js";
+import { acceptanceSchema, inForceSchema } from "./answerSchemas.js";
+import type { CommandResult } from "./commandResult.js";
+import type { OperatorCall, OperatorClient } from "./operatorClient.js";
+import { askControl } from "./operatorCommand.js";
+
+/** The flag of commands that change the configuration. */
+export const waitOption = {
+    wait: { type: "boolean", default: false, describe: "Return when no entry can still serve without the change" },
+} as const;
+
+/** Asks for a change and, if wanted, waits until it is in force everywhere. */
+export async function changeConfiguration(
+    client: OperatorClient,
+    call: OperatorCall,
+    what: string,
+    wait: boolean,
+): Promise<CommandResult> {
+    const accepted = await askControl(client, call, acceptanceSchema);
+    if (accepted.err) {
+        return Err(accepted.val);
+    }
+    const { version, repeated } = accepted.val;
+    const lines = [`${what}: accepted${repeated ? " before" : ""}, version ${version}.`];
+    if (!wait) {
+        return Ok({ value: { version, repeated }, lines });
+    }
+    const path = `/v1/in-force?version=${version}`;
+    const inForce = await askControl(client, { method: "GET", path }, inForceSchema);
+    if (inForce.err) {
+        return Err(inForce.val);
+    }
+    return Ok({ value: { version, repeated, inForce: true }, lines: [...lines, "In force at every entry."] });
+}
--- /dev/null
+++ b/src/operator/answerSchemas.ts
@@ -0,0 +1,130 @@
+import { z } from "zod";
+
+/** Schema of an accepted change. */
+export const acceptanceSchema = z.object({ version: z.int().min(0), repeated: z.boolean() }).readonly();
+
+/** Schema of the answer that a version is in force everywhere. */
+export const inForceSchema = z.object({ version: z.int().min(0) }).readonly();
+
+/** Schema of what a manifest would change. */
+export const comparisonSchema = z.object({
+    version: z.int().min(0),
+    repeated: z.boolean(),
+    changes: z.array(
+        z.object({
+            part: z.string(),
+            name: z.string().optional(),
+            kind: z.enum(["added", "changed", "removed"]),
+            values: z.array(
+                z.object({ path: z.string(), before: z.string().optional(), after: z.string().optional() }).readonly(),
+            ).readonly(),
+        }).readonly(),
+    ).readonly(),
+}).readonly();
+
+const endpointSchema = z.object({
+    name: z.string(),
+    address: z.string(),
+    failureDomain: z.string(),
+    cheap: z.boolean(),
+}).readonly();
+
+const entrySchema = z.object({
+    entry: z.string(),
+    failureDomain: z.string(),
+    callerAddress: z.string(),
+    metricsAddress: z.string(),
+    version: z.int(),
+    connected: z.boolean(),
+    permitLeft: z.number(),
+    draining: z.boolean(),
+    runningRequests: z.int(),
+    waitingRequests: z.int(),
+}).readonly();
+
+/** Schema of the state of the cluster as a control process sees it. */
+export const controlStatusSchema = z.object({
+    control: z.string(),
+    leaderAddress: z.string().optional(),
+    fencingNumber: z.int().optional(),
+    version: z.int(),
+    manifest: z.object({ number: z.int().optional(), operator: z.string(), receivedAt: z.number() }).readonly()
+        .optional(),
+    entries: z.array(entrySchema).readonly(),
+    pools: z.array(
+        z.object({ name: z.string(), kind: z.string(), endpoints: z.array(endpointSchema).readonly() }).readonly(),
+    ).readonly(),
+}).readonly();
+
+/** Schema of how the configuration alone resolves a request. */
+export const explanationSchema = z.object({
+    version: z.int(),
+    refusal: z.string().optional(),
+    resolved: z.object({
+        route: z.object({ name: z.string(), kind: z.string() }).readonly(),
+        pool: z.string(),
+        requestClass: z.object({
+            name: z.string(),
+            tier: z.int(),
+            weight: z.number(),
+            preemptible: z.boolean(),
+            maximumQueueMilliseconds: z.number().optional(),
+            target: z.object({
+                firstTokenMilliseconds: z.number().optional(),
+                betweenTokensMilliseconds: z.number().optional(),
+                totalMilliseconds: z.number(),
+            }).readonly(),
+        }).readonly(),
+        limits: z.object({
+            requestsPerSecond: z.number().optional(),
+            tokensPerMinute: z.number().optional(),
+            concurrentRequests: z.number().optional(),
+        }).readonly().optional(),
+        endpoints: z.array(endpointSchema).readonly(),
+    }).readonly().optional(),
+    entries: z.array(entrySchema).readonly(),
+}).readonly();
+
+/** Schema of the state that an entry shows beside its metrics. */
+export const entryStateSchema = z.object({
+    entry: z.string(),
+    version: z.int(),
+    draining: z.boolean(),
+    serves: z.boolean(),
+    pools: z.array(
+        z.object({
+            pool: z.string(),
+            running: z.int(),
+            waiting: z.int(),
+            endpoints: z.array(
+                z.object({ name: z.string(), running: z.int(), freeSlots: z.int(), leaving: z.boolean() }).readonly(),
+            ).readonly(),
+        }).readonly(),
+    ).readonly(),
+    classes: z.array(
+        z.object({
+            requestClass: z.string(),
+            ends: z.record(z.string(), z.int()),
+            withinTarget: z.int(),
+            times: z.record(
+                z.string(),
+                z.object({ count: z.int(), p50: z.number(), p95: z.number(), p99: z.number() }).readonly(),
+            ),
+        }).readonly(),
+    ).readonly(),
+}).readonly();
+
+/** The state of the cluster as a control process sees it. */
+export type ShownStatus = z.output<typeof controlStatusSchema>;
+
+/** How the configuration alone resolves a request. */
+export type ShownExplanation = z.output<typeof explanationSchema>;
+
+/** The state that an entry shows. */
+export type EntryState = z.output<typeof entryStateSchema>;
+
+/** What a manifest would change. */
+export type Comparison = z.output<typeof comparisonSchema>;
+
+/** An accepted change. */
+export type Acceptance = z.output<typeof acceptanceSchema>;
--- /dev/null
+++ b/src/operator/globalFlags.ts
@@ -0,0 +1,10 @@
+import type { Argv } from "yargs";
+
+/** Flags that every command of `gullhall` knows. */
+export interface GlobalFlags {
+    /** Whether answers and errors are printed as JSON. */
+    readonly json: boolean;
+}
+
+/** Adds a command to the command line. */
+export type CommandAdder = (program: Argv<GlobalFlags>) => Argv<GlobalFlags>;
--- a/src/process/control/configurationService.ts
+++ b/src/process/control/configurationService.ts
@@ -5,6 +5,8 @@
 import type { Clock } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { describeDifference } from "../../version/describeDifference.js";
+import type { DescribedChange } from "../../version/describeDifference.js";
 import type { Key, Manifest } from "../../version/manifest.js";
 import { manifestDifference } from "../../version/manifestDifference.js";
 import { readManifest } from "../../version/readManifest.js";
@@ -24,6 +26,15 @@
     readonly repeated: boolean;
 }
 
+/** What accepting a manifest would change. */
+export interface ManifestComparison {
+    /** Version that it is compared with. */
+    readonly version: number;
+    /** Whether this very manifest was accepted before. */
+    readonly repeated: boolean;
+    readonly changes: readonly DescribedChange[];
+}
+
 /** What the service uses. */
 export interface ConfigurationServiceOptions {
     readonly state: ControlState;
@@ -53,6 +64,24 @@
         return accepted;
     }
 
+    /** Says what a manifest would change, or why it would be refused. */
+    compare(file: string, text: string): Result<ManifestComparison, readonly Failure[]> {
+        const manifest = readManifest(file, text);
+        if (manifest.err) {
+            return manifest;
+        }
+        const section = this.options.state.configuration;
+        const { version, manifest: before } = section.current;
+        const answer = section.answerFor(manifest.val.number, canonicalDigest(manifest.val));
+        const acceptance = answer === undefined ? Ok({ version, repeated: false }) : acceptanceOf(answer);
+        if (acceptance.err) {
+            return Err([acceptance.val]);
+        }
+        const { repeated } = acceptance.val;
+        const effective = withoutKeys(manifest.val, section.withdrawnDigests);
+        return Ok({ version, repeated, changes: repeated ? [] : describeDifference(before, effective) });
+    }
+
     /** Issues a key beside the manifest. */
     async issueKey(team: string, key: Key, operator: string): Promise<Result<Acceptance, Failure>> {
         const outcome = await this.propose({ kind: "issueKey", team, key, origin: this.originOf(operator) });
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -40,7 +40,7 @@
         const { settings, clock, eventLog, state, entries, applied } = this;
         const commandLog = new VolatileCommandLog(state);
         const configuration = new ConfigurationService({ state, commandLog, clock, eventLog });
-        const operatorServer = new OperatorServer({ settings, clock, state, configuration, entries, applied });
+        const operatorServer = new OperatorServer({ settings, clock, state, configuration, entries, commandLog });
         const operatorAddress = await this.store.add(operatorServer).start();
         const entryAddress = await this.listenForEntries({
             cluster: settings.cluster,
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -4,12 +4,16 @@
 /** Longest time for which a permit lets an entry serve, in milliseconds from the sending of its request. */
 export const permitMilliseconds = 4000;
 
+/** Most by which a VM's monotonic clock may run fast against another's, as a fraction. */
+const clockDriftFraction = 0.01;
+
 /** What the leader knows of one process of an entry. */
 export interface EntryRecord {
     readonly entry: string;
     readonly incarnation: string;
     readonly failureDomain: string;
     readonly callerAddress: string;
+    readonly metricsAddress: string;
     /** Version that the entry last reported as in force. */
     readonly version: number;
     readonly status: EntryStatus;
@@ -22,12 +26,32 @@
 export class EntryTable {
     private readonly records = new Map<string, EntryRecord>();
     private listingNumber = 0;
+    private observedTerm: number | undefined;
+    private completeFrom: Milliseconds = Number.POSITIVE_INFINITY;
 
     /** Rises whenever a listing changes. */
     get listingVersion(): number {
         return this.listingNumber;
     }
 
+    /**
+     * Notes the term in which the table is used.
+     *
+     * Entries that got their permits from an earlier leader, or from this process before a restart, are not in the
+     * table; it is complete only when the longest of those permits has ended.
+     */
+    observeTerm(term: number, now: Milliseconds): void {
+        if (term !== this.observedTerm) {
+            this.observedTerm = term;
+            this.completeFrom = now + permitMilliseconds * (1 + clockDriftFraction);
+        }
+    }
+
+    /** Whether every entry that may serve is in the table. */
+    complete(now: Milliseconds): boolean {
+        return now >= this.completeFrom;
+    }
+
     /** Every known entry whose permit may still hold. */
     all(now: Milliseconds): readonly EntryRecord[] {
         this.forget(now);
--- /dev/null
+++ b/src/process/entry/entryExposition.ts
@@ -0,0 +1,30 @@
+import { ExpositionWriter } from "../metrics/expositionWriter.js";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { EntryStateReport, PoolReport } from "./entryStateReport.js";
+
+/** The metrics page of an entry. */
+export function entryExposition(report: EntryStateReport, metrics: EntryMetrics): string {
+    const writer = new ExpositionWriter();
+    writer.family("gullhall_entry_version", "gauge", "Version of the configuration in force.");
+    writer.family("gullhall_entry_serves", "gauge", "1 while the permit to serve holds.");
+    writer.family("gullhall_entry_draining", "gauge", "1 while the entry stops.");
+    writer.family("gullhall_pool_running_requests", "gauge", "Requests of this entry that run.");
+    writer.family("gullhall_pool_waiting_requests", "gauge", "Requests that wait for an endpoint.");
+    writer.family("gullhall_pool_endpoints", "gauge", "Endpoints by whether they take new work.");
+    writer.sample("gullhall_entry_version", {}, report.version);
+    writer.sample("gullhall_entry_serves", {}, report.serves ? 1 : 0);
+    writer.sample("gullhall_entry_draining", {}, report.draining ? 1 : 0);
+    report.pools.forEach(pool => {
+        writePool(writer, pool);
+    });
+    metrics.write(writer);
+    return writer.toString();
+}
+
+function writePool(writer: ExpositionWriter, { pool, running, waiting, endpoints }: PoolReport): void {
+    const leaving = endpoints.filter(endpoint => endpoint.leaving).length;
+    writer.sample("gullhall_pool_running_requests", { pool }, running);
+    writer.sample("gullhall_pool_waiting_requests", { pool }, waiting);
+    writer.sample("gullhall_pool_endpoints", { pool, state: "leaving" }, leaving);
+    writer.sample("gullhall_pool_endpoints", { pool, state: "live" }, endpoints.length - leaving);
+}
--- a/src/process/entry/entryMetrics.ts
+++ b/src/process/entry/entryMetrics.ts
@@ -1,45 +1,65 @@
-import { build } from "hdr-histogram-js";
-import type { Histogram } from "hdr-histogram-js";
 import type { Milliseconds } from "../../util/clock.js";
+import type { ExpositionWriter, MetricLabels } from "../metrics/expositionWriter.js";
+import { TimeHistogram } from "../metrics/timeHistogram.js";
+import type { TimeSummary } from "../metrics/timeHistogram.js";
 
-/** Largest recorded time, in microseconds. */
-const highestMicroseconds = 3_600_000_000;
-
-/** Teams and classes with histograms of their own; further ones are recorded together under "other". */
+/** Pairs of class and team with a series of their own; further teams are recorded together under "other". */
 const maximumSeries = 200;
 
-/** Name under which series beyond the limit are recorded. */
-const otherSeries = "other";
+/** Team under which requests beyond the limit are recorded. */
+const otherTeam = "other";
 
-/** What is measured of a request, in milliseconds. */
+/** What is measured of a request. */
 export const measuredTimes = ["queueWait", "firstToken", "betweenTokens", "total"] as const;
 
 /** Name of a measured time. */
 export type MeasuredTime = typeof measuredTimes[number];
 
+/** Ways in which a request ends. */
+const requestEnds = ["answered", "refused", "failed", "callerLeft"] as const;
+
+/** How a request ended. */
+export type RequestEnd = typeof requestEnds[number];
+
 /** Whose times a series holds. */
 export interface SeriesLabels {
     readonly requestClass: string;
     readonly team: string;
 }
 
-/** How a request ended. */
-export type RequestEnd = "answered" | "refused" | "failed" | "callerLeft";
+/** The figures of one class over all teams. */
+export interface ClassFigures {
+    readonly requestClass: string;
+    readonly ends: Readonly<Record<RequestEnd, number>>;
+    /** Answered requests that met the target of the class. */
+    readonly withinTarget: number;
+    readonly times: Readonly<Record<MeasuredTime, TimeSummary>>;
+}
 
 interface Series extends SeriesLabels {
-    readonly times: Readonly<Record<MeasuredTime, Histogram>>;
+    readonly times: Readonly<Record<MeasuredTime, TimeHistogram>>;
     readonly ends: Record<RequestEnd, number>;
     withinTarget: number;
 }
 
+/** Families of the measured times and their help texts. */
+const timeFamilies: Readonly<Record<MeasuredTime, readonly [name: string, help: string]>> = {
+    queueWait: ["gullhall_queue_wait_seconds", "Time from arrival to dispatch."],
+    firstToken: ["gullhall_first_token_seconds", "Time from arrival to the first token."],
+    betweenTokens: ["gullhall_between_tokens_seconds", "Time between two tokens of an answer."],
+    total: ["gullhall_total_seconds", "Time from arrival to the end of the answer."],
+};
+
+const endsFamily = "gullhall_requests_total";
+const targetFamily = "gullhall_requests_within_target_total";
+
 /** Histograms and counters of an entry, for each class and team; bounded in number. */
 export class EntryMetrics {
     private readonly series = new Map<string, Series>();
 
     /** Records a time of a request. */
     recordTime(labels: SeriesLabels, measured: MeasuredTime, time: Milliseconds): void {
-        const microseconds = Math.min(highestMicroseconds, Math.max(0, Math.round(time * 1000)));
-        this.seriesOf(labels).times[measured].recordValue(microseconds);
+        this.seriesOf(labels).times[measured].record(time);
     }
 
     /** Counts the end of a request, and whether it met its class's target. */
@@ -49,20 +69,38 @@
         series.withinTarget += withinTarget ? 1 : 0;
     }
 
-    /** The metrics in the common text exposition format; times in seconds. */
-    exposition(): string {
-        const lines: string[] = [];
+    /** The figures of each class over all teams, in the order in which classes were first used. */
+    classFigures(): readonly ClassFigures[] {
+        const sums = new Map<string, Series>();
         for (const series of this.series.values()) {
-            const labels = `class="${series.requestClass}",team="${series.team}"`;
-            for (const measured of measuredTimes) {
-                lines.push(...histogramLines(measured, labels, series.times[measured]));
-            }
-            for (const [end, count] of Object.entries(series.ends)) {
-                lines.push(`gullhall_requests_total{${labels},end="${end}"} ${count}`);
-            }
-            lines.push(`gullhall_requests_within_target_total{${labels}} ${series.withinTarget}`);
+            const { requestClass } = series;
+            const sum = sums.get(requestClass) ?? createSeries({ requestClass, team: otherTeam });
+            sums.set(requestClass, sum);
+            addSeries(sum, series);
+        }
+        return [...sums.values()].map(({ requestClass, ends, withinTarget, times }) => ({
+            requestClass,
+            ends,
+            withinTarget,
+            times: {
+                queueWait: times.queueWait.summary(),
+                firstToken: times.firstToken.summary(),
+                betweenTokens: times.betweenTokens.summary(),
+                total: times.total.summary(),
+            },
+        }));
+    }
+
+    /** Writes every series. */
+    write(writer: ExpositionWriter): void {
+        for (const [name, help] of Object.values(timeFamilies)) {
+            writer.family(name, "summary", help);
+        }
+        writer.family(endsFamily, "counter", "Requests by how they ended.");
+        writer.family(targetFamily, "counter", "Answered requests that met the target of their class.");
+        for (const series of this.series.values()) {
+            writeSeries(writer, series);
         }
-        return `${lines.join("\n")}\n`;
     }
 
     private seriesOf(labels: SeriesLabels): Series {
@@ -71,8 +109,8 @@
         if (known !== undefined) {
             return known;
         }
-        if (this.series.size >= maximumSeries && labels.team !== otherSeries) {
-            return this.seriesOf({ requestClass: labels.requestClass, team: otherSeries });
+        if (this.series.size >= maximumSeries && labels.team !== otherTeam) {
+            return this.seriesOf({ requestClass: labels.requestClass, team: otherTeam });
         }
         const created = createSeries(labels);
         this.series.set(key, created);
@@ -84,32 +122,33 @@
     return {
         ...labels,
         times: {
-            queueWait: createHistogram(),
-            firstToken: createHistogram(),
-            betweenTokens: createHistogram(),
-            total: createHistogram(),
+            queueWait: new TimeHistogram(),
+            firstToken: new TimeHistogram(),
+            betweenTokens: new TimeHistogram(),
+            total: new TimeHistogram(),
         },
         ends: { answered: 0, refused: 0, failed: 0, callerLeft: 0 },
         withinTarget: 0,
     };
 }
 
-function createHistogram(): Histogram {
-    return build({
-        bitBucketSize: "packed",
-        highestTrackableValue: highestMicroseconds,
-        numberOfSignificantValueDigits: 2,
-    });
+function addSeries(sum: Series, added: Series): void {
+    for (const measured of measuredTimes) {
+        sum.times[measured].add(added.times[measured]);
+    }
+    for (const end of requestEnds) {
+        sum.ends[end] += added.ends[end];
+    }
+    sum.withinTarget += added.withinTarget;
 }
 
-function histogramLines(measured: MeasuredTime, labels: string, histogram: Histogram): readonly string[] {
-    if (histogram.totalCount === 0) {
-        return [];
+function writeSeries(writer: ExpositionWriter, series: Series): void {
+    const labels: MetricLabels = { class: series.requestClass, team: series.team };
+    for (const measured of measuredTimes) {
+        series.times[measured].write(writer, timeFamilies[measured][0], labels);
+    }
+    for (const end of requestEnds) {
+        writer.sample(endsFamily, { ...labels, end }, series.ends[end]);
     }
-    const name = `gullhall_${measured.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)}_seconds`;
-    const quantiles = [0.5, 0.95, 0.99].map(quantile => {
-        const seconds = histogram.getValueAtPercentile(quantile * 100) / 1e6;
-        return `${name}{${labels},quantile="${quantile}"} ${seconds}`;
-    });
-    return [...quantiles, `${name}_count{${labels}} ${histogram.totalCount}`];
+    writer.sample(targetFamily, labels, series.withinTarget);
 }
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -1,12 +1,13 @@
-import { createServer } from "node:http";
 import { CallerServer } from "../../connection/entry/callerServer.js";
+import { MetricsServer } from "../../connection/metrics/metricsServer.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntrySettings } from "../../settings/entrySettings.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { DisposableStore } from "../../util/disposableStore.js";
-import { listen } from "../../util/socketAddress.js";
 import { keepControlLink } from "./controlLink.js";
+import { entryExposition } from "./entryExposition.js";
 import { EntryProcessState } from "./entryProcessState.js";
+import { entryStateReport } from "./entryStateReport.js";
 
 /** How often waiting requests are looked at for those whose time has run out, in milliseconds. */
 const sweepInterval: Milliseconds = 50;
@@ -32,7 +33,7 @@
         const metricsAddress = await this.listenForMetrics();
         const callerServer = new CallerServer(this.state);
         const callerAddress = await callerServer.start();
-        const tasks = [this.followControl(callerAddress), this.sweepQueues()];
+        const tasks = [this.followControl({ callerAddress, metricsAddress }), this.sweepQueues()];
         this.store.defer(async () => {
             this.stopping.abort();
             await Promise.all(tasks);
@@ -48,13 +49,13 @@
         await this.store.dispose();
     }
 
-    private followControl(callerAddress: string): Promise<void> {
+    private followControl(addresses: EntryAddresses): Promise<void> {
         const { cluster, name, failureDomain, controlAddresses } = this.settings;
         const { state, clock } = this;
         return keepControlLink(
             controlAddresses,
             {
-                identity: { cluster, entry: name, incarnation: state.incarnation, failureDomain, callerAddress },
+                identity: { cluster, entry: name, incarnation: state.incarnation, failureDomain, ...addresses },
                 clock,
                 configuration: state.configuration,
                 permit: state.permit,
@@ -75,15 +76,11 @@
     }
 
     private listenForMetrics(): Promise<string> {
-        const server = createServer((request, response) => {
-            request.resume();
-            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-            response.end(this.state.metrics.exposition());
-        });
-        this.store.defer(() => {
-            server.close();
-            server.closeAllConnections();
+        const { state, clock } = this;
+        const server = new MetricsServer({
+            exposition: () => entryExposition(entryStateReport(state, clock.now()), state.metrics),
+            state: () => entryStateReport(state, clock.now()),
         });
-        return listen(server, this.settings.metricsAddress);
+        return this.store.add(server).start(this.settings.metricsAddress);
     }
 }
--- /dev/null
+++ b/src/resultCode/operatorCodes.ts
@@ -0,0 +1,47 @@
+import type { ResultCodeDefinition } from "./resultCode.js";
+
+/** Result codes 1500–1599: the operators' command line and interface. */
+export const operatorCodes = {
+    commandLineInvalid: {
+        number: 1500,
+        httpStatus: 400,
+        text: "The command line is not valid: {reason}.",
+        advice: "See `{program} --help`.",
+    },
+    tokenMissing: {
+        number: 1501,
+        httpStatus: 401,
+        text: "No operator token is given.",
+        advice: "Set GULLHALL_TOKEN, or name a file with --token-file.",
+    },
+    controlAddressMissing: {
+        number: 1502,
+        httpStatus: 400,
+        text: "No address of a control process is given.",
+        advice: "Set GULLHALL_CONTROL, or use --control or --settings.",
+    },
+    keyNameUnknown: {
+        number: 1503,
+        httpStatus: 404,
+        text: "Team {team} has no key named {name} in force.",
+        advice: "Check the names, or withdraw the key by its digest.",
+    },
+    answerUnreadable: {
+        number: 1504,
+        httpStatus: 502,
+        text: "The answer of control has an unexpected form.",
+        advice: "Check that --control names operator addresses and that both sides have the same version.",
+    },
+    entryUnknown: {
+        number: 1505,
+        httpStatus: 404,
+        text: "No entry named {entry} is connected to the leader.",
+        advice: "Check the name with `gullhall status`.",
+    },
+    optionsInvalid: {
+        number: 1506,
+        httpStatus: 400,
+        text: "The options of the stand-in are not valid: {reason}.",
+        advice: "Correct the JSON object after --options.",
+    },
+} as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
--- a/src/resultCode/resultCode.ts
+++ b/src/resultCode/resultCode.ts
@@ -1,6 +1,7 @@
 import { controlCodes } from "./controlCodes.js";
 import { entryCodes } from "./entryCodes.js";
 import { manifestCodes } from "./manifestCodes.js";
+import { operatorCodes } from "./operatorCodes.js";
 import { platformCodes } from "./platformCodes.js";
 import { settingsCodes } from "./settingsCodes.js";
 
@@ -23,7 +24,7 @@
     readonly outcome?: Outcome;
     /** One sentence that says what happened; `{name}` marks the place of a datum. */
     readonly text: string;
-    /** One sentence that says what the reader can do. */
+    /** One sentence that says what the reader can do; it may hold places as well. */
     readonly advice: string;
 }
 
@@ -34,6 +35,7 @@
     ...controlCodes,
     ...entryCodes,
     ...platformCodes,
+    ...operatorCodes,
 } as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
 
 /** Identifier of a result code. */
@@ -61,6 +63,9 @@
 /** One line for people: number, text with its data filled in, and advice. */
 export function describeFailure(reported: Failure): string {
     const definition = definitionOf(reported.code);
-    const text = definition.text.replace(/\{(\w+)\}/g, (place, name: string) => String(reported.data[name] ?? place));
-    return `GH${definition.number} ${text} ${definition.advice}`;
+    return `GH${definition.number} ${fill(definition.text, reported.data)} ${fill(definition.advice, reported.data)}`;
+}
+
+function fill(sentence: string, data: FailureData): string {
+    return sentence.replace(/\{(\w+)\}/g, (place, name: string) => String(data[name] ?? place));
 }
