--- a/src/connection/control/keyCalls.ts
+++ b/src/connection/control/keyCalls.ts
@@ -1,7 +1,5 @@
 import { match, P } from "ts-pattern";
 import { z } from "zod";
-import type { ConfigurationService } from "../../process/control/configurationService.js";
-import type { ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { nameSchema } from "../../settings/commonSettings.js";
@@ -9,7 +7,8 @@
 import type { Result } from "../../util/result.js";
 import { findKeyDigest } from "../../version/findKeyDigest.js";
 import { answerFailure } from "../httpAnswer.js";
-import { answerResult, readCall } from "./operatorExchange.js";
+import type { ManifestCallsOptions } from "./manifestCalls.js";
+import { answerResult, leaderToken, readCall } from "./operatorExchange.js";
 import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
 
 const digestSchema = z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hexadecimal");
@@ -19,12 +18,6 @@
     z.strictObject({ team: nameSchema, name: nameSchema }),
 ]);
 
-/** What the calls use. */
-export interface KeyCallsOptions {
-    readonly state: ControlState;
-    readonly configuration: ConfigurationService;
-}
-
 /** The operators' calls that concern keys. */
 export class KeyCalls {
     /** The calls of this group. */
@@ -33,7 +26,7 @@
         { method: "POST", path: "/v1/keys/withdraw", answer: exchange => this.withdraw(exchange) },
     ];
 
-    constructor(private readonly options: KeyCallsOptions) {}
+    constructor(private readonly options: ManifestCallsOptions) {}
 
     private async issue({ request, response, operator }: OperatorExchange): Promise<void> {
         const call = await readCall(request, issueSchema);
@@ -62,10 +55,17 @@
     private digestOf(call: z.output<typeof withdrawSchema>): Result<string, Failure> {
         return match(call)
             .with({ digest: P.string }, ({ digest }) => Ok(digest))
-            .with({ team: P.string }, ({ team, name }) => {
-                const digest = findKeyDigest(this.options.state.configuration.current, team, name);
-                return digest === undefined ? Err(failure("keyNameUnknown", { team, name })) : Ok(digest);
-            })
+            .with({ team: P.string }, ({ team, name }) => this.digestByName(team, name))
             .exhaustive();
     }
+
+    private digestByName(team: string, name: string): Result<string, Failure> {
+        const { commandLog, clock, state } = this.options;
+        const token = leaderToken(commandLog, clock.now());
+        if (token.err) {
+            return token;
+        }
+        const digest = findKeyDigest(state.configuration.current, team, name);
+        return digest === undefined ? Err(failure("keyNameUnknown", { team, name })) : Ok(digest);
+    }
 }
--- a/src/connection/control/manifestCalls.ts
+++ b/src/connection/control/manifestCalls.ts
@@ -1,12 +1,13 @@
 import type { ConfigurationService } from "../../process/control/configurationService.js";
-import type { CommandLog } from "../../process/replicatedLog/commandLog.js";
+import type { CommandLog, FencingToken } from "../../process/replicatedLog/commandLog.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Clock } from "../../util/clock.js";
+import type { Result } from "../../util/result.js";
 import { answerFailure, answerJson } from "../httpAnswer.js";
 import { readBody } from "../httpBody.js";
-import { leaderToken } from "./operatorExchange.js";
+import { answerResult, leaderToken } from "./operatorExchange.js";
 import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
 
 /** Largest accepted manifest, in bytes. */
@@ -38,7 +39,12 @@
     constructor(private readonly options: ManifestCallsOptions) {}
 
     private show({ response }: OperatorExchange): void {
-        answerJson(response, 200, this.options.state.configuration.current.manifest ?? {});
+        const { current } = this.options.state.configuration;
+        answerResult(response, this.leaderToken().map(() => current.manifest ?? {}));
+    }
+
+    private leaderToken(): Result<FencingToken, Failure> {
+        return leaderToken(this.options.commandLog, this.options.clock.now());
     }
 
     private async submit({ request, response, operator }: OperatorExchange): Promise<void> {
@@ -58,7 +64,7 @@
 
     /** Says what a manifest would change, without accepting it. */
     private async compare({ request, response }: OperatorExchange): Promise<void> {
-        const token = leaderToken(this.options.commandLog, this.options.clock.now());
+        const token = this.leaderToken();
         if (token.err) {
             request.resume();
             answerFailure(response, token.val);
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -6,14 +6,17 @@
 import { answerFailure } from "../httpAnswer.js";
 import { ExplainCalls } from "./explainCalls.js";
 import { KeyCalls } from "./keyCalls.js";
-import type { KeyCallsOptions } from "./keyCalls.js";
 import { ManifestCalls } from "./manifestCalls.js";
+import type { ManifestCallsOptions } from "./manifestCalls.js";
 import type { OperatorRoute } from "./operatorExchange.js";
 import { StatusCalls } from "./statusCalls.js";
 import type { StatusCallsOptions } from "./statusCalls.js";
 
 /** What the server uses. */
-export interface OperatorServerOptions extends KeyCallsOptions, StatusCallsOptions {}
+export interface OperatorServerOptions extends ManifestCallsOptions, StatusCallsOptions {
+    /** Address to listen on. */
+    readonly address: string;
+}
 
 /** Answers the operators' calls over HTTP; each call carries an operator's token. */
 export class OperatorServer implements AsyncDisposable {
@@ -35,7 +38,7 @@
 
     /** Starts to listen; resolves with the bound address. */
     start(): Promise<string> {
-        return listen(this.server, this.options.settings.operatorAddress);
+        return listen(this.server, this.options.address);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -94,9 +94,9 @@
     private behind(version: number, now: Milliseconds): Result<readonly string[], Failure> {
         const { commandLog, entries } = this.options;
         return leaderToken(commandLog, now).map(token => {
-            entries.observeTerm(token.fencingNumber, now);
+            entries.enterTerm(token.fencingNumber, now);
             const names = entries.behind(version, now).map(record => record.entry);
-            return entries.complete(now) ? names : [...names, "entries of an earlier leader"];
+            return entries.mayMissEntries(now) ? [...names, "entries of an earlier leader"] : names;
         });
     }
 }
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -4,9 +4,6 @@
 /** Longest time for which a permit lets an entry serve, in milliseconds from the sending of its request. */
 export const permitMilliseconds = 4000;
 
-/** Most by which a VM's monotonic clock may run fast against another's, as a fraction. */
-const clockDriftFraction = 0.01;
-
 /** What the leader knows of one process of an entry. */
 export interface EntryRecord {
     readonly entry: string;
@@ -22,34 +19,31 @@
     readonly connected: boolean;
 }
 
-/** The entries that may serve, as the leader sees them. */
+/** The entries that may serve, as the leader of one term sees them. */
 export class EntryTable {
     private readonly records = new Map<string, EntryRecord>();
     private listingNumber = 0;
-    private observedTerm: number | undefined;
-    private completeFrom: Milliseconds = Number.POSITIVE_INFINITY;
+    private term: number | undefined;
+    private earlierPermitsEndAt: Milliseconds = Number.POSITIVE_INFINITY;
 
     /** Rises whenever a listing changes. */
     get listingVersion(): number {
         return this.listingNumber;
     }
 
-    /**
-     * Notes the term in which the table is used.
-     *
-     * Entries that got their permits from an earlier leader, or from this process before a restart, are not in the
-     * table; it is complete only when the longest of those permits has ended.
-     */
-    observeTerm(term: number, now: Milliseconds): void {
-        if (term !== this.observedTerm) {
-            this.observedTerm = term;
-            this.completeFrom = now + permitMilliseconds * (1 + clockDriftFraction);
+    /** Starts anew when this process leads in a term that the table does not know yet. */
+    enterTerm(term: number, now: Milliseconds): void {
+        if (term !== this.term) {
+            this.term = term;
+            this.records.clear();
+            this.earlierPermitsEndAt = now + permitMilliseconds;
+            this.listingNumber++;
         }
     }
 
-    /** Whether every entry that may serve is in the table. */
-    complete(now: Milliseconds): boolean {
-        return now >= this.completeFrom;
+    /** Whether entries that an earlier leader knew may still serve without this one knowing them. */
+    mayMissEntries(now: Milliseconds): boolean {
+        return now < this.earlierPermitsEndAt;
     }
 
     /** Every known entry whose permit may still hold. */
