--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -171,6 +171,7 @@
             incarnation: hello.incarnation,
             failureDomain: hello.failureDomain,
             callerAddress: hello.callerAddress,
+            metricsAddress: hello.metricsAddress,
             version: request.version,
             status: request.status,
             permitEndsAt: receivedAt + permitMilliseconds,
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -29,6 +29,7 @@
     readonly startedAt: UnixMilliseconds;
     readonly failureDomain: string;
     readonly callerAddress: string;
+    readonly metricsAddress: string;
 }
 
 /** What a connection to a control process works on. */
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -45,6 +45,8 @@
         startedAt: count,
         failureDomain: shortText,
         callerAddress: shortText,
+        /** Where operators reach its metrics and state. */
+        metricsAddress: shortText,
         /** Version of the configuration that the entry holds; 0 for none. */
         version: count,
     }),
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -10,6 +10,7 @@
     readonly incarnation: string;
     readonly failureDomain: string;
     readonly callerAddress: string;
+    readonly metricsAddress: string;
     /** Version that the entry last reported as in force. */
     readonly version: number;
     readonly status: EntryStatus;
