feat(operator): ask control processes in a staggered race

Cause: a stopped control process accepts connections and never answers; an operator's call waited 40 s for it (seen in the test of a stopped leader). Change: each control process is asked 500 ms after the one before stayed silent, the first answer wins; waiting for a version is done in calls of 2 s.

--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -12,8 +12,8 @@
 import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
 import type { ControlStatus, EntryStanding } from "./operatorMessages.js";
 
-/** Longest wait for a version to be in force everywhere, in milliseconds. */
-const maximumInForceWait: Milliseconds = 30_000;
+/** Longest wait of one call for a version to be in force everywhere, in milliseconds; the caller asks again. */
+const maximumInForceWait: Milliseconds = 2_000;
 
 /** How often a wait looks at permits that end, in milliseconds. */
 const inForceInterval: Milliseconds = 50;
--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -19,6 +19,8 @@
     readonly body?: string | Buffer;
     /** Longest time for the whole call. */
     readonly timeout: Milliseconds;
+    /** Gives the call up early when aborted. */
+    readonly signal?: AbortSignal;
 }
 
 /** A whole answer. */
@@ -37,7 +39,10 @@
             method: call.method,
             path: call.path,
             headers: { ...call.headers, "content-length": Buffer.byteLength(call.body ?? "") },
-            signal: AbortSignal.timeout(call.timeout),
+            signal: AbortSignal.any([
+                AbortSignal.timeout(call.timeout),
+                ...(call.signal === undefined ? [] : [call.signal]),
+            ]),
         });
         outgoing.on("error", error => {
             resolve(Err(error.message));
--- a/src/operator/operatorClient.ts
+++ b/src/operator/operatorClient.ts
@@ -5,12 +5,16 @@
 import type { Clock, Milliseconds } from "../util/clock.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
+import { staggeredRace } from "../util/staggeredRace.js";
 
 /** Longest time for one call to one control process, in milliseconds. */
-const callTimeout: Milliseconds = 40_000;
+const callTimeout: Milliseconds = 5_000;
+
+/** How long a control process may be silent before the next one is asked as well, in milliseconds. */
+const stagger: Milliseconds = 500;
 
 /** Longest search for a control process that can answer, in milliseconds. */
-const searchTimeout: Milliseconds = 10_000;
+const searchTimeout: Milliseconds = 15_000;
 
 /** Pause between two rounds over the control processes, in milliseconds. */
 const roundPause: Milliseconds = 200;
@@ -44,12 +48,17 @@
         const end = this.clock.now() + searchTimeout;
         let unavailable: HttpCallAnswer | undefined;
         do {
-            for (const address of this.addresses) {
-                const answer = await this.ask(address, call);
-                if (answer !== undefined && answer.status !== unavailableStatus) {
-                    return Ok(answer);
+            const attempts = this.addresses.map(address => async (signal: AbortSignal) => {
+                const answer = await this.ask(address, call, signal);
+                if (answer?.status === unavailableStatus) {
+                    unavailable = answer;
+                    return undefined;
                 }
-                unavailable = answer ?? unavailable;
+                return answer;
+            });
+            const answer = await staggeredRace(attempts, stagger, this.clock);
+            if (answer !== undefined) {
+                return Ok(answer);
             }
             await this.clock.sleep(roundPause);
         }
@@ -59,9 +68,13 @@
             : Ok(unavailable);
     }
 
-    private async ask(address: string, call: OperatorCall): Promise<HttpCallAnswer | undefined> {
+    private async ask(
+        address: string,
+        call: OperatorCall,
+        signal: AbortSignal,
+    ): Promise<HttpCallAnswer | undefined> {
         const headers = { ...call.headers, authorization: `Bearer ${this.token}` };
-        const answer = await httpCall({ ...call, address, headers, timeout: callTimeout });
+        const answer = await httpCall({ ...call, address, headers, timeout: callTimeout, signal });
         return answer.ok ? answer.val : undefined;
     }
 }
