fix(entry): do not go back to a leader that stayed silent

Cause: with the leader stopped (SIGSTOP) an entry followed the other control processes' word back to it and lost its permit.

--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -16,7 +16,7 @@
 const permitInterval: Milliseconds = 400;
 
 /** Longest wait for a connection or for an answer, in milliseconds. */
-const answerTimeout: Milliseconds = 1500;
+const answerTimeout: Milliseconds = 1000;
 
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
@@ -50,6 +50,8 @@
 export interface ControlConnectionEnd {
     /** Address of the leader's port for entries, when the other side named it. */
     readonly leaderAddress: string | undefined;
+    /** Whether the other side stayed silent for too long. */
+    readonly silent: boolean;
 }
 
 /** One connection of an entry to a control process: follows the configuration and renews the permit. */
@@ -62,6 +64,7 @@
     private nextNumber = 1;
     private awaitingUsage = false;
     private leaderAddress: string | undefined;
+    private silent = false;
 
     constructor(
         address: string,
@@ -78,7 +81,10 @@
             this.socket.destroy();
         };
         this.stop.addEventListener("abort", close, { once: true });
-        this.socket.setTimeout(answerTimeout, close);
+        this.socket.setTimeout(answerTimeout, () => {
+            this.silent = true;
+            close();
+        });
         this.greet();
         const renewing = this.renew();
         try {
@@ -94,7 +100,7 @@
             close();
         }
         await renewing;
-        return { leaderAddress: this.leaderAddress };
+        return { leaderAddress: this.leaderAddress, silent: this.silent };
     }
 
     private send(message: EntryToControl): void {
