--- a/src/connection/peerMessage.ts
+++ b/src/connection/peerMessage.ts
@@ -35,6 +35,7 @@
         ...envelope,
         term,
         commitPosition: position,
+        commitTerm: term.describe("Term of the entry at the commit position: a log that has it may commit up to it."),
         acknowledged: acknowledgedSchema,
     }),
     z.object({
--- a/src/process/replicatedLog/appendHandler.ts
+++ b/src/process/replicatedLog/appendHandler.ts
@@ -7,9 +7,6 @@
 
 /** Takes entries and heartbeats of the leader (Raft §5.3). */
 export class AppendHandler {
-    /** Term of the leader whose entries were last taken, and the position up to which this log equals the leader's. */
-    private matched = { term: 0, position: 0 };
-
     constructor(private readonly replica: Replica) {}
 
     /** Notes that the leader lives, and what it knows. */
@@ -20,7 +17,9 @@
         }
         replica.acknowledged.note(request.term, request.acknowledged);
         this.haltIfOutdated();
-        this.commitMatched(request.term, request.commitPosition);
+        if (replica.log.termAt(request.commitPosition) === request.commitTerm) {
+            replica.commit(request.commitPosition);
+        }
         return { kind: "heartbeat", term: request.term, accepted: true };
     }
 
@@ -32,12 +31,6 @@
         return this.replica.storageQueue.run(async () => this.append(request));
     }
 
-    /** Notes that this log equals the leader's up to a position. */
-    noteMatched(term: number, position: number): void {
-        const known = this.matched.term === term ? this.matched.position : 0;
-        this.matched = { term, position: Math.max(known, position) };
-    }
-
     /** Halts when the leader of the present term counted on entries that this disk no longer has. */
     private haltIfOutdated(): void {
         const { replica } = this;
@@ -63,8 +56,7 @@
             return this.answer(false, replica.log.lastPosition);
         }
         const reached = request.previousPosition + request.entries.length;
-        this.noteMatched(request.term, reached);
-        this.commitMatched(request.term, request.commitPosition);
+        replica.commit(Math.min(request.commitPosition, reached));
         return this.answer(true, reached);
     }
 
@@ -109,12 +101,6 @@
         return Math.max(position, 0);
     }
 
-    private commitMatched(term: number, commitPosition: number): void {
-        if (this.matched.term === term) {
-            this.replica.commit(Math.min(commitPosition, this.matched.position));
-        }
-    }
-
     private answer(accepted: boolean, position: number): PeerResponseOf<"append"> {
         return { kind: "append", term: this.replica.term, accepted, position };
     }
--- a/src/process/replicatedLog/followerLink.ts
+++ b/src/process/replicatedLog/followerLink.ts
@@ -94,6 +94,7 @@
                 ...replica.envelope(this.member.memberId),
                 term,
                 commitPosition: replica.commitPosition,
+                commitTerm: replica.log.termAt(replica.commitPosition) ?? 0,
                 acknowledged: this.parts.acknowledged(),
             }, 2 * heartbeatInterval);
             this.noteResponse(response, sentAt);
--- a/src/process/replicatedLog/replicaRequestHandler.ts
+++ b/src/process/replicatedLog/replicaRequestHandler.ts
@@ -31,7 +31,7 @@
         super();
         this.voteHandler = new VoteHandler(parts.replica);
         this.appendHandler = new AppendHandler(parts.replica);
-        this.snapshotReceiver = new SnapshotReceiver(parts.replica, this.appendHandler, parts.restore);
+        this.snapshotReceiver = new SnapshotReceiver(parts.replica, parts.restore);
     }
 
     /** Lets the member take part, after it has made sure that its disk is not outdated. */
--- a/src/process/replicatedLog/replicatedLog.ts
+++ b/src/process/replicatedLog/replicatedLog.ts
@@ -136,16 +136,21 @@
             return Err(this.notLeader());
         }
         return new Promise(resolve => {
+            const settle = (outcome: Result<CommittedCommand<Outcome>, Failure>): void => {
+                signal?.removeEventListener("abort", abandon);
+                resolve(outcome);
+            };
+            const abandon = (): void => {
+                settle(Err(failure("quorumUnavailable")));
+            };
+            signal?.addEventListener("abort", abandon, { once: true });
             leadership.propose({ kind: "command", command: encodeValue(command) }, placement => {
                 if (placement.err) {
-                    resolve(Err(placement.val.code === "notLeader" ? this.notLeader() : placement.val));
+                    settle(Err(placement.val.code === "notLeader" ? this.notLeader() : placement.val));
                     return;
                 }
-                this.applier.expect(placement.val, leadership.term, resolve);
+                this.applier.expect(placement.val, leadership.term, settle);
             });
-            signal?.addEventListener("abort", () => {
-                resolve(Err(failure("quorumUnavailable")));
-            }, { once: true });
         });
     }
 
--- a/src/process/replicatedLog/snapshotReceiver.ts
+++ b/src/process/replicatedLog/snapshotReceiver.ts
@@ -1,6 +1,5 @@
 import type { PeerRequestOf, PeerResponse, PeerResponseOf } from "../../connection/peerMessage.js";
 import type { Milliseconds } from "../../util/clock.js";
-import type { AppendHandler } from "./appendHandler.js";
 import type { LogSnapshot } from "./logSnapshot.js";
 import { logSnapshotSchema } from "./logSnapshot.js";
 import { decodeValue } from "./recordCodec.js";
@@ -24,7 +23,6 @@
     /** @param restore Puts an installed snapshot into the state machine; runs in the storage queue. */
     constructor(
         private readonly replica: Replica,
-        private readonly appendHandler: AppendHandler,
         private readonly restore: (snapshot: LogSnapshot) => void,
     ) {}
 
@@ -77,7 +75,6 @@
             const bytes = snapshot.state.length;
             replica.events.write("snapshotInstalled", { group: replica.group, position: snapshot.position, bytes });
         }
-        this.appendHandler.noteMatched(replica.term, snapshot.position);
         return true;
     }
 
