--- /dev/null
+++ b/src/process/control/controlProcess.ts
@@ -0,0 +1,112 @@
+import { createServer } from "node:net";
+import type { Socket } from "node:net";
+import { EntryConnection } from "../../connection/control/entryConnection.js";
+import type { EntryConnectionContext } from "../../connection/control/entryConnection.js";
+import { OperatorServer } from "../../connection/control/operatorServer.js";
+import type { EventLog } from "../../logEvent/eventLog.js";
+import { describeFailure } from "../../resultCode/resultCode.js";
+import type { ControlSettings } from "../../settings/controlSettings.js";
+import type { Clock } from "../../util/clock.js";
+import { DisposableStore } from "../../util/disposableStore.js";
+import { listen } from "../../util/socketAddress.js";
+import { WakeUp } from "../../util/wakeUp.js";
+import type { CommandLog } from "../replicatedLog/commandLog.js";
+import { ControlProposals } from "../state/controlProposals.js";
+import { ControlState } from "../state/controlState.js";
+import type { ControlCommand, ControlOutcome } from "../state/controlState.js";
+import { ConfigurationService } from "./configurationService.js";
+import { openControlLog, ownAddresses } from "./controlLog.js";
+import type { ControlAddresses } from "./controlLog.js";
+import { EntryTable } from "./entryTable.js";
+import { runLeaderDuties } from "./leaderDuties.js";
+import type { LeaderDutyContext } from "./leaderDuties.js";
+
+/** A control process: holds the replicated state, answers operators and serves entries. */
+export class ControlProcess implements AsyncDisposable {
+    private readonly store = new DisposableStore();
+    private readonly applied = new WakeUp();
+    private readonly entries = new EntryTable();
+    private readonly state = new ControlState(() => {
+        this.applied.wake();
+    });
+
+    constructor(
+        private readonly settings: ControlSettings,
+        private readonly clock: Clock,
+        private readonly eventLog: EventLog,
+    ) {}
+
+    /** Starts to serve; resolves with the addresses, rejects when the state cannot be opened. */
+    async start(): Promise<ControlAddresses> {
+        const { settings, clock, eventLog, state, entries, store } = this;
+        const commandLog = await openControlLog({ settings, state, clock, eventLog, store });
+        if (commandLog.err) {
+            throw new Error(describeFailure(commandLog.val));
+        }
+        const addresses = ownAddresses(settings);
+        const proposals = new ControlProposals(commandLog.val);
+        await this.listenForOperators(commandLog.val, proposals, addresses.operatorAddress);
+        await this.listenForEntries(addresses.entryAddress, {
+            cluster: settings.cluster,
+            clock,
+            eventLog,
+            state,
+            commandLog: commandLog.val,
+            proposals,
+            entries,
+            applied: this.applied,
+            leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
+        });
+        this.runDuties({ state, commandLog: commandLog.val, proposals, entries, clock });
+        return addresses;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.store.dispose();
+    }
+
+    /** Runs the leader's recurring duties until the process stops. */
+    private runDuties(context: LeaderDutyContext): void {
+        const stopping = new AbortController();
+        const duties = runLeaderDuties(context, stopping.signal);
+        this.store.defer(async () => {
+            stopping.abort();
+            await duties;
+        });
+    }
+
+    private leaderEntryAddress(commandLog: CommandLog<ControlCommand, ControlOutcome>): string | undefined {
+        const leader = commandLog.leaderAddress();
+        return this.settings.controls.find(control => control.operatorAddress === leader)?.entryAddress;
+    }
+
+    private async listenForOperators(
+        commandLog: CommandLog<ControlCommand, ControlOutcome>,
+        proposals: ControlProposals,
+        address: string,
+    ): Promise<void> {
+        const { settings, clock, state, entries, eventLog } = this;
+        const configuration = new ConfigurationService({
+            state,
+            proposals,
+            clock,
+            eventLog,
+        });
+        const server = new OperatorServer({ settings, clock, state, configuration, entries, commandLog, address });
+        await this.store.add(server).start();
+    }
+
+    private async listenForEntries(address: string, context: EntryConnectionContext): Promise<void> {
+        const sockets = new Set<Socket>();
+        const server = createServer(socket => {
+            sockets.add(socket);
+            socket.once("close", () => sockets.delete(socket));
+            void new EntryConnection(socket, context).run();
+        });
+        this.store.defer(() => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        });
+        await listen(server, address);
+    }
+}
