--- /dev/null
+++ b/src/connection/control/claimProposer.ts
@@ -0,0 +1,66 @@
+import { match } from "ts-pattern";
+import type { ClaimCommand, ClaimOutcome } from "../../process/claims/claimCommand.js";
+import type { ControlProposals } from "../../process/state/controlProposals.js";
+import type { Clock } from "../../util/clock.js";
+import type { ControlToEntry, EntryToControl } from "../entryMessages.js";
+
+/** A message of an entry that concerns claims. */
+export type ClaimMessage = Extract<EntryToControl, { kind: "claimBatch" | "claimResults"; }>;
+
+/** Which process start of which entry claims. */
+export interface Claimant {
+    readonly entry: string;
+    readonly incarnation: string;
+}
+
+/** What the proposer uses. */
+export interface ClaimProposerContext {
+    readonly clock: Clock;
+    readonly proposals: ControlProposals;
+}
+
+/** Takes the claims of one entry to the replicated log: a whole message in one command. */
+export class ClaimProposer {
+    constructor(private readonly context: ClaimProposerContext, private readonly claimant: Claimant) {}
+
+    /** Proposes the claims or results of a message; resolves with the answer to the entry. */
+    propose(message: ClaimMessage, signal: AbortSignal): Promise<ControlToEntry> {
+        return match(message)
+            .with({ kind: "claimBatch" }, batch => this.proposeClaims(batch, signal))
+            .with({ kind: "claimResults" }, results => this.proposeResults(results, signal))
+            .exhaustive();
+    }
+
+    private async proposeClaims(
+        { number, claims }: Extract<ClaimMessage, { kind: "claimBatch"; }>,
+        signal: AbortSignal,
+    ): Promise<ControlToEntry> {
+        const { entry, incarnation } = this.claimant;
+        const at = this.context.clock.unixNow();
+        const outcome = await this.commit({ kind: "claimBatch", entry, incarnation, claims, at }, signal);
+        const decisions = outcome?.kind === "decided" ? outcome.decisions : undefined;
+        return { kind: "claimDecisions", number, decisions };
+    }
+
+    private async proposeResults(
+        { number, results }: Extract<ClaimMessage, { kind: "claimResults"; }>,
+        signal: AbortSignal,
+    ): Promise<ControlToEntry> {
+        const at = this.context.clock.unixNow();
+        const outcome = await this.commit({ kind: "claimResultBatch", results, at }, signal);
+        return { kind: "claimResultsTaken", number, taken: outcome !== undefined };
+    }
+
+    private async commit(command: ClaimCommand, signal: AbortSignal): Promise<ClaimOutcome | undefined> {
+        const outcome = await this.context.proposals.propose("claims", command, signal);
+        return outcome.ok ? outcome.val : undefined;
+    }
+}
+
+/** The answer to a message whose claims or results could not be committed. */
+export function unconfirmed(message: ClaimMessage): ControlToEntry {
+    const { number } = message;
+    return message.kind === "claimBatch"
+        ? { kind: "claimDecisions", number, decisions: undefined }
+        : { kind: "claimResultsTaken", number, taken: false };
+}
--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -13,6 +13,8 @@
 import { entryProtocolVersion, entryToControlSchema } from "../entryMessages.js";
 import type { ControlToEntry, EntryToControl } from "../entryMessages.js";
 import { MessageConnection } from "../messageConnection.js";
+import type { ClaimMessage } from "./claimProposer.js";
+import { ClaimProposer, unconfirmed } from "./claimProposer.js";
 
 /** Bytes of an encoded snapshot in one message. */
 const snapshotPartBytes = 256 * 1024;
@@ -48,6 +50,7 @@
 export class EntryConnection {
     private readonly connection: MessageConnection;
     private readonly closing = new AbortController();
+    private claimProposer: ClaimProposer | undefined;
     private sentVersion = 0;
     private sentListing = -1;
 
@@ -95,6 +98,7 @@
             return undefined;
         }
         this.sentVersion = hello.version;
+        this.claimProposer = new ClaimProposer(this.context, hello);
         void this.pushChanges();
         return hello;
     }
@@ -103,6 +107,10 @@
         await match(message)
             .with({ kind: "permitRequest" }, request => this.answerPermit(request, hello))
             .with({ kind: "usage" }, usage => this.takeUsage(usage))
+            .with({ kind: "claimBatch" }, { kind: "claimResults" }, claims => {
+                // Claims wait for a commit; permits must not wait behind them.
+                void this.answerClaims(claims, hello);
+            })
             .exhaustive();
     }
 
@@ -165,6 +173,17 @@
         return this.context.commandLog.waitForPosition(position, this.closing.signal);
     }
 
+    private async answerClaims(message: ClaimMessage, hello: Hello): Promise<void> {
+        if (!await this.register(hello)) {
+            this.send(unconfirmed(message));
+            return;
+        }
+        const answer = await this.claimProposer?.propose(message, this.closing.signal);
+        if (answer !== undefined) {
+            this.send(answer);
+        }
+    }
+
     private record(request: PermitRequest, hello: Hello, receivedAt: Milliseconds): void {
         this.context.entries.report({
             entry: hello.entry,
--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -1,47 +1,76 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
 import type { EntryProcessState } from "../../process/entry/entryProcessState.js";
-import { readModelBody } from "../../request/model/modelBody.js";
-import type { ModelCallForm } from "../../request/model/modelBody.js";
 import { ModelRequest } from "../../request/model/modelRequest.js";
-import type { RequestContext } from "../../request/requestContext.js";
 import { ServiceRequest } from "../../request/service/serviceRequest.js";
-import { failure } from "../../resultCode/resultCode.js";
+import { longestUnread } from "../../request/unreadAnswer.js";
+import { definitionOf, failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
-import { keyDigest } from "../../util/keyDigest.js";
-import { Err, Ok } from "../../util/result.js";
-import type { Result } from "../../util/result.js";
 import { listen } from "../../util/socketAddress.js";
-import type { Identity, ResolvedRoute } from "../../version/compiledConfiguration.js";
-import { answerFailure, answerJson } from "../httpAnswer.js";
-import { readBody } from "../httpBody.js";
+import { answerFailure, answerJson, failureBody } from "../httpAnswer.js";
+import { CallAdmission } from "./callAdmission.js";
 
-/** Longest time for the headers of a request, in milliseconds. */
-const headersTimeout: Milliseconds = 10_000;
+/** Bounds on callers. */
+export interface CallerServerLimits {
+    /** Longest time for the headers of a request. */
+    readonly headersTimeout: Milliseconds;
+    /** Longest time for a whole request to arrive. */
+    readonly requestTimeout: Milliseconds;
+    /** How often the two are checked. */
+    readonly checkInterval: Milliseconds;
+    /** Largest headers of a request, in bytes. */
+    readonly maximumHeaderBytes: number;
+    /** Connections at a time; further ones are closed at once. */
+    readonly maximumConnections: number;
+}
 
-/** Longest time for a whole request to arrive, in milliseconds. */
-const requestTimeout: Milliseconds = 30_000;
+/** The bounds that an entry sets. */
+export const defaultCallerServerLimits: CallerServerLimits = {
+    headersTimeout: 10_000,
+    requestTimeout: 30_000,
+    checkInterval: 1_000,
+    maximumHeaderBytes: 16 * 1024,
+    maximumConnections: 20_000,
+};
 
-/** Largest headers of a request, in bytes. */
-const maximumHeaderBytes = 16 * 1024;
+/** How long a connection without a request stays open, in milliseconds. */
+const keepAliveTimeout: Milliseconds = 5_000;
 
-/** Paths of model calls and their forms. */
-const modelPaths: ReadonlyMap<string, ModelCallForm> = new Map([
-    ["/v1/chat/completions", "chat"],
-    ["/v1/completions", "completion"],
-]);
+/** Path of the question which entries to use. */
+const entriesPath = "/v1/entries";
 
 /** Answers callers over HTTP. */
 export class CallerServer implements AsyncDisposable {
-    private readonly server = createServer(
-        { headersTimeout, requestTimeout, maxHeaderSize: maximumHeaderBytes },
-        (request, response) => {
-            void this.answer(request, response);
-        },
-    );
+    private readonly server;
+    private readonly admission: CallAdmission;
 
-    constructor(private readonly state: EntryProcessState) {}
+    constructor(
+        private readonly state: EntryProcessState,
+        limits: CallerServerLimits = defaultCallerServerLimits,
+    ) {
+        this.admission = new CallAdmission(state);
+        this.server = createServer({
+            headersTimeout: limits.headersTimeout,
+            requestTimeout: limits.requestTimeout,
+            connectionsCheckingInterval: limits.checkInterval,
+            maxHeaderSize: limits.maximumHeaderBytes,
+            keepAliveTimeout,
+        });
+        this.server.maxConnections = limits.maximumConnections;
+        this.server.on("request", (request, response) => {
+            void this.answer(request, response);
+        });
+        this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+            this.refuseBytes(socket, faultOfBytes(error));
+        });
+        const refuseUpgrade = (request: IncomingMessage): void => {
+            this.refuseBytes(request.socket, failure("upgradeRefused"));
+        };
+        this.server.on("upgrade", refuseUpgrade);
+        this.server.on("connect", refuseUpgrade);
+    }
 
     /** Starts to listen; resolves with the bound address. */
     start(): Promise<string> {
@@ -60,116 +89,114 @@
     }
 
     private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
+        response.on("error", () => undefined);
         if (this.state.draining) {
             // Callers keep connections open; a stopping entry ends each of them with its present answer.
             response.setHeader("connection", "close");
         }
-        if (path === "/v1/entries" && request.method === "GET") {
-            answerJson(response, 200, this.state.discovery.answer(), {
-                "cache-control": `max-age=${this.state.settings.discoverySeconds}`,
-            });
-            return;
+        try {
+            await this.serve(request, response);
         }
-        const context = await this.admit(request, response, path);
-        if (context.err) {
-            answerFailure(response, context.val);
-            return;
+        catch (error) {
+            const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+            this.state.eventLog.write("taskFailed", { task: "request", reason });
+            response.destroy();
         }
-        const form = modelPaths.get(path);
-        if (form === undefined) {
-            await new ServiceRequest(context.val).run();
+        this.boundReading(response);
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const path = (request.url ?? "").split("?", 1)[0];
+        if (path === entriesPath) {
+            this.answerEntries(request, response);
             return;
         }
-        const body = readModelBody(form, context.val.body);
-        if (body.err) {
-            answerFailure(response, body.val);
+        const admitted = await this.admission.admit(request, response);
+        if (admitted.err) {
+            this.refuse(request, response, admitted.val);
             return;
         }
-        await new ModelRequest(context.val, body.val).run();
+        const { context, modelBody } = admitted.val;
+        await (modelBody === undefined ? new ServiceRequest(context) : new ModelRequest(context, modelBody)).run();
     }
 
-    /** Authenticates and resolves a request; what it returns as a failure was not run. */
-    private async admit(
-        request: IncomingMessage,
-        response: ServerResponse,
-        path: string,
-    ): Promise<Result<RequestContext, Failure>> {
-        const callerLeft = new AbortController();
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                callerLeft.abort();
-            }
-        });
-        const unready = this.state.unreadiness();
-        if (unready !== undefined) {
-            return Err(unready);
-        }
-        const body = await readBody(request, this.state.settings.maximumBodyBytes);
-        if (body.err) {
-            return body;
-        }
-        // The configuration is looked up after the body has arrived, so that a slow sender cannot outlive its key.
-        const identity = this.authenticate(request);
-        if (identity.err) {
-            return identity;
-        }
-        const resolved = this.resolve(request, path, body.val, identity.val);
-        if (resolved.err) {
-            return resolved;
+    private answerEntries(request: IncomingMessage, response: ServerResponse): void {
+        const method = request.method ?? "";
+        if (method !== "GET") {
+            this.refuse(request, response, failure("methodNotAllowed", { path: entriesPath, method, allowed: "GET" }));
+            return;
         }
-        return Ok({
-            requestId: this.state.nextRequestId(),
-            request,
-            response,
-            body: body.val,
-            identity: identity.val,
-            resolved: resolved.val,
-            dispatcher: this.state.dispatcherOf(resolved.val.pool.name),
-            clients: this.state.clients,
-            clock: this.state.clock,
-            eventLog: this.state.eventLog,
-            metrics: this.state.metrics,
-            usage: this.state.usage,
-            configuration: this.state.configuration,
-            callerLeft: callerLeft.signal,
+        request.resume();
+        const { discovery, settings, draining } = this.state;
+        answerJson(response, 200, discovery.answer(draining ? settings.name : undefined), {
+            "cache-control": `max-age=${settings.discoverySeconds}`,
         });
     }
 
-    private authenticate(request: IncomingMessage): Result<Identity | undefined, Failure> {
-        const token = /^Bearer (.+)$/.exec(request.headers.authorization ?? "")?.[1];
-        if (token === undefined) {
-            return Ok(undefined);
+    /** Refuses a request; a connection on which a body may still be under way ends with the answer. */
+    private refuse(request: IncomingMessage, response: ServerResponse, reported: Failure): void {
+        const unread = !request.complete;
+        if (unread) {
+            request.resume();
+            response.once("finish", () => {
+                request.socket.destroySoon();
+            });
         }
-        const identity = this.state.configuration.current.identify(keyDigest(token));
-        return identity === undefined ? Err(failure("keyUnknown")) : Ok(identity);
+        answerFailure(response, reported, unread ? { connection: "close" } : {});
     }
 
-    private resolve(
-        request: IncomingMessage,
-        path: string,
-        body: Buffer,
-        identity: Identity | undefined,
-    ): Result<ResolvedRoute, Failure> {
-        const configuration = this.state.configuration.current;
-        const header = request.headers["x-request-class"];
-        const className = typeof header === "string" ? header : undefined;
-        const form = modelPaths.get(path);
-        const team = identity?.team.name;
-        let resolved: ResolvedRoute | undefined;
-        if (form === undefined) {
-            resolved = configuration.serviceRoute(path, className, team);
-        }
-        else {
-            const modelBody = readModelBody(form, body);
-            if (modelBody.err) {
-                return modelBody;
-            }
-            resolved = configuration.modelRoute(modelBody.val.model, className, team);
+    /** Cuts a caller off that does not take the rest of its answer. */
+    private boundReading(response: ServerResponse): void {
+        if (response.writableFinished || response.destroyed) {
+            return;
         }
-        if (resolved !== undefined) {
-            return Ok(resolved);
+        const { deadlines, clock } = this.state;
+        const unread = new AbortController();
+        deadlines.set(unread, clock.now() + longestUnread);
+        unread.signal.addEventListener("abort", () => {
+            response.destroy();
+        }, { once: true });
+        response.once("close", () => {
+            deadlines.clear(unread);
+        });
+    }
+
+    /** Answers bytes that did not become a request, and ends their connection. */
+    private refuseBytes(socket: Duplex, reported: Failure): void {
+        this.state.metrics.count("callersRefused");
+        const address = "remoteAddress" in socket ? String(socket.remoteAddress) : "unknown";
+        this.state.eventLog.write("callerRefused", { address, code: reported.code });
+        socket.on("error", () => undefined);
+        if (!socket.writable) {
+            socket.destroy();
+            return;
         }
-        return Err(identity === undefined ? failure("keyMissing") : failure("routeUnknown", { path }));
+        socket.end(rawAnswer(reported), () => {
+            socket.destroy();
+        });
+    }
+}
+
+function faultOfBytes(error: NodeJS.ErrnoException): Failure {
+    if (error.code === "HPE_HEADER_OVERFLOW") {
+        return failure("headersTooLarge");
+    }
+    if (error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+        return failure("requestTooSlow");
     }
+    return failure("requestUnreadable", { reason: error.code ?? "unknown" });
+}
+
+function rawAnswer(reported: Failure): string {
+    const { httpStatus, outcome } = definitionOf(reported.code);
+    const body = JSON.stringify(failureBody(reported));
+    return [
+        `HTTP/1.1 ${httpStatus} Refused`,
+        "content-type: application/json",
+        `content-length: ${Buffer.byteLength(body)}`,
+        ...outcome === undefined ? [] : [`x-outcome: ${outcome}`],
+        "connection: close",
+        "",
+        body,
+    ].join("\r\n");
 }
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -11,6 +11,7 @@
 import { entryProtocolVersion } from "../entryMessages.js";
 import type { ControlToEntry, EntryListing, EntryStatus, EntryToControl } from "../entryMessages.js";
 import { MessageConnection } from "../messageConnection.js";
+import type { ControlClaimStore } from "./controlClaimStore.js";
 
 /** How often an entry asks for a new permit, in milliseconds. */
 const permitInterval: Milliseconds = 400;
@@ -43,6 +44,7 @@
     readonly permit: ServingPermit;
     readonly status: () => EntryStatus;
     readonly onListing: (entries: readonly EntryListing[]) => void;
+    readonly claims: ControlClaimStore;
 }
 
 /** Why a connection to a control process has ended. */
@@ -79,6 +81,9 @@
         this.stop.addEventListener("abort", close, { once: true });
         this.socket.setTimeout(answerTimeout, close);
         this.greet();
+        this.context.claims.attach(message => {
+            this.send(message);
+        });
         const renewing = this.renew();
         try {
             for await (const message of this.connection.messages()) {
@@ -89,6 +94,7 @@
         }
         finally {
             this.ended.abort();
+            this.context.claims.detach();
             this.stop.removeEventListener("abort", close);
             close();
         }
@@ -155,6 +161,14 @@
                 this.takePermit(permit);
                 return true;
             })
+            .with({ kind: "claimDecisions" }, ({ number, decisions }) => {
+                this.context.claims.takeDecisions(number, decisions);
+                return true;
+            })
+            .with({ kind: "claimResultsTaken" }, ({ number, taken }) => {
+                this.context.claims.takeResultsTaken(number, taken);
+                return true;
+            })
             .exhaustive();
     }
 
--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -1,10 +1,14 @@
 import { Agent, request as httpRequest } from "node:http";
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
+import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 
 /** Idle connections kept to one endpoint. */
 const maximumIdleConnections = 64;
 
+/** Longest wait for a connection, in milliseconds. */
+const connectTimeout: Milliseconds = 1_000;
+
 /** A call to an endpoint. */
 export interface EndpointCall {
     readonly method: string;
@@ -13,6 +17,13 @@
     readonly body: Buffer;
     /** Aborts the call and closes its connection. */
     readonly signal: AbortSignal;
+    /**
+     * Whether to use a connection of its own.
+     *
+     * A kept connection may be closed by the endpoint just as the call is written to it; then nobody knows whether the
+     * call arrived. On a new one a failure to connect proves that it did not.
+     */
+    readonly freshConnection?: boolean;
 }
 
 /** How a call ended without an answer. */
@@ -45,7 +56,7 @@
             const outgoing = httpRequest({
                 host,
                 port,
-                agent: this.agent,
+                agent: call.freshConnection === true ? false : this.agent,
                 method: call.method,
                 path: call.path,
                 headers: { ...call.headers, "content-length": call.body.length },
@@ -56,19 +67,39 @@
             });
             // A byte may have left as soon as the connection stands, since the request is written in the same turn.
             let connected = false;
+            const timer = setTimeout(() => {
+                if (!connected) {
+                    outgoing.destroy(new Error("the connection took too long"));
+                }
+            }, connectTimeout);
+            const noteConnected = (): void => {
+                connected = true;
+                clearTimeout(timer);
+            };
             outgoing.once("socket", socket => {
-                connected = !socket.connecting;
-                socket.once("connect", () => {
-                    connected = true;
-                });
+                if (socket.connecting) {
+                    socket.once("connect", noteConnected);
+                }
+                else {
+                    noteConnected();
+                }
             });
             outgoing.on("error", error => {
+                clearTimeout(timer);
                 resolve({ kind: "error", error: { sent: connected, reason: error.message } });
             });
             outgoing.end(call.body);
         });
     }
 
+    /** Closes idle connections now and the others as soon as their calls have ended. */
+    retire(): void {
+        this.agent.maxFreeSockets = 0;
+        for (const socket of Object.values(this.agent.freeSockets).flat()) {
+            socket?.destroy();
+        }
+    }
+
     [Symbol.dispose](): void {
         this.agent.destroy();
     }
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -1,5 +1,7 @@
 import { z } from "zod";
+import type { ClaimDecision } from "../process/claims/claimCommand.js";
 import type { UsageOutcomeOfCommand } from "../process/usage/usageCommand.js";
+import { bytesSchema } from "../util/bytesSchema.js";
 import type { ConfigurationSnapshot, VersionedChange } from "../version/configurationChange.js";
 
 /** Version of the protocol between entries and control processes. */
@@ -32,6 +34,25 @@
     cut: count,
 }).readonly();
 
+/** Claims or results in one message at most. */
+export const claimsPerMessage = 256;
+
+const claimKey = { team: shortText, idempotencyKey: shortText, requestId: shortText };
+
+const claimRequestSchema = z.strictObject({ ...claimKey, requestDigest: shortText, timeoutAt: count }).readonly();
+
+const storedAnswerSchema = z.strictObject({ status: count, contentType: shortText, body: bytesSchema }).readonly();
+
+const claimResultSchema = z.strictObject({
+    ...claimKey,
+    result: z.discriminatedUnion("kind", [
+        z.strictObject({ kind: z.literal("answered"), answer: storedAnswerSchema }),
+        z.strictObject({ kind: z.literal("answeredUnkept"), status: count }),
+        z.strictObject({ kind: z.literal("notRun") }),
+        z.strictObject({ kind: z.literal("unknown") }),
+    ]),
+}).readonly();
+
 /** Messages from an entry to a control process. */
 export const entryToControlSchema = z.discriminatedUnion("kind", [
     z.strictObject({
@@ -62,6 +83,16 @@
         firstSequence: z.int().min(1),
         records: z.array(usageRecordSchema).max(maximumUsageRecords).readonly(),
     }),
+    z.strictObject({
+        kind: z.literal("claimBatch"),
+        number: count,
+        claims: z.array(claimRequestSchema).max(claimsPerMessage).readonly(),
+    }),
+    z.strictObject({
+        kind: z.literal("claimResults"),
+        number: count,
+        results: z.array(claimResultSchema).max(claimsPerMessage).readonly(),
+    }),
 ]);
 
 /** What an entry tells of itself with each permit request. */
@@ -102,7 +133,15 @@
         readonly validMilliseconds: number;
         /** Present when the list has changed since the last permit on this connection. */
         readonly entries: readonly EntryListing[] | undefined;
-    };
+    }
+    /** What a claim batch led to, in its order; undefined where this could not be confirmed. */
+    | {
+        readonly kind: "claimDecisions";
+        readonly number: number;
+        readonly decisions: readonly ClaimDecision[] | undefined;
+    }
+    /** Whether the results of claims were committed; those that were not must be sent again. */
+    | { readonly kind: "claimResultsTaken"; readonly number: number; readonly taken: boolean; };
 
 /** The decoded form of the parts of a snapshot. */
 export type TransferredSnapshot = ConfigurationSnapshot;
--- a/src/connection/httpAnswer.ts
+++ b/src/connection/httpAnswer.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { definitionOf, describeFailure } from "../resultCode/resultCode.js";
 import type { Failure } from "../resultCode/resultCode.js";
@@ -63,3 +64,14 @@
 export function retryAfterHeader(retryAfter: Milliseconds | undefined): Readonly<Record<string, string>> {
     return retryAfter === undefined ? {} : { "retry-after": String(Math.ceil(retryAfter / 1000)) };
 }
+
+/** Resolves when a slow reader has made room, or when its connection has ended. */
+export async function drained(response: ServerResponse): Promise<void> {
+    const closed = new AbortController();
+    const close = (): void => {
+        closed.abort();
+    };
+    response.once("close", close);
+    await once(response, "drain", { signal: closed.signal }).catch(() => undefined);
+    response.removeListener("close", close);
+}
--- a/src/logEvent/entryEvents.ts
+++ b/src/logEvent/entryEvents.ts
@@ -50,4 +50,40 @@
         text: "The summary of the other entries is too old; admission is decided without it.",
         fields: ["pool", "age"],
     },
+    endpointSetAside: {
+        number: 2240,
+        level: "warn",
+        text: "An endpoint gets no work until a probe succeeds.",
+        fields: ["pool", "endpoint", "fault"],
+    },
+    endpointReturned: {
+        number: 2241,
+        level: "info",
+        text: "A probe of an endpoint succeeded; it gets work on trial.",
+        fields: ["pool", "endpoint"],
+    },
+    foreignAnswerDropped: {
+        number: 2242,
+        level: "warn",
+        text: "Parts of an answer to another request were dropped.",
+        fields: ["requestId", "endpoint", "parts"],
+    },
+    answerResumed: {
+        number: 2243,
+        level: "info",
+        text: "An answer that broke off is resumed at its next token.",
+        fields: ["requestId", "endpoint", "nextToken", "reason"],
+    },
+    callerCut: {
+        number: 2244,
+        level: "warn",
+        text: "A caller was cut off because it did not take its answer.",
+        fields: ["requestId"],
+    },
+    callerRefused: {
+        number: 2245,
+        level: "info",
+        text: "A caller's bytes were refused before they became a request.",
+        fields: ["address", "code"],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/process/claims/claimCommand.ts
+++ b/src/process/claims/claimCommand.ts
@@ -32,6 +32,8 @@
     readonly result:
         /** It was answered. */
         | { readonly kind: "answered"; readonly answer: StoredAnswer; }
+        /** It was answered, and the answer is too large to keep. */
+        | { readonly kind: "answeredUnkept"; readonly status: number; }
         /** No byte left, or the endpoint said so: the key may be claimed again. */
         | { readonly kind: "notRun"; }
         /** It may have run; no answer will come. */
--- a/src/process/claims/claimTable.ts
+++ b/src/process/claims/claimTable.ts
@@ -155,6 +155,9 @@
             .with({ kind: "answered" }, ({ answer }) => {
                 this.keep(id, claim, answer);
             })
+            .with({ kind: "answeredUnkept" }, ({ status }) => {
+                this.enterSettled(id, { ...claim, state: { kind: "answerNotKept", status } });
+            })
             .with({ kind: "notRun" }, () => {
                 this.remove(id);
             })
--- a/src/process/entry/discovery.ts
+++ b/src/process/entry/discovery.ts
@@ -29,16 +29,25 @@
         this.listings = listings;
     }
 
+    /** Entries that serve, this one among them. */
+    get servingEntries(): number {
+        return Math.max(1, this.listings.filter(listing => !listing.draining).length);
+    }
+
     /** Addresses of other entries, for refusals. */
     alternatives(entry: string): string {
         const others = this.listings.filter(listing => !listing.draining && listing.entry !== entry);
         return others.map(listing => listing.callerAddress).slice(0, maximumListed).join(", ") || "none known";
     }
 
-    /** An ordered list: within a failure domain by weighted chance against load, then the failure domains in turn. */
-    answer(): DiscoveryAnswer {
+    /**
+     * An ordered list: within a failure domain by weighted chance against load, then the failure domains in turn.
+     *
+     * @param draining Name of this entry when it drains, which the list from the leader may not say yet.
+     */
+    answer(draining?: string): DiscoveryAnswer {
         const ranked = this.listings
-            .filter(listing => !listing.draining)
+            .filter(listing => !listing.draining && listing.entry !== draining)
             // Weighted sampling without replacement (P. S. Efraimidis and P. G. Spirakis, 2006).
             .map(listing => ({ listing, rank: this.random.exponential(1) * (1 + listing.load) }))
             .sort((left, right) => left.rank - right.rank)
--- a/src/process/entry/endpointClients.ts
+++ b/src/process/entry/endpointClients.ts
@@ -15,17 +15,20 @@
         return created;
     }
 
-    /** Closes the clients of addresses that are no longer in use. */
+    /** Lets the clients of addresses that are no longer in use end; calls that run at them go on. */
     retain(addresses: ReadonlySet<string>): void {
         for (const [address, client] of this.clients) {
             if (!addresses.has(address)) {
-                client[Symbol.dispose]();
+                client.retire();
                 this.clients.delete(address);
             }
         }
     }
 
     [Symbol.dispose](): void {
-        this.retain(new Set());
+        this.clients.forEach(client => {
+            client[Symbol.dispose]();
+        });
+        this.clients.clear();
     }
 }
--- a/src/process/entry/entryMetrics.ts
+++ b/src/process/entry/entryMetrics.ts
@@ -26,6 +26,24 @@
 /** How a request ended. */
 export type RequestEnd = "answered" | "refused" | "failed" | "callerLeft";
 
+/** What is counted over all requests. */
+export const entryCounters = [
+    "firstAttempts",
+    "retries",
+    "resumes",
+    "preemptions",
+    "foreignAnswers",
+    "malformedAnswers",
+    "stalledAnswers",
+    "callersCut",
+    "callersRefused",
+    "claimsRepeated",
+    "claimsUnconfirmed",
+] as const;
+
+/** Name of a counter. */
+export type EntryCounter = typeof entryCounters[number];
+
 interface Series extends SeriesLabels {
     readonly times: Readonly<Record<MeasuredTime, Histogram>>;
     readonly ends: Record<RequestEnd, number>;
@@ -35,6 +53,17 @@
 /** Histograms and counters of an entry, for each class and team; bounded in number. */
 export class EntryMetrics {
     private readonly series = new Map<string, Series>();
+    private readonly counts = new Map<EntryCounter, number>(entryCounters.map(counter => [counter, 0]));
+
+    /** Adds to a counter. */
+    count(counter: EntryCounter, increment = 1): void {
+        this.counts.set(counter, this.countOf(counter) + increment);
+    }
+
+    /** The present value of a counter. */
+    countOf(counter: EntryCounter): number {
+        return this.counts.get(counter) ?? 0;
+    }
 
     /** Records a time of a request. */
     recordTime(labels: SeriesLabels, measured: MeasuredTime, time: Milliseconds): void {
@@ -62,6 +91,9 @@
             }
             lines.push(`gullhall_requests_within_target_total{${labels}} ${series.withinTarget}`);
         }
+        for (const [counter, count] of this.counts) {
+            lines.push(`gullhall_${snakeCase(counter)}_total ${count}`);
+        }
         return `${lines.join("\n")}\n`;
     }
 
@@ -106,10 +138,14 @@
     if (histogram.totalCount === 0) {
         return [];
     }
-    const name = `gullhall_${measured.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)}_seconds`;
+    const name = `gullhall_${snakeCase(measured)}_seconds`;
     const quantiles = [0.5, 0.95, 0.99].map(quantile => {
         const seconds = histogram.getValueAtPercentile(quantile * 100) / 1e6;
         return `${name}{${labels},quantile="${quantile}"} ${seconds}`;
     });
     return [...quantiles, `${name}_count{${labels}} ${histogram.totalCount}`];
 }
+
+function snakeCase(name: string): string {
+    return name.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+}
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -11,6 +11,9 @@
 /** How often waiting requests are looked at for those whose time has run out, in milliseconds. */
 const sweepInterval: Milliseconds = 50;
 
+/** Longest time until the other entries no longer name a draining one, in milliseconds. */
+const listingDelay: Milliseconds = 1_000;
+
 /** The addresses at which an entry serves. */
 export interface EntryAddresses {
     readonly callerAddress: string;
@@ -44,7 +47,7 @@
     /** Leaves discovery, serves through the time for which callers keep its address, then ends what is idle. */
     async [Symbol.asyncDispose](): Promise<void> {
         this.state.draining = true;
-        await this.clock.sleep(this.settings.discoverySeconds * 1000);
+        await this.clock.sleep(this.settings.discoverySeconds * 1000 + listingDelay);
         await this.store.dispose();
     }
 
@@ -70,8 +73,9 @@
                 configuration: state.configuration,
                 permit: state.permit,
                 status: () => state.status(),
+                claims: state.claims,
                 onListing: listings => {
-                    state.discovery.update(listings);
+                    state.updateListing(listings, clock.now());
                 },
             },
             this.stopping.signal,
--- a/src/process/entry/entryProcessState.ts
+++ b/src/process/entry/entryProcessState.ts
@@ -1,8 +1,12 @@
 import { randomInt } from "node:crypto";
-import type { EntryStatus } from "../../connection/entryMessages.js";
+import { ControlClaimStore } from "../../connection/entry/controlClaimStore.js";
+import type { EntryListing, EntryStatus } from "../../connection/entryMessages.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
-import { FirstComeQueue } from "../../request/admission/firstComeQueue.js";
-import { LeastOutstandingChooser } from "../../request/routing/leastOutstandingChooser.js";
+import { TieredQueue } from "../../request/admission/tieredQueue.js";
+import { Deadlines } from "../../request/retry/deadlines.js";
+import { RetryBudgets } from "../../request/retry/retryBudget.js";
+import { AffinityChooser } from "../../request/routing/affinityChooser.js";
+import { CacheHints } from "../../request/routing/cacheHints.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { EntrySettings } from "../../settings/entrySettings.js";
@@ -11,7 +15,9 @@
 import type { CompiledConfiguration } from "../../version/compiledConfiguration.js";
 import { Discovery } from "./discovery.js";
 import { EndpointClients } from "./endpointClients.js";
-import { EndpointState } from "./endpointState.js";
+import { EndpointMonitors } from "./endpointMonitors.js";
+import { endpointSubset, expectedSharers } from "./endpointSubset.js";
+import { EndpointTable } from "./endpointTable.js";
 import { EntryConfiguration } from "./entryConfiguration.js";
 import { createIncarnation } from "./entryIncarnation.js";
 import type { EntryIncarnation } from "./entryIncarnation.js";
@@ -23,19 +29,29 @@
 /** Number of seeds of the random choices of a process. */
 const seeds = 2 ** 31;
 
+/** How often endpoints are compared with each other, in milliseconds. */
+const reviewInterval: Milliseconds = 250;
+
 /** Everything that an entry process holds beside its tasks. */
-export class EntryProcessState implements Disposable {
+export class EntryProcessState implements AsyncDisposable {
     readonly configuration = new EntryConfiguration();
     readonly permit = new ServingPermit();
     readonly metrics = new EntryMetrics();
     readonly clients = new EndpointClients();
+    readonly claims = new ControlClaimStore();
+    readonly deadlines = new Deadlines();
+    readonly retryBudgets = new RetryBudgets();
     readonly discovery: Discovery;
     readonly usage: UsageRecorder;
+    readonly monitors = new EndpointMonitors();
     /** Whether the process is about to stop; it still serves those who come. */
     draining = false;
     private readonly dispatchers = new Map<string, PoolDispatcher>();
+    private readonly hints = new CacheHints();
+    private readonly random: RandomSource;
     private requestCount = 0;
     private currentIncarnation: EntryIncarnation;
+    private reviewedAt: Milliseconds = -Infinity;
 
     constructor(
         readonly settings: EntrySettings,
@@ -44,9 +60,11 @@
     ) {
         this.currentIncarnation = createIncarnation(clock.unixNow());
         this.usage = new UsageRecorder(this.currentIncarnation.name);
-        this.discovery = new Discovery(new RandomSource(randomInt(seeds)), settings.discoverySeconds);
+        this.random = new RandomSource(randomInt(seeds));
+        this.discovery = new Discovery(this.random, settings.discoverySeconds);
         this.configuration.onChange(configuration => {
             this.updatePools(configuration);
+            this.withdrawKeys(configuration);
             eventLog.write("configurationInForce", { version: configuration.version });
         });
     }
@@ -84,11 +102,24 @@
         if (known !== undefined) {
             return known;
         }
-        const created = new PoolDispatcher(new FirstComeQueue(), new LeastOutstandingChooser(), this.clock);
+        const created = this.createDispatcher(pool);
         this.dispatchers.set(pool, created);
         return created;
     }
 
+    /** Records that an endpoint leaves, as told by the platform. */
+    noteLeaving(endpointName: string, now: Milliseconds): void {
+        this.dispatchers.forEach(({ table }) => {
+            table.find(endpointName)?.noteLeaving(now);
+        });
+    }
+
+    /** Takes over the list of entries that the leader sent. */
+    updateListing(listings: readonly EntryListing[], now: Milliseconds): void {
+        this.discovery.update(listings);
+        this.shareEndpoints(now);
+    }
+
     /** What is told to control processes. */
     status(): EntryStatus {
         const dispatchers = [...this.dispatchers.values()];
@@ -101,24 +132,83 @@
 
     /** Does what is due at regular intervals. */
     sweep(now: Milliseconds): void {
+        this.deadlines.sweep(now);
+        this.claims.sweep(now);
+        if (now - this.reviewedAt >= reviewInterval) {
+            this.reviewedAt = now;
+            this.dispatchers.forEach(({ table }) => {
+                table.review(now);
+            });
+        }
         this.dispatchers.forEach(dispatcher => {
             dispatcher.sweep(now);
         });
     }
 
-    [Symbol.dispose](): void {
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.monitors[Symbol.asyncDispose]();
         this.clients[Symbol.dispose]();
     }
 
+    private createDispatcher(pool: string): PoolDispatcher {
+        const { eventLog } = this;
+        const table = new EndpointTable(pool, this.random, {
+            setAside: (endpoint, fault) => {
+                eventLog.write("endpointSetAside", { pool, endpoint: endpoint.name, fault });
+            },
+            returned: endpoint => {
+                eventLog.write("endpointReturned", { pool, endpoint: endpoint.name });
+            },
+        });
+        return new PoolDispatcher({
+            queue: new TieredQueue(),
+            chooser: new AffinityChooser(this.random, this.hints),
+            table,
+            clock: this.clock,
+            onPreemption: ({ id, requestClass }, forTier) => {
+                eventLog.write("requestPreempted", { requestId: id, pool, tier: requestClass.tier, forTier });
+            },
+        });
+    }
+
     private updatePools(configuration: CompiledConfiguration): void {
+        const now = this.clock.now();
         for (const pool of configuration.allPools) {
             const dispatcher = this.dispatcherOf(pool.name);
-            const known = new Map(dispatcher.endpoints.map(endpoint => [endpoint.name, endpoint]));
-            dispatcher.setEndpoints(pool.endpoints.map(description => {
-                const before = known.get(description.name);
-                const same = before?.description.address === description.address;
-                return same ? before : new EndpointState(description, pool.name, pool.concurrentRequestsPerEndpoint);
-            }));
+            const { table } = dispatcher;
+            table.setEndpoints(
+                endpointSubset(pool.endpoints, this.settings.name),
+                pool.concurrentRequestsPerEndpoint,
+            );
+            this.monitors.follow(pool.name, table.all, {
+                table,
+                hints: this.hints,
+                clock: this.clock,
+                random: this.random,
+                asked: () => this.monitors.size,
+                engines: pool.kind === "model",
+                onHeard: heardAt => {
+                    dispatcher.pump(heardAt);
+                },
+            });
+            dispatcher.pump(now);
+        }
+        const inUse = [...this.dispatchers.values()].flatMap(({ table }) => table.all);
+        this.clients.retain(new Set(inUse.map(endpoint => endpoint.description.address)));
+        this.hints.retain(new Set(inUse));
+        this.shareEndpoints(now);
+    }
+
+    private shareEndpoints(now: Milliseconds): void {
+        const entries = this.discovery.servingEntries;
+        for (const pool of this.configuration.current.allPools) {
+            this.dispatcherOf(pool.name).table.shareAmong(expectedSharers(entries, pool.endpoints.length), now);
         }
     }
+
+    private withdrawKeys(configuration: CompiledConfiguration): void {
+        this.dispatchers.forEach(dispatcher => {
+            dispatcher.withdrawKeys(digest => configuration.identify(digest) !== undefined);
+        });
+    }
 }
--- a/src/request/endpointChooser.ts
+++ b/src/request/endpointChooser.ts
@@ -1,3 +1,4 @@
+import type { EndpointGroup } from "../process/entry/endpointGroup.js";
 import type { EndpointState } from "../process/entry/endpointState.js";
 import type { Milliseconds } from "../util/clock.js";
 import type { PendingRequest } from "./pendingRequest.js";
@@ -5,12 +6,8 @@
 /** Chooses the endpoint of a request. */
 export abstract class EndpointChooser {
     /**
-     * @param candidates Endpoints with at least one free slot, none of which leaves; not empty.
-     * @returns One of the candidates, or undefined when none of them suits the request now.
+     * @param group The endpoints that have what the request needs.
+     * @returns One of the group's available endpoints, or undefined when there is none.
      */
-    abstract choose(
-        candidates: readonly EndpointState[],
-        request: PendingRequest,
-        now: Milliseconds,
-    ): EndpointState | undefined;
+    abstract choose(group: EndpointGroup, request: PendingRequest, now: Milliseconds): EndpointState | undefined;
 }
--- a/src/request/model/answerWriter.ts
+++ b/src/request/model/answerWriter.ts
@@ -1,6 +1,5 @@
-import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import { answerFailure, answerJson, failureBody } from "../../connection/httpAnswer.js";
+import { answerFailure, answerJson, drained, failureBody } from "../../connection/httpAnswer.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { EngineUsage } from "./engineChunk.js";
 import type { ModelCallForm } from "./modelBody.js";
@@ -110,13 +109,3 @@
         answerFailure(this.response, reported, { "x-request-id": this.head.requestId, ...headers });
     }
 }
-
-async function drained(response: ServerResponse): Promise<void> {
-    const closed = new AbortController();
-    const close = (): void => {
-        closed.abort();
-    };
-    response.once("close", close);
-    await once(response, "drain", { signal: closed.signal }).catch(() => undefined);
-    response.removeListener("close", close);
-}
--- a/src/request/model/engineAnswer.ts
+++ b/src/request/model/engineAnswer.ts
@@ -1,11 +1,14 @@
 import { createParser } from "eventsource-parser";
 import type { IncomingMessage } from "node:http";
-import { readEngineChunk } from "./engineChunk.js";
+import { readEngineChunk, readWholeAnswer } from "./engineChunk.js";
 import type { EngineChunk, EngineUsage } from "./engineChunk.js";
 
 /** Largest buffered part of an event, in characters. */
 const maximumEventCharacters = 1024 * 1024;
 
+/** Largest body of an answer that is not streamed, in bytes. */
+const maximumWholeBytes = 16 * 1024 * 1024;
+
 /** How the stream of an engine's answer ended. */
 export type EngineAnswerEnd =
     | { readonly kind: "finished"; readonly finishReason: string; readonly usage: EngineUsage; }
@@ -31,8 +34,9 @@
     /**
      * @param requestId Identifier that each chunk must carry.
      * @param firstToken Number of the first token that is expected.
+     * @param maximumTokens Tokens that the whole answer may have; more are a fault of the engine.
      */
-    constructor(private readonly requestId: string, firstToken: number) {
+    constructor(private readonly requestId: string, firstToken: number, private readonly maximumTokens: number) {
         this.next = firstToken;
     }
 
@@ -48,6 +52,32 @@
 
     /** Reads to the end of the answer; the stream is destroyed when it is at fault. */
     async read(message: IncomingMessage, receive: TokenReceiver): Promise<EngineAnswerEnd> {
+        const type = message.headers["content-type"] ?? "";
+        return type.startsWith("application/json")
+            ? await this.readWhole(message, receive)
+            : await this.readStream(message, receive);
+    }
+
+    /** An engine may answer as a whole although a stream was asked for; its text counts as one token. */
+    private async readWhole(message: IncomingMessage, receive: TokenReceiver): Promise<EngineAnswerEnd> {
+        const body = await collectBody(message, maximumWholeBytes);
+        const answer = body === undefined ? undefined : readWholeAnswer(body.toString("utf8"));
+        if (answer === undefined) {
+            return { kind: "broken", reason: "the whole answer is malformed" };
+        }
+        if (answer.id !== this.requestId) {
+            this.crossed++;
+            return { kind: "broken", reason: "the whole answer belongs to another request" };
+        }
+        if (this.next > 0) {
+            return { kind: "broken", reason: "a resumed answer was not streamed" };
+        }
+        this.next = 1;
+        await receive(answer.content, 0);
+        return { kind: "finished", finishReason: answer.finishReason, usage: answer.usage };
+    }
+
+    private async readStream(message: IncomingMessage, receive: TokenReceiver): Promise<EngineAnswerEnd> {
         const parser = createParser({
             onEvent: event => {
                 this.pending.push(event.data);
@@ -109,6 +139,10 @@
             this.fault = `token ${this.next} is missing`;
             return undefined;
         }
+        if (number >= this.maximumTokens) {
+            this.fault = "the answer is longer than was allowed";
+            return undefined;
+        }
         this.next++;
         return receive(chunk.content, number);
     }
@@ -126,3 +160,22 @@
         return { kind: "finished", finishReason: this.finishReason, usage: this.usage };
     }
 }
+
+/** The body of an answer; undefined when it is too large or ends early. */
+export async function collectBody(message: IncomingMessage, limit: number): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    try {
+        for await (const chunk of message as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+            length += chunk.length;
+            if (length > limit) {
+                return undefined;
+            }
+        }
+    }
+    catch {
+        return undefined;
+    }
+    return Buffer.concat(chunks, length);
+}
--- a/src/request/model/engineChunk.ts
+++ b/src/request/model/engineChunk.ts
@@ -17,6 +17,16 @@
     usage: usageSchema.nullish(),
 });
 
+const wholeAnswerSchema = z.looseObject({
+    id: z.string(),
+    choices: z.array(z.looseObject({
+        message: z.looseObject({ content: z.string() }).optional(),
+        text: z.string().optional(),
+        finish_reason: z.string().nullish(),
+    })).min(1),
+    usage: usageSchema,
+});
+
 /** Token counts as an engine reports them. */
 export type EngineUsage = z.output<typeof usageSchema>;
 
@@ -33,13 +43,7 @@
 
 /** Reads the data of one event; undefined when it has not the expected form. */
 export function readEngineChunk(data: string): EngineChunk | undefined {
-    let value: unknown;
-    try {
-        value = JSON.parse(data);
-    }
-    catch {
-        return undefined;
-    }
+    const value = parseJson(data);
     const parsed = chunkSchema.safeParse(value);
     if (!parsed.success) {
         return undefined;
@@ -53,3 +57,32 @@
         usage: parsed.data.usage ?? undefined,
     };
 }
+
+/** An engine's answer that was not streamed. */
+export interface WholeAnswer {
+    /** Identifier of the request that it answers. */
+    readonly id: string;
+    readonly content: string;
+    readonly finishReason: string;
+    readonly usage: EngineUsage;
+}
+
+/** Reads the body of an answer that was not streamed; undefined when it has not the expected form. */
+export function readWholeAnswer(body: string): WholeAnswer | undefined {
+    const parsed = wholeAnswerSchema.safeParse(parseJson(body));
+    const choice = parsed.data?.choices[0];
+    const content = choice?.message?.content ?? choice?.text;
+    if (!parsed.success || content === undefined) {
+        return undefined;
+    }
+    return { id: parsed.data.id, content, finishReason: choice?.finish_reason ?? "stop", usage: parsed.data.usage };
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/src/request/model/modelBody.ts
+++ b/src/request/model/modelBody.ts
@@ -9,6 +9,8 @@
 
 const messageSchema = z.looseObject({ role: z.string(), content: z.unknown() });
 
+const contentPartsSchema = z.array(z.looseObject({ text: z.string() }));
+
 const bodySchema = z.looseObject({
     model: z.string().min(1),
     messages: z.array(messageSchema).min(1).optional(),
@@ -31,6 +33,8 @@
     readonly estimatedPromptTokens: number;
     /** The prompt as text, for the digest of its leading part. */
     readonly promptText: string;
+    /** The prompt as engines put it together, for the digests of its cached prefixes. */
+    readonly engineText: string;
     /** All members as the caller sent them. */
     readonly members: Readonly<Record<string, unknown>>;
 }
@@ -63,6 +67,20 @@
         maximumOutputTokens: body.max_completion_tokens ?? body.max_tokens,
         estimatedPromptTokens: Math.ceil(promptText.length / charactersPerToken),
         promptText,
+        engineText: form === "chat" ? engineTextOf(body.messages ?? []) : promptText,
         members: body,
     });
 }
+
+/** The text of chat messages as engines see it: `role: content` of each on a line. */
+function engineTextOf(messages: readonly z.output<typeof messageSchema>[]): string {
+    return messages.map(({ role, content }) => `${role}: ${contentText(content)}\n`).join("");
+}
+
+function contentText(content: unknown): string {
+    if (typeof content === "string") {
+        return content;
+    }
+    const parts = contentPartsSchema.safeParse(content);
+    return parts.success ? parts.data.map(part => part.text).join("") : "";
+}
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -1,227 +1,280 @@
 import { createHash } from "node:crypto";
-import type { IncomingMessage } from "node:http";
 import { match } from "ts-pattern";
 import { retryAfterHeader } from "../../connection/httpAnswer.js";
 import type { Placement, Refused } from "../../process/entry/poolDispatcher.js";
 import type { UsageOutcome } from "../../process/usage/usageCommand.js";
-import { failure } from "../../resultCode/resultCode.js";
+import { definitionOf, failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
+import type { Result } from "../../util/result.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { RequestContext } from "../requestContext.js";
+import { prefixDigests } from "../routing/prefixDigests.js";
+import { AnswerProgress } from "./answerProgress.js";
 import { StreamedAnswerWriter, WholeAnswerWriter } from "./answerWriter.js";
 import type { AnswerWriter } from "./answerWriter.js";
-import { EngineAnswerReader } from "./engineAnswer.js";
 import type { EngineUsage } from "./engineChunk.js";
+import { ModelAttempt } from "./modelAttempt.js";
+import type { AttemptEnd } from "./modelAttempt.js";
 import type { ModelBody } from "./modelBody.js";
 
-/** Endpoints that are tried for one request at most. */
-const maximumAttempts = 4;
+/** Attempts in a row that may end without a new token. */
+const maximumFruitlessAttempts = 5;
+
+/** Attempts in a row that may break off without a new token; a request that breaks engines must not break them all. */
+const maximumBrokenAttempts = 3;
 
 /** Leading characters of a prompt that decide which engine may have it cached. */
 const prefixCharacters = 1024;
 
-/** How an attempt at one endpoint ended. */
-type AttemptEnd =
-    | { readonly kind: "finished"; readonly finishReason: string; readonly usage: EngineUsage; }
-    /** The endpoint ran nothing; another may be tried. */
-    | { readonly kind: "notRun"; readonly reason: string; }
-    /** The answer broke off; it can be resumed at the next token. */
-    | { readonly kind: "broken"; readonly reason: string; }
-    /** The endpoint refuses the request for what it is. */
-    | { readonly kind: "rejected"; readonly status: number; readonly body: Buffer; }
-    | { readonly kind: "callerLeft"; };
+/** When a caller should come back after its class spent its retries, in milliseconds. */
+const retryAfterSpentBudget: Milliseconds = 1_000;
 
 /** One model call: waits for an endpoint, passes the answer on, and resumes it elsewhere when it breaks off. */
 export class ModelRequest {
     private readonly writer: AnswerWriter;
     private readonly pending: PendingRequest;
     private readonly labels;
-    private text = "";
-    private nextToken = 0;
-    private lastTokenAt: Milliseconds | undefined;
-    private endpointTime: Milliseconds = 0;
+    private readonly progress: AnswerProgress;
+    private fruitless = 0;
+    private broken = 0;
+    /** Whether an endpoint may have worked on the request. */
+    private mayHaveRun = false;
+    private serviceTime: Milliseconds = 0;
 
     constructor(private readonly context: RequestContext, private readonly body: ModelBody) {
-        const { requestId, response, resolved, identity, clock } = context;
+        const { requestId, response, identity, resolved } = context;
         const head = { requestId, model: body.model, form: body.form };
         this.writer = body.stream ? new StreamedAnswerWriter(response, head) : new WholeAnswerWriter(response, head);
-        const longest = resolved.requestClass.maximumOutputTokens;
-        this.pending = {
-            id: requestId,
-            team: identity?.team.name,
-            keyName: identity?.key.name,
-            requestClass: resolved.requestClass,
-            pool: resolved.pool.name,
-            arrivedAt: clock.now(),
-            promptTokens: body.estimatedPromptTokens,
-            maximumOutputTokens: Math.min(longest, body.maximumOutputTokens ?? longest),
-            prefixDigest: createHash("sha256").update(body.promptText.slice(0, prefixCharacters)).digest("hex"),
-            idempotent: true,
-        };
+        this.pending = pendingRequestOf(context, body);
         this.labels = { requestClass: resolved.requestClass.name, team: identity?.team.name ?? "open" };
+        this.progress = new AnswerProgress(context.metrics, this.labels, this.pending.arrivedAt);
     }
 
     /** Serves the request to its end. */
     async run(): Promise<void> {
-        let lastReason = "";
-        for (let attempt = 0; attempt < maximumAttempts; attempt++) {
-            const placement = await this.context.dispatcher.acquire(this.pending, this.context.callerLeft);
-            if (placement.err) {
-                this.refuse(placement.val);
-                return;
-            }
-            const end = await this.attempt(placement.val);
-            const finished = match(end)
-                .with({ kind: "finished" }, ({ finishReason, usage }) => {
-                    this.finish(finishReason, usage);
-                    return true;
-                })
-                .with({ kind: "rejected" }, ({ status, body }) => {
-                    this.reject(status, body);
-                    return true;
-                })
-                .with({ kind: "callerLeft" }, () => {
-                    this.context.metrics.countEnd(this.labels, "callerLeft", false);
-                    this.recordUsage("cut", undefined);
-                    return true;
-                })
-                .with({ kind: "notRun" }, { kind: "broken" }, ({ reason }) => {
-                    lastReason = reason;
-                    return false;
-                })
-                .exhaustive();
-            if (finished) {
+        const { dispatcher, callerLeft, clock, metrics } = this.context;
+        this.context.retryBudgets.of(this.labels.requestClass).noteFirstAttempt();
+        metrics.count("firstAttempts");
+        let placed: Result<Placement, Refused> = await dispatcher.acquire(this.pending, callerLeft);
+        if (placed.ok) {
+            metrics.recordTime(this.labels, "queueWait", placed.val.startedAt - this.pending.arrivedAt);
+        }
+        while (placed.ok) {
+            const placement = placed.val;
+            const { context, body, pending, writer, progress } = this;
+            const before = progress.nextToken;
+            const end = await new ModelAttempt({ context, body, pending, writer, progress }, placement).run();
+            this.serviceTime += clock.now() - placement.startedAt;
+            this.note(end, before);
+            if (!this.goesOn(end)) {
+                this.conclude(end, placement);
                 return;
             }
+            this.noteAnotherAttempt(end, placement);
+            placed = await dispatcher.reacquire(placement, callerLeft);
         }
-        this.fail(this.nextToken > 0 ? failure("answerCut") : failure("endpointRefused"), lastReason);
-    }
-
-    private async attempt(placement: Placement): Promise<AttemptEnd> {
-        const { clock, clients, metrics, callerLeft } = this.context;
-        metrics.recordTime(this.labels, "queueWait", placement.startedAt - this.pending.arrivedAt);
-        const before = this.nextToken;
-        const ended = new AbortController();
-        const client = clients.for(placement.endpoint.description.address);
-        try {
-            const sent = await client.send({
-                method: "POST",
-                path: this.body.form === "chat" ? "/v1/chat/completions" : "/v1/completions",
-                headers: { "content-type": "application/json", "x-request-id": this.pending.id },
-                body: this.upstreamBody(),
-                signal: AbortSignal.any([callerLeft, ended.signal]),
-            });
-            if (callerLeft.aborted) {
-                return { kind: "callerLeft" };
-            }
-            if (sent.kind === "error") {
-                return sent.error.sent
-                    ? { kind: "broken", reason: sent.error.reason }
-                    : { kind: "notRun", reason: sent.error.reason };
-            }
-            return await this.readAnswer(sent.message, placement);
+        this.refuse(placed.val);
+    }
+
+    private note(end: AttemptEnd, tokensBefore: number): void {
+        if (end.kind !== "notRun") {
+            this.mayHaveRun = true;
         }
-        finally {
-            ended.abort();
-            this.endpointTime += clock.now() - placement.startedAt;
-            this.context.dispatcher.release(placement, {
-                promptTokens: this.pending.promptTokens,
-                cachedTokens: 0,
-                outputTokens: this.nextToken - before,
-                serviceTime: clock.now() - placement.startedAt,
-            });
+        if (this.progress.nextToken > tokensBefore) {
+            this.fruitless = 0;
+            this.broken = 0;
+            return;
         }
+        this.fruitless += end.kind === "preempted" ? 0 : 1;
+        this.broken += end.kind === "broken" ? 1 : 0;
     }
 
-    private async readAnswer(message: IncomingMessage, placement: Placement): Promise<AttemptEnd> {
-        if (message.headers["x-leaving"] === "true") {
-            placement.endpoint.leaving = true;
+    /** Whether another attempt is made; one that repeats no token costs nothing of the budget. */
+    private goesOn(end: AttemptEnd): boolean {
+        if (end.kind === "preempted") {
+            return true;
         }
-        const status = message.statusCode ?? 0;
-        if (status !== 200) {
-            const body = Buffer.concat(await message.toArray().catch(() => []) as Buffer[]);
-            const retryable = status === 429 || status >= 500;
-            return retryable ? { kind: "notRun", reason: `status ${status}` } : { kind: "rejected", status, body };
+        if (end.kind !== "notRun" && end.kind !== "broken") {
+            return false;
         }
-        const reader = new EngineAnswerReader(this.pending.id, this.nextToken);
-        const end = await reader.read(message, (content, number) => this.takeToken(content, number));
-        return this.context.callerLeft.aborted ? { kind: "callerLeft" } : end;
+        if (this.fruitless >= maximumFruitlessAttempts || this.broken >= maximumBrokenAttempts) {
+            return false;
+        }
+        return this.progress.nextToken > 0 || this.context.retryBudgets.of(this.labels.requestClass).takeRetry();
     }
 
-    private takeToken(content: string, tokenNumber: number): Promise<void> | undefined {
-        const now = this.context.clock.now();
-        if (this.lastTokenAt === undefined) {
-            this.context.metrics.recordTime(this.labels, "firstToken", now - this.pending.arrivedAt);
+    private noteAnotherAttempt(end: AttemptEnd, placement: Placement): void {
+        const { metrics, eventLog, requestId } = this.context;
+        const { nextToken } = this.progress;
+        if (end.kind === "preempted") {
+            metrics.count("preemptions");
+        }
+        else if (nextToken === 0) {
+            metrics.count("retries");
         }
         else {
-            this.context.metrics.recordTime(this.labels, "betweenTokens", now - this.lastTokenAt);
+            metrics.count("resumes");
+            const reason = "reason" in end ? end.reason : end.kind;
+            eventLog.write("answerResumed", { requestId, endpoint: placement.endpoint.name, nextToken, reason });
         }
-        this.lastTokenAt = now;
-        this.text += content;
-        this.nextToken = tokenNumber + 1;
-        return this.writer.writeToken(content, tokenNumber);
     }
 
-    private upstreamBody(): Buffer {
-        const { route, requestClass } = this.context.resolved;
-        const resume = this.nextToken === 0 ? {} : { resume_at: this.nextToken, resume_text: this.text };
-        return Buffer.from(JSON.stringify({
-            ...this.body.members,
-            max_completion_tokens: undefined,
-            max_tokens: this.pending.maximumOutputTokens,
-            stream: true,
-            priority: requestClass.tier,
-            adapter: route.adapter,
-            version: route.version,
-            ...resume,
-        }));
+    private conclude(end: AttemptEnd, placement: Placement): void {
+        const { metrics } = this.context;
+        const usage = end.kind === "finished" ? end.usage : undefined;
+        this.giveBack(placement, usage);
+        this.recordUsage(usage);
+        match(end)
+            .with({ kind: "finished" }, finished => {
+                this.finish(finished.finishReason, finished.usage);
+            })
+            .with({ kind: "rejected" }, ({ status, body }) => {
+                this.reject(status, body);
+            })
+            .with({ kind: "callerLeft" }, { kind: "preempted" }, () => {
+                metrics.countEnd(this.labels, "callerLeft", false);
+            })
+            .with({ kind: "callerTooSlow" }, () => {
+                this.cutCaller();
+            })
+            .with({ kind: "notRun" }, { kind: "broken" }, ({ reason }) => {
+                this.fail(this.lastFailure(), reason);
+            })
+            .exhaustive();
     }
 
-    private finish(finishReason: string, usage: EngineUsage): void {
-        this.writer.finish(finishReason, usage);
-        this.recordUsage("complete", usage);
-        const total = this.context.clock.now() - this.pending.arrivedAt;
-        this.context.metrics.recordTime(this.labels, "total", total);
-        const withinTarget = total <= this.pending.requestClass.target.totalMilliseconds;
-        this.context.metrics.countEnd(this.labels, "answered", withinTarget);
+    /** What was delivered is charged, whole or not. */
+    private giveBack(placement: Placement, usage: EngineUsage | undefined): void {
+        const { dispatcher } = this.context;
+        if (usage === undefined && this.progress.nextToken === 0) {
+            dispatcher.abandon(placement);
+            return;
+        }
+        dispatcher.release(placement, {
+            promptTokens: usage?.prompt_tokens ?? this.pending.promptTokens,
+            cachedTokens: usage?.cached_tokens ?? 0,
+            outputTokens: usage?.completion_tokens ?? this.progress.nextToken,
+            serviceTime: this.serviceTime,
+        });
     }
 
     /** Has the request billed; tokens that the engine did not count are estimated before the answer is whole. */
-    private recordUsage(outcome: UsageOutcome, usage: EngineUsage | undefined): void {
+    private recordUsage(usage: EngineUsage | undefined): void {
         const { configuration, clock } = this.context;
+        const { nextToken } = this.progress;
         const ended = {
             team: this.pending.team ?? "",
             requestClass: this.pending.requestClass.name,
-            outcome,
-            promptTokens: usage?.prompt_tokens ?? (this.nextToken > 0 ? this.pending.promptTokens : 0),
+            outcome: this.usageOutcome(usage),
+            promptTokens: usage?.prompt_tokens ?? (nextToken > 0 ? this.pending.promptTokens : 0),
             cachedTokens: usage?.cached_tokens ?? 0,
-            outputTokens: this.nextToken,
-            endpointTime: this.endpointTime,
+            outputTokens: usage?.completion_tokens ?? nextToken,
+            endpointTime: this.serviceTime,
             finishedAt: clock.unixNow(),
         };
         this.context.usage.record(ended, configuration.current);
     }
 
+    private usageOutcome(usage: EngineUsage | undefined): UsageOutcome {
+        if (usage !== undefined) {
+            return "complete";
+        }
+        return this.progress.nextToken > 0 ? "cut" : "failed";
+    }
+
+    private lastFailure(): Failure {
+        if (this.progress.nextToken > 0) {
+            return failure("answerCut");
+        }
+        if (this.mayHaveRun) {
+            return failure("endpointFailed");
+        }
+        const spent = this.fruitless < maximumFruitlessAttempts;
+        return failure(spent ? "retryBudgetSpent" : "endpointRefused");
+    }
+
+    private finish(finishReason: string, usage: EngineUsage): void {
+        this.writer.finish(finishReason, usage);
+        const total = this.context.clock.now() - this.pending.arrivedAt;
+        this.context.metrics.recordTime(this.labels, "total", total);
+        const withinTarget = total <= this.pending.requestClass.target.totalMilliseconds;
+        this.context.metrics.countEnd(this.labels, "answered", withinTarget);
+    }
+
+    /** A refusal by the queue; for a request that was dispatched before, its words must suit what has happened. */
     private refuse(refused: Refused): void {
-        const { requestId, eventLog, metrics } = this.context;
-        this.writer.fail(refused.failure, retryAfterHeader(refused.retryAfter));
-        metrics.countEnd(this.labels, "refused", false);
-        eventLog.write("requestRefused", { requestId, ...this.labels, code: refused.failure.code });
+        const { requestId, eventLog, metrics, callerLeft } = this.context;
+        if (callerLeft.aborted) {
+            metrics.countEnd(this.labels, "callerLeft", false);
+            return;
+        }
+        if (this.mayHaveRun) {
+            this.recordUsage(undefined);
+        }
+        const reported = this.truthful(refused.failure);
+        this.writer.fail(reported, retryAfterHeader(refused.retryAfter));
+        metrics.countEnd(this.labels, this.mayHaveRun ? "failed" : "refused", false);
+        eventLog.write("requestRefused", { requestId, ...this.labels, code: reported.code });
+    }
+
+    private truthful(reported: Failure): Failure {
+        if (reported.code === "keyWithdrawnWhileRunning") {
+            return this.mayHaveRun ? reported : failure("keyWithdrawn");
+        }
+        const deniesRun = definitionOf(reported.code).outcome === "notRun";
+        return deniesRun && this.mayHaveRun ? this.lastFailure() : reported;
     }
 
     private reject(status: number, body: Buffer): void {
         const { response, requestId, metrics } = this.context;
+        if (this.writer.begun) {
+            this.fail(failure("answerCut"), `status ${status}`);
+            return;
+        }
         response.writeHead(status, { "content-type": "application/json", "x-request-id": requestId });
         response.end(body);
         metrics.countEnd(this.labels, "failed", false);
     }
 
+    private cutCaller(): void {
+        const { metrics, eventLog, requestId } = this.context;
+        metrics.count("callersCut");
+        metrics.countEnd(this.labels, "failed", false);
+        eventLog.write("callerCut", { requestId });
+        this.writer.fail(failure("callerTooSlow"));
+    }
+
     private fail(reported: Failure, reason: string): void {
         const { requestId, eventLog, metrics } = this.context;
-        this.writer.fail(reported);
-        this.recordUsage(this.nextToken > 0 ? "cut" : "failed", undefined);
-        metrics.countEnd(this.labels, "failed", false);
+        const retryAfter = reported.code === "retryBudgetSpent" ? retryAfterSpentBudget : undefined;
+        this.writer.fail(reported, retryAfterHeader(retryAfter));
+        metrics.countEnd(this.labels, this.mayHaveRun ? "failed" : "refused", false);
         eventLog.write("requestFailed", { requestId, ...this.labels, endpoint: reason, code: reported.code });
     }
 }
+
+function pendingRequestOf(context: RequestContext, body: ModelBody): PendingRequest {
+    const { requestId, resolved, identity, clock, keyDigest } = context;
+    const { route, pool, requestClass } = resolved;
+    const longest = requestClass.maximumOutputTokens;
+    const model = pool.model ?? body.model;
+    const prefix = body.promptText.slice(0, prefixCharacters);
+    return {
+        id: requestId,
+        team: identity?.team.name,
+        keyName: identity?.key.name,
+        keyDigest,
+        requestClass,
+        pool: pool.name,
+        arrivedAt: clock.now(),
+        promptTokens: body.estimatedPromptTokens,
+        maximumOutputTokens: Math.min(longest, body.maximumOutputTokens ?? longest),
+        prefixDigest: createHash("sha256").update(prefix).digest("hex"),
+        prefixDigests: prefixDigests(model, body.engineText),
+        model,
+        version: route.version,
+        adapter: route.adapter,
+        idempotent: true,
+    };
+}
--- a/src/request/requestContext.ts
+++ b/src/request/requestContext.ts
@@ -7,6 +7,9 @@
 import type { UsageRecorder } from "../process/entry/usageRecorder.js";
 import type { Clock } from "../util/clock.js";
 import type { Identity, ResolvedRoute } from "../version/compiledConfiguration.js";
+import type { ClaimStore } from "./claims/claimStore.js";
+import type { Deadlines } from "./retry/deadlines.js";
+import type { RetryBudgets } from "./retry/retryBudget.js";
 
 /** What the task of one request works with. */
 export interface RequestContext {
@@ -24,6 +27,13 @@
     readonly metrics: EntryMetrics;
     readonly usage: UsageRecorder;
     readonly configuration: EntryConfiguration;
+    readonly claims: ClaimStore;
+    readonly deadlines: Deadlines;
+    readonly retryBudgets: RetryBudgets;
+    /** Digest of the key that came with the request. */
+    readonly keyDigest: string | undefined;
+    /** Whether the key that came with the request is still good. */
+    readonly keyIsKnown: () => boolean;
     /** Aborts when the caller has closed its connection. */
     readonly callerLeft: AbortSignal;
 }
--- a/src/request/routing/leastOutstandingChooser.ts
+++ b/src/request/routing/leastOutstandingChooser.ts
@@ -1,11 +1,12 @@
+import type { EndpointGroup } from "../../process/entry/endpointGroup.js";
 import type { EndpointState } from "../../process/entry/endpointState.js";
 import { EndpointChooser } from "../endpointChooser.js";
 
-/** Chooses the endpoint that runs the fewest requests of this entry; a baseline. */
+/** Chooses the endpoint that runs the fewest requests of this entry; a baseline that looks at every endpoint. */
 export class LeastOutstandingChooser extends EndpointChooser {
-    override choose(candidates: readonly EndpointState[]): EndpointState | undefined {
+    override choose(group: EndpointGroup): EndpointState | undefined {
         let best: EndpointState | undefined;
-        for (const candidate of candidates) {
+        for (const candidate of group.available) {
             if (best === undefined || candidate.running < best.running) {
                 best = candidate;
             }
--- /dev/null
+++ b/src/request/routing/textHash.ts
@@ -0,0 +1,15 @@
+/** FNV-1a over the UTF-16 code units of a text, as an unsigned 32-bit integer. */
+export function textHash(text: string): number {
+    let hash = 0x811c9dc5;
+    for (let index = 0; index < text.length; index++) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+    }
+    return mixBits(hash);
+}
+
+/** The finalizer of MurmurHash3: spreads the bits of a 32-bit integer; gives an unsigned one. */
+export function mixBits(value: number): number {
+    let mixed = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
