--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -92,11 +92,11 @@
 
     /** The entries that may still serve with an older version, as far as the leader can know. */
     private behind(version: number, now: Milliseconds): Result<readonly string[], Failure> {
-        const { commandLog, entries } = this.options;
+        const { commandLog, entries, state } = this.options;
         return leaderToken(commandLog, now).map(token => {
             entries.enterTerm(token.fencingNumber, now);
-            const names = entries.behind(version, now).map(record => record.entry);
-            return entries.mayMissEntries(now) ? [...names, "entries of an earlier leader"] : names;
+            const behind = entries.behind(version, now).map(record => record.entry);
+            return [...behind, ...entries.unheard(state.usage.incarnations.running(), now)];
         });
     }
 }
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -1,5 +1,6 @@
 import type { EntryListing, EntryStatus } from "../../connection/entryMessages.js";
 import type { Milliseconds } from "../../util/clock.js";
+import type { Incarnation } from "../usage/incarnationTable.js";
 
 /** Longest time for which a permit lets an entry serve, in milliseconds from the sending of its request. */
 export const permitMilliseconds = 4000;
@@ -41,11 +42,24 @@
         }
     }
 
-    /** Whether entries that an earlier leader knew may still serve without this one knowing them. */
-    mayMissEntries(now: Milliseconds): boolean {
+    /** Whether a permit of an earlier leader may still hold. */
+    earlierPermitsMayHold(now: Milliseconds): boolean {
         return now < this.earlierPermitsEndAt;
     }
 
+    /**
+     * The entries that may still serve by a permit of an earlier leader and have not reported to this one.
+     *
+     * @param registered Every registered incarnation; an entry gets no permit before its own is registered.
+     */
+    unheard(registered: readonly Incarnation[], now: Milliseconds): readonly string[] {
+        if (!this.earlierPermitsMayHold(now)) {
+            return [];
+        }
+        const silent = registered.filter(({ entry, incarnation }) => !this.records.has(recordKey(entry, incarnation)));
+        return silent.map(({ entry }) => entry);
+    }
+
     /** Every known entry whose permit may still hold. */
     all(now: Milliseconds): readonly EntryRecord[] {
         this.forget(now);
--- a/src/process/control/leaderDuties.ts
+++ b/src/process/control/leaderDuties.ts
@@ -47,7 +47,7 @@
     /** Declares incarnations over whose permit has surely ended. */
     private async endIncarnations(): Promise<void> {
         const { state, entries, clock, proposals } = this.context;
-        if (entries.mayMissEntries(clock.now())) {
+        if (entries.earlierPermitsMayHold(clock.now())) {
             return;
         }
         const alive = new Set(entries.all(clock.now()).map(record => record.incarnation));
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -4,11 +4,18 @@
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
+const runningPrograms = new Set<ChildProcess>();
+
+// A program must not outlive a tour or test that ends by an error.
+process.once("exit", () => {
+    runningPrograms.forEach(program => program.kill("SIGKILL"));
+});
+
 /** A program of the package that was started for the quickstart or a test, and its first line of output. */
 export class StartedProgram implements AsyncDisposable {
     private constructor(
         /** The running process. */
-        readonly process: ChildProcess,
+        private readonly child: ChildProcess,
         /** The JSON object that the program printed when it began to serve. */
         readonly shown: Readonly<Record<string, string>>,
         /** Resolves when the process has ended. */
@@ -23,6 +30,8 @@
     static async start(name: string, programArguments: readonly string[]): Promise<StartedProgram> {
         const path = fileURLToPath(new URL(`../bin/${name}.js`, import.meta.url));
         const started = spawn(process.execPath, [path, ...programArguments], { stdio: ["ignore", "pipe", "inherit"] });
+        runningPrograms.add(started);
+        started.once("close", () => runningPrograms.delete(started));
         const lines = createInterface({ input: started.stdout });
         const firstLine = once(lines, "line") as Promise<[string]>;
         const closed = once(started, "close").then(() => undefined);
@@ -35,23 +44,23 @@
 
     /** Ends the program at once, as the loss of its VM would, and waits for its end. */
     async kill(): Promise<void> {
-        this.process.kill("SIGKILL");
+        this.child.kill("SIGKILL");
         await this.closed;
     }
 
     /** Stops the program from running, as a stalled VM would, until {@link resume}. */
     pause(): void {
-        this.process.kill("SIGSTOP");
+        this.child.kill("SIGSTOP");
     }
 
     /** Lets a paused program go on. */
     resume(): void {
-        this.process.kill("SIGCONT");
+        this.child.kill("SIGCONT");
     }
 
     /** Asks the program to stop and waits for its end. */
     async [Symbol.asyncDispose](): Promise<void> {
-        this.process.kill("SIGTERM");
+        this.child.kill("SIGTERM");
         await this.closed;
     }
 }
