test(control): check damaged folders, foreign peers and the commit rule

Cause: bad input must be refused with a code and must lose nothing; two faults were found while writing the tests. A batch that replaces entries now starts its segment in one atomic step, so that a disk that fills up in between leaves log and memory alike; a rename or sync that fails halts the member even on a full disk. Schedules crash all members at once too.

--- a/src/process/replicatedLog/fileLogStorage.ts
+++ b/src/process/replicatedLog/fileLogStorage.ts
@@ -52,9 +52,17 @@
         return attempt("replace", name, async () => {
             await this.release(name);
             const temporary = this.pathOf(name) + temporaryEnding;
-            await writeSynced(temporary, bytes);
-            await rename(temporary, this.pathOf(name));
-            await syncFolder(this.folder);
+            try {
+                await writeSynced(temporary, bytes);
+            }
+            catch (error) {
+                await rm(temporary, { force: true });
+                throw error;
+            }
+            await mustSucceed(async () => {
+                await rename(temporary, this.pathOf(name));
+                await syncFolder(this.folder);
+            });
         });
     }
 
@@ -66,11 +74,13 @@
                 await handle.appendFile(bytes);
             }
             catch (error) {
-                await handle.truncate(size);
-                await handle.sync();
+                await mustSucceed(async () => {
+                    await handle.truncate(size);
+                    await handle.sync();
+                });
                 throw error;
             }
-            await syncOrHalt(handle);
+            await mustSucceed(async () => handle.datasync());
         });
     }
 
@@ -117,15 +127,15 @@
     }
 }
 
-/** A sync that failed; what reached the disk is unknown, even where the system reports a full disk. */
-class SyncError extends Error {}
+/** A step that failed half-way: what reached the disk is unknown, even where the system reports a full disk. */
+class UncertainStateError extends Error {}
 
-async function syncOrHalt(handle: FileHandle): Promise<void> {
+async function mustSucceed(action: () => Promise<void>): Promise<void> {
     try {
-        await handle.datasync();
+        await action();
     }
     catch (error) {
-        throw new SyncError(String(error));
+        throw new UncertainStateError(String(error));
     }
 }
 
--- a/src/process/replicatedLog/leadership.ts
+++ b/src/process/replicatedLog/leadership.ts
@@ -6,12 +6,13 @@
 import { Condition } from "../../util/condition.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { committablePosition } from "./commitRule.js";
 import { FollowerLink } from "./followerLink.js";
 import { LeaderLease } from "./leaderLease.js";
 import type { EntryContent } from "./logEntry.js";
 import { MemberAdmission } from "./memberAdmission.js";
 import type { MembershipChange } from "./membership.js";
-import { changeMembership, isVoter, quorumValue } from "./membership.js";
+import { changeMembership, isVoter } from "./membership.js";
 import type { PlacementListener } from "./proposalWriter.js";
 import { ProposalWriter } from "./proposalWriter.js";
 import type { Replica } from "./replica.js";
@@ -163,13 +164,15 @@
         return response?.kind === "takeLead" && response.accepted;
     }
 
-    /** Commits what a quorum made durable, if it is of this term (Raft §5.4.2), and wakes the tasks. */
+    /** Commits what a quorum made durable, and wakes the tasks. */
     private advance(): void {
         const { log, membership } = this.replica;
-        const reached = quorumValue(membership, memberId => this.durablePositionOf(memberId));
-        if (reached > this.replica.commitPosition && log.termAt(reached) === this.term) {
-            this.replica.commit(reached);
-        }
+        this.replica.commit(committablePosition({
+            term: this.term,
+            membership,
+            durablePositionOf: memberId => this.durablePositionOf(memberId),
+            termAt: position => log.termAt(position),
+        }));
         this.replica.acknowledged.note(this.term, this.acknowledgedPositions());
         this.logChanged.notify();
     }
--- a/src/process/replicatedLog/logSegments.ts
+++ b/src/process/replicatedLog/logSegments.ts
@@ -96,17 +96,11 @@
      * @param replaces Whether entries behind the base stand in the log.
      */
     async append(entries: readonly LogEntry[], base: LogBase, replaces: boolean): Promise<Result<void, Failure>> {
-        if (replaces || (this.segments.at(-1)?.bytes ?? Infinity) > segmentBytes) {
-            const started = await this.start(base, false);
-            if (started.err) {
-                return started;
-            }
-        }
+        const record = encodeRecord({ entries });
         const current = this.segments.at(-1);
-        if (current === undefined) {
-            return Err(failure("logIncomplete", { reason: "no segment is open" }));
+        if (replaces || current === undefined || current.bytes > segmentBytes) {
+            return this.start(base, false, record);
         }
-        const record = encodeRecord({ entries });
         const appended = await this.files.storage.append(current.name, record);
         if (appended.ok) {
             this.segments = [...this.segments.slice(0, -1), { ...current, bytes: current.bytes + record.length }];
@@ -114,8 +108,8 @@
         return appended;
     }
 
-    /** Starts a new segment behind a base. */
-    async start(base: LogBase, afterSnapshot: boolean): Promise<Result<void, Failure>> {
+    /** Starts a new segment behind a base, at once with its first record if there is one. */
+    async start(base: LogBase, afterSnapshot: boolean, firstRecord?: Uint8Array): Promise<Result<void, Failure>> {
         const sequence = (this.segments.at(-1)?.sequence ?? 0) + 1;
         const name = segmentFileName(this.files.group, sequence);
         const header = encodeRecord({
@@ -125,9 +119,10 @@
             baseTerm: base.term,
             afterSnapshot,
         });
-        const written = await this.files.storage.replace(name, header);
+        const content = Buffer.concat([header, firstRecord ?? new Uint8Array()]);
+        const written = await this.files.storage.replace(name, content);
         if (written.ok) {
-            this.segments = [...this.segments, { sequence, name, base, bytes: header.length }];
+            this.segments = [...this.segments, { sequence, name, base, bytes: content.length }];
         }
         return written;
     }
--- /dev/null
+++ b/tests/process/replicatedLog/durableLog.test.ts
@@ -0,0 +1,173 @@
+import fastCheck from "fast-check";
+import { DurableLog } from "../../../src/process/replicatedLog/durableLog.js";
+import type { GroupFiles } from "../../../src/process/replicatedLog/groupFiles.js";
+import type { LogEntry } from "../../../src/process/replicatedLog/logEntry.js";
+import { loadIdentity } from "../../../src/process/replicatedLog/memberIdentity.js";
+import { VoteRecord } from "../../../src/process/replicatedLog/voteRecord.js";
+import type { Failure, ResultCode } from "../../../src/resultCode/resultCode.js";
+import type { Result } from "../../../src/util/result.js";
+import { describe, it } from "../../describe.js";
+import { ImmediateStorage } from "./immediateStorage.js";
+
+const identity = { cluster: "test", memberId: "me" };
+const segmentName = "main.log.0000000001";
+
+function filesOn(storage: ImmediateStorage): GroupFiles {
+    return { storage, identity, group: "main" };
+}
+
+function entryAt(position: number, term = 1): LogEntry {
+    return { kind: "command", position, term, command: Buffer.from(`command-${position}-${term}`) };
+}
+
+/** Writes `count` entries, each synced on its own. */
+async function write(storage: ImmediateStorage, count: number): Promise<DurableLog> {
+    const log = (await DurableLog.open(filesOn(storage), true)).unwrap();
+    for (let position = 1; position <= count; position += 1) {
+        (await log.append([entryAt(position)])).unwrap();
+    }
+    return log;
+}
+
+function codeOf(result: Result<unknown, Failure>): ResultCode | undefined {
+    return result.err ? result.val.code : undefined;
+}
+
+/** Terms of all entries, by position from 1. */
+function termsOf(log: DurableLog): readonly (number | undefined)[] {
+    return [...Array(log.lastPosition).keys()].map(index => log.termAt(index + 1));
+}
+
+describe("DurableLog", () => {
+    describe("open", () => {
+        it("finds all synced entries behind any cut of the last write", async t => {
+            await fastCheck.assert(
+                fastCheck.asyncProperty(fastCheck.nat(200), async cut => {
+                    const storage = new ImmediateStorage();
+                    await write(storage, 5);
+                    const sound = storage.contentOf(segmentName).length;
+                    await write(storage, 0).then(async log => log.append([entryAt(6), entryAt(7)]));
+                    const whole = storage.contentOf(segmentName);
+                    storage.files.set(segmentName, whole.subarray(0, Math.min(sound + cut, whole.length - 1)));
+                    const log = (await DurableLog.open(filesOn(storage), false)).unwrap();
+                    t.is(log.lastPosition, 5);
+                    (await log.append([entryAt(6, 2)])).unwrap();
+                    const again = (await DurableLog.open(filesOn(storage), false)).unwrap();
+                    t.deepEqual(termsOf(again), [1, 1, 1, 1, 1, 2]);
+                }),
+                { seed: 1, numRuns: 100 },
+            );
+        });
+
+        it("refuses a flipped bit before the last record", async t => {
+            const storage = new ImmediateStorage();
+            await write(storage, 4);
+            const before = storage.contentOf(segmentName).length;
+            await write(storage, 0).then(async log => log.append([entryAt(5)]));
+            const whole = storage.contentOf(segmentName);
+            await fastCheck.assert(
+                fastCheck.asyncProperty(fastCheck.nat(before - 1), fastCheck.nat(7), async (place, bit) => {
+                    const flipped = Buffer.from(whole);
+                    flipped.writeUInt8(flipped.readUInt8(place) ^ (1 << bit), place);
+                    storage.files.set(segmentName, flipped);
+                    t.is(codeOf(await DurableLog.open(filesOn(storage), false)), "logDamaged");
+                }),
+                { seed: 2, numRuns: 300 },
+            );
+        });
+
+        it("replaces entries where a later leader wrote others, also over a snapshot", async t => {
+            const storage = new ImmediateStorage();
+            const log = await write(storage, 6);
+            (await log.append([entryAt(4, 2), entryAt(5, 2)])).unwrap();
+            t.deepEqual(termsOf(log), [1, 1, 1, 2, 2]);
+            const state = Buffer.from("state");
+            (await log.compact({ position: 4, term: 2, membership: { members: [] }, state }, 0)).unwrap();
+            const again = (await DurableLog.open(filesOn(storage), false)).unwrap();
+            t.is(again.basePosition, 3);
+            t.deepEqual([again.termAt(3), again.termAt(4), again.termAt(5)], [1, 2, 2]);
+            (await again.install({ position: 9, term: 3, membership: { members: [] }, state })).unwrap();
+            const last = (await DurableLog.open(filesOn(storage), false)).unwrap();
+            t.deepEqual([last.basePosition, last.lastPosition, last.lastTerm], [9, 9, 3]);
+        });
+
+        const faults: readonly (readonly [string, (storage: ImmediateStorage) => void, ResultCode])[] = [
+            ["no segment", storage => storage.files.delete(segmentName), "logIncomplete"],
+            ["no snapshot before the first entry", storage => storage.files.delete("main.snapshot"), "logIncomplete"],
+            [
+                "a missing segment",
+                storage => storage.files.set("main.log.0000000009", storage.contentOf("main.log.0000000002")),
+                "logIncomplete",
+            ],
+            [
+                "a truncated snapshot",
+                storage => storage.files.set("main.snapshot", storage.contentOf("main.snapshot").subarray(0, 40)),
+                "logDamaged",
+            ],
+            [
+                "an empty segment file",
+                storage => storage.files.set("main.log.0000000002", Buffer.alloc(0)),
+                "logDamaged",
+            ],
+        ];
+        for (const [title, spoil, code] of faults) {
+            it(`refuses a folder with ${title}`, async t => {
+                const storage = new ImmediateStorage();
+                const log = await write(storage, 6);
+                if (code === "logDamaged" || title !== "no segment") {
+                    (await log.append([entryAt(4, 2)])).unwrap();
+                    const state = Buffer.from("state");
+                    (await log.compact({ position: 4, term: 2, membership: { members: [] }, state }, 0)).unwrap();
+                }
+                spoil(storage);
+                t.is(codeOf(await DurableLog.open(filesOn(storage), false)), code);
+            });
+        }
+
+        it("refuses the files of another member", async t => {
+            const storage = new ImmediateStorage();
+            await write(storage, 2);
+            const files = { ...filesOn(storage), identity: { cluster: "test", memberId: "other" } };
+            t.is(codeOf(await DurableLog.open(files, false)), "logFolderForeign");
+        });
+    });
+
+    describe("append", () => {
+        it("keeps what stood there when the disk is full", async t => {
+            const storage = new ImmediateStorage();
+            const log = await write(storage, 3);
+            storage.full = true;
+            t.is(codeOf(await log.append([entryAt(2, 2), entryAt(3, 2)])), "storageFull");
+            t.deepEqual([termsOf(log), log.syncedPosition], [[1, 1, 1], 3]);
+            storage.full = false;
+            (await log.append([entryAt(4, 2)])).unwrap();
+            t.deepEqual(termsOf((await DurableLog.open(filesOn(storage), false)).unwrap()), [1, 1, 1, 2]);
+        });
+    });
+});
+
+describe("VoteRecord", () => {
+    it("is read back, and refused when flipped", async t => {
+        const storage = new ImmediateStorage();
+        const record = (await VoteRecord.create(filesOn(storage))).unwrap();
+        (await record.save(7, "candidate")).unwrap();
+        const read = (await VoteRecord.load(filesOn(storage))).unwrap();
+        t.deepEqual([read?.term, read?.votedFor], [7, "candidate"]);
+        const flipped = storage.contentOf("main.vote");
+        flipped.writeUInt8(flipped.readUInt8(30) ^ 1, 30);
+        storage.files.set("main.vote", flipped);
+        t.is(codeOf(await VoteRecord.load(filesOn(storage))), "logDamaged");
+    });
+});
+
+describe("loadIdentity", () => {
+    it("makes an identity once, and refuses another cluster and a folder without identity", async t => {
+        const storage = new ImmediateStorage();
+        const made = (await loadIdentity(storage, "test")).unwrap();
+        t.deepEqual((await loadIdentity(storage, "test")).unwrap(), made);
+        t.is(codeOf(await loadIdentity(storage, "other")), "logFolderForeign");
+        await write(storage, 1);
+        storage.files.delete("identity");
+        t.is(codeOf(await loadIdentity(storage, "test")), "logIncomplete");
+    });
+});
--- a/tests/process/replicatedLog/faultSchedules.test.ts
+++ b/tests/process/replicatedLog/faultSchedules.test.ts
@@ -10,11 +10,13 @@
 const slot = fastCheck.nat(4);
 
 const fault = fastCheck.oneof(
-    { weight: 6, arbitrary: fastCheck.record({ kind: fastCheck.constant("propose"), count: fastCheck.nat(8) }) },
+    { weight: 8, arbitrary: fastCheck.record({ kind: fastCheck.constant("propose"), count: fastCheck.nat(8) }) },
     { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant("confirm"), slot }) },
     { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant("crash"), slot }) },
     { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant("crashLeader") }) },
-    { weight: 5, arbitrary: fastCheck.record({ kind: fastCheck.constant("start"), slot }) },
+    { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant("crashAll") }) },
+    { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant("start"), slot }) },
+    { weight: 6, arbitrary: fastCheck.record({ kind: fastCheck.constant("startAll") }) },
     { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant("loseDisk"), slot }) },
     {
         weight: 2,
@@ -44,7 +46,7 @@
 
 const schedules = fastCheck.record({
     seed: fastCheck.nat(1_000_000),
-    steps: fastCheck.array(fastCheck.record({ fault, pause: fastCheck.constantFrom(1, 20, 300, 1500, 4000) }), {
+    steps: fastCheck.array(fastCheck.record({ fault, pause: fastCheck.constantFrom(1, 3, 6, 20, 300, 1500, 4000) }), {
         minLength: 5,
         maxLength: 40,
     }),
@@ -74,6 +76,12 @@
         .with({ kind: "crashLeader" }, () => {
             cluster.crash(leader);
         })
+        .with({ kind: "crashAll" }, () => {
+            cluster.killAll();
+        })
+        .with({ kind: "startAll" }, () => {
+            startAll(cluster);
+        })
         .with({ kind: "start" }, faulty => {
             cluster.start(faulty.slot);
         })
