--- a/src/bin/gullhallStandIn.ts
+++ b/src/bin/gullhallStandIn.ts
@@ -12,10 +12,12 @@
 import { hideBin } from "yargs/helpers";
 import { ModelEngine } from "../standIn/modelEngine/modelEngine.js";
 import { PlainService } from "../standIn/plainService/plainService.js";
-import { EngineStarter } from "../standIn/platform/engineStarter.js";
+import { engineKindsSchema, KindStarter } from "../standIn/platform/kindStarter.js";
 import { Platform } from "../standIn/platform/platform.js";
 import { runStandIn } from "../standIn/runStandIn.js";
 import { SystemClock } from "../util/clock.js";
+import { packageVersion } from "../util/packageVersion.js";
+import { exitUsage } from "./runProgram.js";
 
 const clock = new SystemClock();
 
@@ -25,6 +27,15 @@
     options: { type: "string", default: "{}", describe: "Further options of the role, as a JSON object" },
 } as const satisfies Readonly<Record<string, Options>>;
 
+const platformFlags = {
+    ...flagDefinitions,
+    engineKinds: {
+        type: "string",
+        default: "{\"stand-in\": {\"role\": \"engine\", \"options\": {}}}",
+        describe: "What an order starts, by engine kind: {KIND: {role: engine or service, options}}",
+    },
+} as const satisfies Readonly<Record<string, Options>>;
+
 const commandLine = yargs(hideBin(process.argv))
     .scriptName("gullhall-stand-in")
     .command("engine", "A model engine", flagDefinitions, async flags => {
@@ -33,15 +44,18 @@
     .command("service", "A plain service", flagDefinitions, async flags => {
         await runStandIn("service", flags, options => new PlainService(options, clock));
     })
-    .command("platform", "The platform's interfaces", flagDefinitions, async flags => {
-        await runStandIn("platform", flags, options => new Platform(options, clock, new EngineStarter(clock)));
+    .command("platform", "The platform's interfaces", platformFlags, async flags => {
+        await runStandIn("platform", flags, options => {
+            const kinds = engineKindsSchema.parse(JSON.parse(flags.engineKinds));
+            return new Platform(options, clock, new KindStarter(clock, kinds));
+        });
     })
     .demandCommand(1, 1, "Name a role: engine, service or platform.")
     .strict()
-    .exitProcess(false)
+    .version(packageVersion())
     .fail((message, error) => {
-        console.error(message === "" ? String(error) : message);
-        process.exitCode = 2;
+        process.stderr.write(`${message || String(error)}\n`);
+        process.exit(exitUsage);
     });
 
 await commandLine.parseAsync();
--- a/src/standIn/fault.ts
+++ b/src/standIn/fault.ts
@@ -13,8 +13,13 @@
         .describe("All sockets are destroyed and new connections are refused."),
     z.strictObject({ kind: z.literal("breakStreams"), ...common, afterTokens: z.int().min(0) })
         .describe("The socket of a streamed answer is destroyed after a number of tokens."),
-    z.strictObject({ kind: z.literal("answerLate"), ...common, milliseconds: z.int().min(0) })
-        .describe("Calls are handled after a delay."),
+    z.strictObject({
+        kind: z.literal("answerLate"),
+        ...common,
+        milliseconds: z.int().min(0),
+        when: z.enum(["before", "after"]).default("before"),
+    })
+        .describe("Calls are handled after a delay, or handled at once and answered after it."),
     z.strictObject({ kind: z.literal("crossAnswers"), ...common, replace: z.boolean().default(false) })
         .describe("A stream carries a chunk of another request with that request's id, beside or in place of its own."),
     z.strictObject({ kind: z.literal("duplicateToken"), ...common, tokenNumber: z.int().min(0) })
--- a/src/standIn/faultSet.ts
+++ b/src/standIn/faultSet.ts
@@ -1,4 +1,4 @@
-import { EventEmitter } from "node:events";
+import { WakeUp } from "../util/wakeUp.js";
 import { faultSchema } from "./fault.js";
 import type { Fault, FaultInput, FaultKind } from "./fault.js";
 
@@ -7,13 +7,14 @@
 /** The faults that a stand-in shows at present; at most one of each kind. */
 export class FaultSet {
     private readonly faults = new Map<FaultKind, Fault>();
-    private readonly changes = new EventEmitter().setMaxListeners(0);
+    private readonly changes = new WakeUp();
+    private readonly listeners: (() => void)[] = [];
 
     /** Shows a fault from now on, in place of an earlier one of its kind; throws on a malformed one. */
     set(input: FaultInput): void {
         const fault = faultSchema.parse(input);
         this.faults.set(fault.kind, fault);
-        this.changes.emit("change");
+        this.tell();
     }
 
     /** Lifts the fault of a kind, or all of them. */
@@ -24,7 +25,7 @@
         else {
             this.faults.delete(kind);
         }
-        this.changes.emit("change");
+        this.tell();
     }
 
     /** The faults that are shown. */
@@ -50,14 +51,14 @@
         return fault;
     }
 
-    /** Resolves when the faults change. */
-    async changed(): Promise<void> {
-        await new Promise<void>(resolve => this.changes.once("change", resolve));
+    /** Resolves at the next change of the faults or when the signal aborts. */
+    async changed(signal: AbortSignal): Promise<void> {
+        await this.changes.wait(signal);
     }
 
     /** Calls a listener on each change of the faults. */
     onChange(listener: () => void): void {
-        this.changes.on("change", listener);
+        this.listeners.push(listener);
     }
 
     private useUp(fault: Fault, times: number): void {
@@ -68,4 +69,11 @@
             this.faults.set(fault.kind, { ...fault, times: times - 1 } as Fault);
         }
     }
+
+    private tell(): void {
+        this.changes.wake();
+        for (const listener of this.listeners) {
+            listener();
+        }
+    }
 }
--- a/src/standIn/modelEngine/answerChunk.ts
+++ b/src/standIn/modelEngine/answerChunk.ts
@@ -28,20 +28,31 @@
 /** The last event of a streamed answer. */
 export const doneEvent = "data: [DONE]\n\n";
 
-/** The event that carries one token; `finish` comes with the last one. */
-export function chunkEvent(head: AnswerHead, token: MadeToken, finish: AnswerFinish | undefined): string {
-    const content = JSON.stringify(token.text);
+/** The event that carries one token, or only the end of an answer that was resumed after its last token. */
+export function chunkEvent(head: AnswerHead, token: MadeToken | Pick<MadeToken, "finish">): string {
+    const { finish } = token;
+    const content = JSON.stringify("text" in token ? token.text : "");
     const text = head.form === "chat" ? "" : `"text":${content},`;
     const reason = finish === undefined ? "null" : JSON.stringify(finish.reason);
+    const number = "number" in token ? `,"token_number":${token.number}` : "";
     const usage = finish === undefined ? "" : `,"usage":${JSON.stringify(finish.usage)}`;
     const object = head.form === "chat" ? "chat.completion.chunk" : "text_completion";
     return `data: {"id":${JSON.stringify(head.id)},"object":"${object}","model":${JSON.stringify(head.model)},`
-        + `"choices":[{"index":0,"delta":{"content":${content}},${text}"finish_reason":${reason}}],`
-        + `"token_number":${token.number}${usage}}\n\n`;
+        + `"choices":[{"index":0,"delta":{"content":${content}},${text}"finish_reason":${reason}}]`
+        + `${number}${usage}}\n\n`;
 }
 
 /** The body of an answer that is not streamed. */
-export function wholeAnswer(head: AnswerHead, text: string, finish: AnswerFinish): unknown {
+export interface WholeAnswer {
+    readonly id: string;
+    readonly object: string;
+    readonly model: string;
+    readonly choices: readonly object[];
+    readonly usage: AnswerUsage;
+}
+
+/** Makes the body of an answer that is not streamed. */
+export function wholeAnswer(head: AnswerHead, text: string, finish: AnswerFinish): WholeAnswer {
     const content = head.form === "chat" ? { message: { role: "assistant", content: text } } : { text };
     return {
         id: head.id,
--- a/src/standIn/modelEngine/batch.ts
+++ b/src/standIn/modelEngine/batch.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import type { EngineOptions } from "./engineOptions.js";
-import { prefixDigests } from "./prefixCache.js";
 import type { PrefixCache } from "./prefixCache.js";
+import { effectOf } from "./roleEffect.js";
 import { compareUrgency, Sequence } from "./sequence.js";
 import type { SequenceEnd, SequenceRequest } from "./sequence.js";
 
@@ -22,7 +22,12 @@
     private waiting: Sequence[] = [];
     private arrivals = 0;
 
-    constructor(private readonly options: EngineOptions, private readonly cache: PrefixCache) {}
+    /** @param roleOf The role of the engine at present. */
+    constructor(
+        private readonly options: EngineOptions,
+        private readonly cache: PrefixCache,
+        private readonly roleOf: () => EngineOptions["role"],
+    ) {}
 
     get runningCount(): number {
         return this.running.length;
@@ -111,9 +116,10 @@
 
     /** Time of a step of a batch of a size that prefills a number of tokens. */
     stepDuration(size: number, prefillTokens: number): Milliseconds {
+        const effect = effectOf(this.roleOf());
         return this.options.stepMilliseconds
-            + size * this.options.stepMillisecondsPerRequest
-            + prefillTokens * this.options.prefillMillisecondsPerToken;
+            + size * this.options.stepMillisecondsPerRequest * effect.decode
+            + prefillTokens * this.options.prefillMillisecondsPerToken * effect.prefill;
     }
 
     private makeRoomFor(next: Sequence | undefined): boolean {
@@ -131,17 +137,18 @@
     }
 
     private enter(sequence: Sequence): void {
-        const { model, prompt } = sequence.request;
-        const held = Math.min(this.cache.match(prefixDigests(model, prompt)), sequence.request.promptTokens);
+        const { digests, promptTokens, importedTokens } = sequence.request;
+        const held = Math.min(this.cache.match(digests), promptTokens);
         sequence.cachedTokens ??= held;
-        sequence.remainingPrefill = sequence.contextTokens - held;
+        const known = Math.max(held, sequence.preemptions === 0 ? importedTokens : 0);
+        sequence.remainingPrefill = Math.max(0, sequence.contextTokens - known);
         this.running.push(sequence);
     }
 
     private prefill(sequence: Sequence, tokens: number): void {
         sequence.remainingPrefill -= tokens;
         if (sequence.remainingPrefill === 0) {
-            this.cache.store(prefixDigests(sequence.request.model, sequence.request.prompt));
+            this.cache.store(sequence.request.digests);
         }
     }
 }
@@ -149,5 +156,6 @@
 function makeToken(sequence: Sequence): void {
     const number = sequence.nextToken;
     sequence.nextToken++;
-    sequence.request.sink.take({ number, text: sequence.request.plan.token(number), last: sequence.complete });
+    const { plan, sink } = sequence.request;
+    sink.take({ number, text: plan.token(number), finish: sequence.complete ? sequence.finish : undefined });
 }
--- a/src/standIn/modelEngine/completionCalls.ts
+++ b/src/standIn/modelEngine/completionCalls.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { StandInCall } from "../standInCall.js";
-import type { AnswerFinish, AnswerHead } from "./answerChunk.js";
+import type { AnswerHead, WholeAnswer } from "./answerChunk.js";
 import { AnswerPlan, countTokens } from "./answerPlan.js";
 import type { Batch } from "./batch.js";
 import { CollectedAnswer } from "./collectedAnswer.js";
@@ -9,25 +9,32 @@
 import type { EngineCounters } from "./engineFigures.js";
 import type { EngineOptions } from "./engineOptions.js";
 import type { EngineState } from "./engineState.js";
-import { RecentChunks } from "./recentChunks.js";
-import type { Sequence, SequenceRequest, TokenSink } from "./sequence.js";
+import type { KvTransfers } from "./kvTransfers.js";
+import { prefixDigests } from "./prefixCache.js";
+import { RecentAnswers } from "./recentAnswers.js";
+import { Sequence } from "./sequence.js";
+import type { SequenceRequest, TokenSink } from "./sequence.js";
 import type { StepLoop } from "./stepLoop.js";
 import { StreamedAnswer } from "./streamedAnswer.js";
 
-/** Requests whose newest chunk can be crossed into another answer. */
-const recentChunkLimit = 64;
+/** Requests whose newest answer can be crossed into another. */
+const recentLimit = 64;
+
+/** The parts of an engine that completions use. */
+export interface CompletionParts {
+    readonly state: EngineState;
+    readonly batch: Batch;
+    readonly loop: StepLoop;
+    readonly counters: EngineCounters;
+    readonly transfers: KvTransfers;
+}
 
 /** Handles the calls that start and stop completions. */
 export class CompletionCalls {
-    private readonly recentChunks = new RecentChunks(recentChunkLimit);
+    private readonly recentChunks = new RecentAnswers<string>(recentLimit);
+    private readonly recentWholes = new RecentAnswers<WholeAnswer>(recentLimit);
 
-    constructor(
-        private readonly options: EngineOptions,
-        private readonly state: EngineState,
-        private readonly batch: Batch,
-        private readonly loop: StepLoop,
-        private readonly counters: EngineCounters,
-    ) {}
+    constructor(private readonly options: EngineOptions, private readonly engine: CompletionParts) {}
 
     /** Handles `POST /v1/chat/completions` and `POST /v1/completions`. */
     complete(call: StandInCall, form: AnswerHead["form"]): void {
@@ -36,12 +43,12 @@
             call.refuse(400, body.val);
             return;
         }
-        if (this.state.leaving) {
+        if (this.engine.state.leaving) {
             call.refuseNotRun(503, "leaving", { "x-leaving": "true" });
             return;
         }
         const { model, version, adapter } = body.val;
-        if (!this.state.serves(model, version, adapter)) {
+        if (!this.engine.state.serves(model, version, adapter)) {
             call.refuse(404, `model ${model} is not loaded in this form`, { "x-not-run": "true" });
             return;
         }
@@ -50,79 +57,81 @@
 
     /** Handles `POST /v1/requests/ID/cancel`. */
     cancel(call: StandInCall, id: string): void {
-        const sequence = this.batch.find(id);
+        const sequence = this.engine.batch.find(id);
         if (sequence === undefined) {
             call.refuse(404, "no such request runs");
             return;
         }
-        this.batch.remove(sequence, "cancelled");
+        this.engine.batch.remove(sequence, "cancelled");
         call.answer(204);
     }
 
     private submit(call: StandInCall, body: CompletionBody, form: AnswerHead["form"]): void {
         const head = { id: call.header("x-request-id") ?? randomUUID(), model: body.model, form };
-        const prompt = promptText(body);
-        const plan = new AnswerPlan(body.model, prompt);
-        if (plan.text(0, body.resume_at) !== body.resume_text) {
+        const request = this.sequenceRequest(call, body, head);
+        if (request === undefined) {
             call.refuse(400, "resume_text is not the text of the tokens before resume_at", { "x-not-run": "true" });
             return;
         }
-        const finish = (): AnswerFinish => this.finish(sequence, body);
-        const request: SequenceRequest = {
-            id: head.id,
-            model: body.model,
-            prompt,
-            priority: body.priority,
-            plan,
-            firstToken: body.resume_at,
-            endToken: Math.max(plan.length(maximumTokens(body)), body.resume_at + 1),
-            promptTokens: countTokens(prompt),
-            sink: this.sink(call, head, body.stream, finish),
-        };
-        const sequence = this.batch.submit(request);
+        if (request.firstToken === request.endToken) {
+            request.sink.finish(new Sequence(request, 0).finish);
+            return;
+        }
+        const sequence = this.engine.batch.submit(request);
         if (sequence === undefined) {
-            this.counters.add({ refused: 1 });
+            this.engine.counters.add({ refused: 1 });
             call.refuseNotRun(429, "too many requests wait");
             return;
         }
         this.start(call, sequence);
     }
 
+    private sequenceRequest(call: StandInCall, body: CompletionBody, head: AnswerHead): SequenceRequest | undefined {
+        const { model, priority, resume_at: firstToken } = body;
+        const prompt = promptText(body);
+        const plan = new AnswerPlan(model, prompt);
+        const endToken = plan.length(maximumTokens(body));
+        if (firstToken > endToken || plan.text(0, firstToken) !== body.resume_text) {
+            return undefined;
+        }
+        return {
+            id: head.id,
+            model,
+            prompt,
+            priority,
+            plan,
+            firstToken,
+            endToken,
+            promptTokens: countTokens(prompt),
+            digests: prefixDigests(model, prompt),
+            importedTokens: this.engine.transfers.importedTokens(head.id, model, prompt),
+            sink: this.sink(call, head, body.stream),
+        };
+    }
+
     private start(call: StandInCall, sequence: Sequence): void {
-        this.counters.add({ accepted: 1 });
+        this.engine.counters.add({ accepted: 1 });
         call.response.once("close", () => {
             this.close(sequence);
         });
-        this.loop.notify();
+        this.engine.loop.notify();
     }
 
-    private sink(call: StandInCall, head: AnswerHead, stream: boolean, finish: () => AnswerFinish): TokenSink {
-        const { recentChunks } = this;
+    private sink(call: StandInCall, head: AnswerHead, stream: boolean): TokenSink {
         const bufferedBytes = this.options.bufferedBytesPerStream;
         return stream
-            ? new StreamedAnswer(call, { head, bufferedBytes, recentChunks, finish })
-            : new CollectedAnswer(call, head, finish);
-    }
-
-    private finish(sequence: Sequence | undefined, body: CompletionBody): AnswerFinish {
-        if (sequence === undefined) {
-            throw new Error("an answer ends only after its sequence was submitted");
-        }
-        const { plan, endToken, promptTokens } = sequence.request;
-        const usage = {
-            prompt_tokens: promptTokens,
-            completion_tokens: sequence.nextToken,
-            cached_tokens: sequence.cachedTokens ?? 0,
-        };
-        this.counters.add({ finished: 1, promptTokens, cachedTokens: usage.cached_tokens });
-        const limited = endToken < plan.naturalLength && maximumTokens(body) !== undefined;
-        return { reason: limited ? "length" : "stop", usage };
+            ? new StreamedAnswer(call, { head, bufferedBytes, recent: this.recentChunks })
+            : new CollectedAnswer(call, head, this.recentWholes);
     }
 
     private close(sequence: Sequence): void {
-        this.batch.remove(sequence, "cancelled");
-        this.counters.add({
+        this.engine.transfers.keep(sequence);
+        this.engine.batch.remove(sequence, "cancelled");
+        this.engine.counters.add({
+            finished: sequence.complete ? 1 : 0,
             cancelled: sequence.complete ? 0 : 1,
+            promptTokens: sequence.request.promptTokens,
+            cachedTokens: sequence.cachedTokens ?? 0,
             tokensMade: sequence.nextToken - sequence.request.firstToken,
             preemptions: sequence.preemptions,
         });
--- a/src/standIn/modelEngine/modelEngine.ts
+++ b/src/standIn/modelEngine/modelEngine.ts
@@ -10,6 +10,7 @@
 import type { EngineOptions, EngineOptionsInput } from "./engineOptions.js";
 import { EngineOrders } from "./engineOrders.js";
 import { EngineState } from "./engineState.js";
+import { KvTransfers } from "./kvTransfers.js";
 import { takeLoadReport } from "./loadReport.js";
 import type { EngineLoadReport } from "./loadReport.js";
 import { PrefixCache } from "./prefixCache.js";
@@ -27,7 +28,7 @@
  * A prompt that contains `[answer-tokens: 37]` is answered by 37 tokens.
  */
 export class ModelEngine extends StandInServer {
-    /** Models, adapters, role and whether the engine leaves. */
+    /** Models, adapters, role and whether the engine leaves; {@link ModelEngine.announceLeaving} sets the last. */
     readonly state: EngineState;
     /** Orders received, in order. */
     readonly orders: EngineOrders;
@@ -35,6 +36,7 @@
     private readonly cacheEvents: CacheEventLog;
     private readonly cache: PrefixCache;
     private readonly batch: Batch;
+    private readonly transfers = new KvTransfers();
     private readonly counters = new EngineCounters();
     private readonly load: LaggedValue<EngineLoadReport>;
     private readonly loop: StepLoop;
@@ -48,7 +50,7 @@
         this.cache = new PrefixCache(this.options.cacheTokens, change => {
             this.cacheEvents.publish(change);
         });
-        this.batch = new Batch(this.options, this.cache);
+        this.batch = new Batch(this.options, this.cache, () => this.state.role);
         this.load = new LaggedValue(this.options.reportLagMilliseconds, this.takeReport());
         this.orders = new EngineOrders(this.options, this.state, clock, this.ended, () => {
             this.noteLoad();
@@ -56,7 +58,8 @@
         this.loop = new StepLoop(this.batch, clock, this.faults, () => {
             this.noteLoad();
         });
-        this.completions = new CompletionCalls(this.options, this.state, this.batch, this.loop, this.counters);
+        const { state, batch, loop, counters, transfers } = this;
+        this.completions = new CompletionCalls(this.options, { state, batch, loop, counters, transfers });
     }
 
     override async start(port = 0): Promise<string> {
@@ -68,8 +71,24 @@
         return address;
     }
 
+    /** Requests that run or wait. */
+    get runningRequests(): number {
+        return this.batch.runningCount + this.batch.waitingCount;
+    }
+
+    /** Says from now on that the engine takes nothing more. */
+    announceLeaving(): void {
+        this.state.leaving = true;
+        this.noteLoad();
+    }
+
     override figures(): unknown {
-        return { ...this.counters.read(), orders: this.orders.received };
+        return {
+            ...this.counters.read(),
+            running: this.batch.runningCount,
+            waiting: this.batch.waitingCount,
+            orders: this.orders.received,
+        };
     }
 
     override control(): boolean {
@@ -97,6 +116,9 @@
             case "GET cache-events":
                 call.answer(200, this.cacheEvents.after(Number(call.url.searchParams.get("after") ?? "0")));
                 return;
+            case "POST kv":
+                this.transfer(call, id);
+                return;
             case "POST orders":
                 this.orders.post(call);
                 return;
@@ -108,10 +130,20 @@
         }
     }
 
-    protected override onCrash(): void {
+    protected override forget(): void {
         this.batch.clear("crashed");
         this.cache.clear();
         this.cacheEvents.skip();
+        this.transfers.clear();
+    }
+
+    private transfer(call: StandInCall, direction: string | undefined): void {
+        if (direction === "export") {
+            this.transfers.export(call, id => this.batch.find(id));
+        }
+        else {
+            this.transfers.import(call);
+        }
     }
 
     private leavingHeader(): Readonly<Record<string, string>> {
--- a/src/standIn/modelEngine/sequence.ts
+++ b/src/standIn/modelEngine/sequence.ts
@@ -1,3 +1,4 @@
+import type { AnswerFinish } from "./answerChunk.js";
 import type { AnswerPlan } from "./answerPlan.js";
 
 /** How a sequence left the batch. */
@@ -8,8 +9,8 @@
     /** Counted from 0 over the whole answer. */
     readonly number: number;
     readonly text: string;
-    /** Whether it is the final one. */
-    readonly last: boolean;
+    /** How the answer ends, with the final token alone. */
+    readonly finish: AnswerFinish | undefined;
 }
 
 /** Receives the tokens of one sequence. */
@@ -20,6 +21,9 @@
     /** Takes the next token. */
     abstract take(token: MadeToken): void;
 
+    /** Told that the answer is whole although no token was made: it was resumed after its last token. */
+    abstract finish(finish: AnswerFinish): void;
+
     /** Told that no more tokens come although the answer is not whole. */
     abstract end(reason: Exclude<SequenceEnd, "finished">): void;
 }
@@ -37,6 +41,10 @@
     /** Number after the last token to make. */
     readonly endToken: number;
     readonly promptTokens: number;
+    /** Digests of the prompt's prefixes that the cache may hold, shortest first. */
+    readonly digests: readonly string[];
+    /** Tokens of context that were imported from another engine. */
+    readonly importedTokens: number;
     readonly sink: TokenSink;
 }
 
@@ -61,6 +69,17 @@
         return this.request.promptTokens + this.nextToken;
     }
 
+    /** How the answer ends, as of its last token. */
+    get finish(): AnswerFinish {
+        const { plan, endToken, promptTokens } = this.request;
+        const usage = {
+            prompt_tokens: promptTokens,
+            completion_tokens: this.nextToken,
+            cached_tokens: this.cachedTokens ?? 0,
+        };
+        return { reason: endToken < plan.naturalLength ? "length" : "stop", usage };
+    }
+
     /** Whether all tokens were made. */
     get complete(): boolean {
         return this.nextToken >= this.request.endToken;
--- a/src/standIn/modelEngine/stepLoop.ts
+++ b/src/standIn/modelEngine/stepLoop.ts
@@ -1,65 +1,59 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
+import { WakeUp } from "../../util/wakeUp.js";
 import type { FaultSet } from "../faultSet.js";
-import type { Batch } from "./batch.js";
+import type { Batch, BatchStep } from "./batch.js";
 
 /** Largest delay that the loop makes up for by shorter pauses, in milliseconds. */
 const longestArrears = 50;
 
 /** Runs the steps of a batch at their pace while there is work. */
 export class StepLoop {
-    private wake: (() => void) | undefined;
+    private readonly changes = new WakeUp();
     private due: Milliseconds = 0;
 
-    /** @param stepped Called after each step and each arrival. */
+    /** @param admitted Called whenever the batch may have changed. */
     constructor(
         private readonly batch: Batch,
         private readonly clock: Clock,
         private readonly faults: FaultSet,
-        private readonly stepped: () => void,
+        private readonly admitted: () => void,
     ) {
         faults.onChange(() => {
             this.notify();
         });
     }
 
-    /** Says that there is work. */
+    /** Says that there may be work. */
     notify(): void {
-        this.wake?.();
+        this.changes.wake();
     }
 
     /** Runs until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
-        signal.addEventListener("abort", () => {
-            this.notify();
-        });
         while (!signal.aborted) {
             this.batch.admit();
-            this.stepped();
-            if (this.batch.runningCount === 0 || this.faults.peek("stall") !== undefined) {
-                await this.idle();
+            this.admitted();
+            if (this.batch.runningCount === 0 || this.stalled) {
+                await this.changes.wait(signal);
+                this.due = this.clock.now();
             }
             else {
-                await this.step(signal);
+                await this.step(this.batch.plan(), signal);
             }
         }
     }
 
-    private async step(signal: AbortSignal): Promise<void> {
-        const step = this.batch.plan();
+    private get stalled(): boolean {
+        return this.faults.peek("stall") !== undefined;
+    }
+
+    private async step(step: BatchStep, signal: AbortSignal): Promise<void> {
         const now = this.clock.now();
         const slowness = this.faults.peek("straggle")?.factor ?? 1;
         this.due = Math.max(this.due, now - longestArrears) + step.duration * slowness;
         await this.clock.sleep(Math.max(0, this.due - now), signal);
-        if (this.faults.peek("stall") === undefined && !signal.aborted) {
+        if (!this.stalled && !signal.aborted) {
             this.batch.execute(step);
         }
     }
-
-    private async idle(): Promise<void> {
-        await new Promise<void>(resolve => {
-            this.wake = resolve;
-        });
-        this.wake = undefined;
-        this.due = Math.max(this.due, this.clock.now());
-    }
 }
--- a/src/standIn/modelEngine/streamedAnswer.ts
+++ b/src/standIn/modelEngine/streamedAnswer.ts
@@ -1,18 +1,16 @@
 import type { StandInCall } from "../standInCall.js";
 import { chunkEvent, doneEvent } from "./answerChunk.js";
 import type { AnswerFinish, AnswerHead } from "./answerChunk.js";
-import type { RecentChunks } from "./recentChunks.js";
+import type { RecentAnswers } from "./recentAnswers.js";
 import { TokenSink } from "./sequence.js";
-import type { MadeToken } from "./sequence.js";
+import type { MadeToken, SequenceEnd } from "./sequence.js";
 
 /** What a streamed answer needs besides its call. */
 export interface StreamedAnswerOptions {
     readonly head: AnswerHead;
     /** Bytes that may wait for a slow reader. */
     readonly bufferedBytes: number;
-    readonly recentChunks: RecentChunks;
-    /** Asked when the last token was made. */
-    readonly finish: () => AnswerFinish;
+    readonly recent: RecentAnswers<string>;
 }
 
 /** Sends each token as a server-sent event and shows the faults of streams. */
@@ -29,18 +27,24 @@
 
     override take(token: MadeToken): void {
         this.begin();
-        const event = chunkEvent(this.options.head, token, token.last ? this.options.finish() : undefined);
+        const event = chunkEvent(this.options.head, token);
         this.write(token.number, event);
-        this.options.recentChunks.note(this.options.head.id, event);
+        this.options.recent.note(this.options.head.id, event);
         this.sent++;
-        if (token.last) {
+        if (token.finish !== undefined) {
             this.call.response.end(doneEvent);
         }
         this.breakWhereTold();
     }
 
-    override end(): void {
-        if (this.call.response.headersSent) {
+    override finish(finish: AnswerFinish): void {
+        this.begin();
+        this.call.response.write(chunkEvent(this.options.head, { finish }));
+        this.call.response.end(doneEvent);
+    }
+
+    override end(reason: Exclude<SequenceEnd, "finished">): void {
+        if (reason === "crashed" || this.call.response.headersSent) {
             this.call.drop();
         }
         else {
@@ -77,7 +81,7 @@
     /** Sends another request's chunk where a fault says so; true when it stands in place of the own one. */
     private crossed(): boolean {
         const { faults, path, response } = this.call;
-        const foreign = faults.peek("crossAnswers", path) && this.options.recentChunks.ofAnother(this.options.head.id);
+        const foreign = faults.peek("crossAnswers", path) && this.options.recent.ofAnother(this.options.head.id);
         if (foreign === undefined) {
             return false;
         }
--- a/src/standIn/plainService/plainService.ts
+++ b/src/standIn/plainService/plainService.ts
@@ -37,8 +37,7 @@
 export class PlainService extends StandInServer {
     /** Every execution. */
     readonly executions = new ExecutionLedger();
-    /** Whether the service takes no new work. */
-    private leavingNow = false;
+    private leaving = false;
     private readonly options: PlainServiceOptions;
     private readonly load: LaggedValue<ServiceLoadReport>;
     private running = 0;
@@ -50,13 +49,14 @@
         this.load = new LaggedValue(this.options.reportLagMilliseconds, this.takeReport());
     }
 
-    /** Whether the service takes no new work. */
-    get leaving(): boolean {
-        return this.leavingNow;
+    /** Executions that run. */
+    get runningRequests(): number {
+        return this.running;
     }
 
-    set leaving(leaving: boolean) {
-        this.leavingNow = leaving;
+    /** Says from now on that the service takes nothing more. */
+    announceLeaving(): void {
+        this.leaving = true;
         this.noteLoad();
     }
 
@@ -76,6 +76,10 @@
         return call.path !== "/v1/load";
     }
 
+    protected override forget(): void {
+        this.lastAnswer = undefined;
+    }
+
     protected override async handle(call: StandInCall): Promise<void> {
         if (!this.isWork(call)) {
             call.answer(200, this.load.read(this.clock.now()), this.leaving ? { "x-leaving": "true" } : {});
@@ -135,7 +139,7 @@
             reportedAt: this.clock.unixNow(),
             runningRequests: this.running,
             maximumRunningRequests: this.options.maximumRunning,
-            leaving: this.leavingNow,
+            leaving: this.leaving,
         };
     }
 }
--- a/src/standIn/platform/endpointStarter.ts
+++ b/src/standIn/platform/endpointStarter.ts
@@ -12,6 +12,10 @@
 export interface StartedEndpoint extends AsyncDisposable {
     /** IP number and port. */
     readonly address: string;
+    /** Requests that it has taken and not yet answered. */
+    readonly runningRequests: number;
+    /** Tells it to take nothing more and to say so. */
+    announceLeaving(): void;
 }
 
 /** Starts the endpoints that the platform was ordered to start. */
--- a/src/standIn/platform/orderDesk.ts
+++ b/src/standIn/platform/orderDesk.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../../util/clock.js";
 import type { StandInCall } from "../standInCall.js";
 import type { ActRecord } from "./actRecord.js";
-import type { FailureDomainCapacity } from "./platformOptions.js";
+import type { CapacityChange, FailureDomainCapacity } from "./platformOptions.js";
 import type { Vm } from "./vm.js";
 import type { VmFleet } from "./vmFleet.js";
 
@@ -43,14 +43,19 @@
     private started = 0;
     private readonly starting = { steady: 0, cheap: 0 };
 
-    /** @param capacity What is on offer; may be replaced while the desk is open. */
+    /** @param capacity What is on offer at first. */
     constructor(
-        public capacity: FailureDomainCapacity,
+        private capacity: FailureDomainCapacity,
         private readonly fleet: VmFleet,
         private readonly record: ActRecord,
         private readonly clock: Clock,
     ) {}
 
+    /** Changes what is on offer from now on. */
+    offer(change: CapacityChange): void {
+        this.capacity = { ...this.capacity, ...change };
+    }
+
     /** Handles `POST /failure-domains/DOMAIN/orders`. */
     async post(call: StandInCall): Promise<void> {
         const order = call.json(platformOrderSchema);
--- a/src/standIn/platform/platform.ts
+++ b/src/standIn/platform/platform.ts
@@ -1,23 +1,16 @@
-import { z } from "zod";
 import type { Clock } from "../../util/clock.js";
 import type { StandInCall } from "../standInCall.js";
 import { StandInServer } from "../standInServer.js";
 import { ActRecord } from "./actRecord.js";
 import type { EndpointStarter } from "./endpointStarter.js";
 import { OrderDesk } from "./orderDesk.js";
+import { handlePlatformControl } from "./platformControl.js";
 import { platformOptionsSchema } from "./platformOptions.js";
-import type { FailureDomainCapacity, PlatformOptions, PlatformOptionsInput } from "./platformOptions.js";
+import type { CapacityChange, PlatformOptions, PlatformOptionsInput } from "./platformOptions.js";
 import { UsageReports } from "./usageReports.js";
 import { VmFleet } from "./vmFleet.js";
 import { WeightStore } from "./weightStore.js";
 
-const reclaimSchema = z.strictObject({ failureDomain: z.string(), noticeMilliseconds: z.int().min(0) });
-const capacityChangeSchema = z.strictObject({
-    failureDomain: z.string(),
-    steadyCapacity: z.int().min(0).optional(),
-    cheapCapacity: z.int().min(0).optional(),
-});
-
 /**
  * A stand-in for the platform (docs/INTERFACES.md, "The platform").
  *
@@ -29,8 +22,7 @@
  *     platform.acts.outOfOrder();                          // [] when only one process was in charge at a time
  *     await platform.fleet.reclaim("hobart-a", 2_000);     // takes back its cheap endpoints
  *
- * Over HTTP: `POST /stand-in/reclaim` `{failureDomain, noticeMilliseconds}`, `POST /stand-in/capacity`
- * `{failureDomain, steadyCapacity?, cheapCapacity?}`, and `GET /stand-in/figures` for acts, reports and VMs.
+ * Over HTTP see {@link handlePlatformControl}; `GET /stand-in/figures` gives acts, reports, VMs and stops.
  */
 export class Platform extends StandInServer {
     /** Every order, weight load and usage report in order of arrival. */
@@ -58,13 +50,11 @@
         this.owned.defer(async () => this.fleet.stopAll());
     }
 
-    /** Changes what a failure domain offers from now on; throws on an unknown one. */
-    offer(failureDomain: string, change: Partial<Omit<FailureDomainCapacity, "name">>): void {
+    /** Changes what a failure domain offers from now on; false for an unknown one. */
+    offer(failureDomain: string, change: CapacityChange): boolean {
         const desk = this.desks.get(failureDomain);
-        if (desk === undefined) {
-            throw new Error(`no failure domain ${failureDomain}`);
-        }
-        desk.capacity = { ...desk.capacity, ...change };
+        desk?.offer(change);
+        return desk !== undefined;
     }
 
     override figures(): unknown {
@@ -73,19 +63,16 @@
             outOfOrder: this.acts.outOfOrder(),
             usageReports: this.usageReports.accepted,
             vms: this.fleet.current,
+            stops: this.fleet.stops,
         };
     }
 
     override control(name: string, call: StandInCall): boolean {
-        if (name === "POST reclaim") {
-            this.controlReclaim(call);
-            return true;
-        }
-        if (name === "POST capacity") {
-            this.controlCapacity(call);
-            return true;
-        }
-        return false;
+        return handlePlatformControl(name, call, this);
+    }
+
+    protected override forget(): void {
+        // The platform keeps its state on disk, so a crash loses connections alone.
     }
 
     protected override isWork(): boolean {
@@ -128,25 +115,4 @@
             await desk.get(call, id);
         }
     }
-
-    private controlReclaim(call: StandInCall): void {
-        const body = call.json(reclaimSchema);
-        if (body.err) {
-            call.refuse(400, body.val);
-            return;
-        }
-        void this.fleet.reclaim(body.val.failureDomain, body.val.noticeMilliseconds);
-        call.answerAlways(204);
-    }
-
-    private controlCapacity(call: StandInCall): void {
-        const body = call.json(capacityChangeSchema);
-        if (body.err || !this.desks.has(body.val.failureDomain)) {
-            call.refuse(400, body.err ? body.val : "unknown failure domain");
-            return;
-        }
-        const { failureDomain, ...change } = body.val;
-        this.offer(failureDomain, change);
-        call.answerAlways(204);
-    }
 }
--- a/src/standIn/platform/platformOptions.ts
+++ b/src/standIn/platform/platformOptions.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { vmSchema } from "./vm.js";
 
 const capacitySchema = z.strictObject({
     name: z.string(),
@@ -10,6 +11,8 @@
 export const platformOptionsSchema = z.strictObject({
     name: z.string().default("platform"),
     failureDomains: z.array(capacitySchema).readonly().default([]),
+    vms: z.array(vmSchema).readonly().default([]).describe("VMs that others have started."),
+    announcesLeaving: z.boolean().default(false).describe("Whether endpoints are told that they are taken back."),
     startMilliseconds: z.number().min(0).default(0).describe("Time until an ordered endpoint runs."),
     listLagMilliseconds: z.number().min(0).default(500).describe("Age of what the list of VMs says."),
     weightLoadsPerSecond: z.number().positive().default(2),
@@ -23,5 +26,11 @@
 /** Options as callers write them, with defaults left out. */
 export type PlatformOptionsInput = z.input<typeof platformOptionsSchema>;
 
+/** A change of what a failure domain offers. */
+export interface CapacityChange {
+    readonly steadyCapacity?: number | undefined;
+    readonly cheapCapacity?: number | undefined;
+}
+
 /** Supply of one failure domain. */
 export type FailureDomainCapacity = z.output<typeof capacitySchema>;
--- a/src/standIn/platform/vmFleet.ts
+++ b/src/standIn/platform/vmFleet.ts
@@ -1,13 +1,24 @@
-import type { Clock } from "../../util/clock.js";
+import type { Clock, Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 import { LaggedValue } from "../laggedValue.js";
 import type { EndpointRequest, EndpointStarter, StartedEndpoint } from "./endpointStarter.js";
 import type { PlatformOptions } from "./platformOptions.js";
 import type { Vm, VmListAnswer } from "./vm.js";
 
+/** An endpoint that was stopped. */
+export interface StoppedEndpoint {
+    readonly endpoint: string;
+    readonly stoppedAt: UnixMilliseconds;
+    /** Whether it was taken back, or stopped by an order. */
+    readonly reason: "reclaimed" | "ordered";
+    /** Requests that were cut by the stop. */
+    readonly cutRequests: number;
+}
+
 /** The VMs that the platform runs, and the lagging list that it publishes of them. */
 export class VmFleet {
     private readonly vms = new Map<string, Vm>();
     private readonly running = new Map<string, StartedEndpoint>();
+    private readonly stopped: StoppedEndpoint[] = [];
     private readonly published: LaggedValue<VmListAnswer>;
 
     constructor(
@@ -16,6 +27,7 @@
         private readonly starter: EndpointStarter,
         private readonly ended: AbortSignal,
     ) {
+        options.vms.forEach(vm => this.vms.set(vm.endpoint, vm));
         this.published = new LaggedValue(options.listLagMilliseconds, this.snapshot());
     }
 
@@ -24,6 +36,11 @@
         return [...this.vms.values()];
     }
 
+    /** The endpoints that were stopped, in order. */
+    get stops(): readonly StoppedEndpoint[] {
+        return this.stopped;
+    }
+
     /** The body of `GET /vms`. */
     list(): VmListAnswer {
         return this.published.read(this.clock.now());
@@ -47,11 +64,13 @@
     }
 
     /** Stops an endpoint at once; false when it is unknown. */
-    async stop(endpoint: string): Promise<boolean> {
+    async stop(endpoint: string, reason: StoppedEndpoint["reason"] = "ordered"): Promise<boolean> {
         const known = this.vms.delete(endpoint);
         const running = this.running.get(endpoint);
         this.running.delete(endpoint);
         this.publish();
+        const cutRequests = running?.runningRequests ?? 0;
+        this.stopped.push({ endpoint, stoppedAt: this.clock.unixNow(), reason, cutRequests });
         await running?.[Symbol.asyncDispose]();
         return known;
     }
@@ -61,14 +80,17 @@
      *
      * @param notice Time between their appearance as leaving and their end, in milliseconds.
      */
-    async reclaim(failureDomain: string, notice: number): Promise<void> {
+    async reclaim(failureDomain: string, notice: Milliseconds): Promise<void> {
         const leavesAt = this.clock.unixNow() + notice;
         const taken = this.current.filter(vm => vm.cheap && vm.failureDomain === failureDomain);
         for (const vm of taken) {
             this.put({ ...vm, state: "leaving", leavesAt });
+            if (this.options.announcesLeaving) {
+                this.running.get(vm.endpoint)?.announceLeaving();
+            }
         }
         await this.clock.sleep(notice, this.ended);
-        await Promise.all(taken.map(async vm => this.stop(vm.endpoint)));
+        await Promise.all(taken.map(async vm => this.stop(vm.endpoint, "reclaimed")));
     }
 
     /** Stops everything. */
--- a/src/standIn/requestRecord.ts
+++ b/src/standIn/requestRecord.ts
@@ -3,8 +3,17 @@
 /** Largest part of a body that is kept, in bytes. */
 const maximumBodyBytes = 256 * 1024;
 
+/** Requests that a record keeps. */
+const maximumRequests = 100_000;
+
+/** Bytes of bodies that a record keeps in all. */
+const maximumTotalBytes = 128 * 1024 * 1024;
+
 /** A header as it arrived: name in its original letters, and value. */
-export type RawHeader = readonly [name: string, value: string];
+export interface RawHeader {
+    readonly name: string;
+    readonly value: string;
+}
 
 /** One request as a stand-in received it. */
 export interface RecordedRequest {
@@ -26,16 +35,21 @@
     readonly status: number | undefined;
 }
 
+/** What is known of a request when its headers have arrived. */
+export type RequestStart = Omit<RecordedRequest, "number" | "body" | "bodyBytes" | "status">;
+
 /** What the record learns of a request after its headers. */
-export type RequestProgress = Partial<Pick<RecordedRequest, "bodyBytes" | "status">> & { readonly body?: Buffer; };
+export interface RequestProgress {
+    readonly body?: Buffer;
+    readonly bodyBytes?: number;
+    readonly status?: number;
+}
 
 /** The newest requests that a stand-in received, in order of arrival. */
 export class RequestRecord {
     private readonly requests = new Map<number, RecordedRequest>();
     private received = 0;
-
-    /** @param limit Number of requests that are kept. */
-    constructor(private readonly limit: number) {}
+    private keptBytes = 0;
 
     /** Number of requests received so far, also those that are no longer kept. */
     get count(): number {
@@ -43,18 +57,16 @@
     }
 
     /** Takes in a request whose headers have arrived; returns its number. */
-    begin(
-        request: Pick<RecordedRequest, "receivedAt" | "receivedMonotonic" | "method" | "target" | "headers">,
-    ): number {
+    begin(start: RequestStart): number {
         this.received++;
         this.requests.set(this.received, {
-            ...request,
+            ...start,
             number: this.received,
             body: "",
             bodyBytes: 0,
             status: undefined,
         });
-        this.requests.delete(this.received - this.limit);
+        this.forgetOldest();
         return this.received;
     }
 
@@ -65,6 +77,7 @@
             return;
         }
         const body = progress.body?.subarray(0, maximumBodyBytes).toString("utf8") ?? known.body;
+        this.keptBytes += body.length - known.body.length;
         this.requests.set(number, { ...known, ...progress, body });
     }
 
@@ -73,12 +86,31 @@
         return [...this.requests.values()].filter(request => request.number > number);
     }
 
-    /** The kept requests whose target, headers or body contain a text; proves that a secret never arrived. */
+    /** The kept requests whose target, headers or body contain a text; shows that a secret never arrived. */
     containing(text: string): readonly RecordedRequest[] {
         return this.after().filter(request =>
             request.target.includes(text)
             || request.body.includes(text)
-            || request.headers.some(([name, value]) => name.includes(text) || value.includes(text))
+            || request.headers.some(header => header.name.includes(text) || header.value.includes(text))
         );
     }
+
+    private forgetOldest(): void {
+        for (const [number, request] of this.requests) {
+            if (this.requests.size <= maximumRequests && this.keptBytes <= maximumTotalBytes) {
+                return;
+            }
+            this.requests.delete(number);
+            this.keptBytes -= request.body.length;
+        }
+    }
+}
+
+/** Headers from the list in which Node.js gives names and values by turns. */
+export function rawHeadersOf(list: readonly string[]): readonly RawHeader[] {
+    const headers: RawHeader[] = [];
+    for (let index = 0; index + 1 < list.length; index += 2) {
+        headers.push({ name: list[index] ?? "", value: list[index + 1] ?? "" });
+    }
+    return headers;
 }
--- a/src/standIn/runStandIn.ts
+++ b/src/standIn/runStandIn.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import process from "node:process";
 import { z } from "zod";
+import { exitFailure, exitUsage } from "../bin/runProgram.js";
 import type { StandInServer } from "./standInServer.js";
 
 /** How long running requests may take to end after a signal, in milliseconds. */
@@ -14,21 +15,38 @@
     readonly options: string;
 }
 
-/**
- * Runs a stand-in as the work of this process until SIGTERM or SIGINT.
- *
- * @param create Makes the stand-in from the options of the command line; throws on options that it does not know.
- */
-export async function runStandIn(
-    role: string,
-    flags: StandInFlags,
-    create: (options: Readonly<Record<string, unknown>>) => StandInServer,
-): Promise<void> {
+/** Makes a stand-in from the options of the command line; throws on options that it does not know. */
+export type StandInMaker = (options: Readonly<Record<string, unknown>>) => StandInServer;
+
+/** Runs a stand-in as the work of this process until SIGTERM or SIGINT. */
+export async function runStandIn(role: string, flags: StandInFlags, create: StandInMaker): Promise<void> {
     const name = flags.name ?? role;
-    const further = z.record(z.string(), z.unknown()).parse(JSON.parse(flags.options));
-    await using standIn = create({ ...further, name });
-    const address = await standIn.start(flags.port);
-    process.stdout.write(`${JSON.stringify({ role, name, address })}\n`);
-    await Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
+    const made = make(name, flags.options, create);
+    if (made === undefined) {
+        process.exitCode = exitUsage;
+        return;
+    }
+    await using standIn = made;
+    const stopped = Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
+    try {
+        const address = await standIn.start(flags.port);
+        process.stdout.write(`${JSON.stringify({ role, name, address })}\n`);
+    }
+    catch (error) {
+        process.stderr.write(`The ${role} cannot listen on port ${flags.port}: ${String(error)}\n`);
+        process.exitCode = exitFailure;
+        return;
+    }
+    await stopped;
     await standIn.drain(longestDrain);
 }
+
+function make(name: string, options: string, create: StandInMaker): StandInServer | undefined {
+    try {
+        return create({ ...z.record(z.string(), z.unknown()).parse(JSON.parse(options)), name });
+    }
+    catch (error) {
+        process.stderr.write(`The options are not acceptable: ${String(error)}\n`);
+        return undefined;
+    }
+}
--- a/src/standIn/standInServer.ts
+++ b/src/standIn/standInServer.ts
@@ -1,13 +1,15 @@
+import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { Clock } from "../util/clock.js";
+import { readBody } from "../connection/httpBody.js";
+import type { Clock, Milliseconds } from "../util/clock.js";
 import { DisposableStore } from "../util/disposableStore.js";
 import { controlPrefix, handleControlCall } from "./controlCalls.js";
 import { FaultSet } from "./faultSet.js";
-import { RequestRecord } from "./requestRecord.js";
-import type { RawHeader } from "./requestRecord.js";
+import { rawHeadersOf, RequestRecord } from "./requestRecord.js";
 import { StandInCall } from "./standInCall.js";
+import type { CallContext } from "./standInCall.js";
 
 /** The only address that stand-ins listen on. */
 const loopback = "127.0.0.1";
@@ -15,9 +17,6 @@
 /** Largest accepted body of a request, in bytes. */
 const maximumBodyBytes = 16 * 1024 * 1024;
 
-/** Requests that the record keeps. */
-const recordLimit = 100_000;
-
 /**
  * An outside system that tests and the quickstart run on loopback in place of a real one.
  *
@@ -28,16 +27,19 @@
     /** The faults that this stand-in shows. */
     readonly faults = new FaultSet();
     /** Every request that it received, apart from control calls. */
-    readonly record = new RequestRecord(recordLimit);
+    readonly record = new RequestRecord();
     /** What ends with this stand-in. */
     protected readonly owned = new DisposableStore();
     private readonly ending = new AbortController();
+    private readonly context: CallContext;
     private server: Server | undefined;
     private port = 0;
 
     constructor(protected readonly clock: Clock) {
+        setMaxListeners(0, this.ending.signal);
+        this.context = { faults: this.faults, record: this.record, clock, ended: this.ended };
         this.faults.onChange(() => {
-            void this.followCrash();
+            this.crashWhereTold();
         });
     }
 
@@ -51,7 +53,7 @@
         return this.ending.signal;
     }
 
-    /** Listens on loopback; 0 takes a free port. Returns the address. */
+    /** Listens on loopback; 0 takes a free port. Returns the address; rejects when the port is taken. */
     async start(port = 0): Promise<string> {
         const server = createServer({ keepAliveTimeout: 0, requestTimeout: 0 }, (request, response) => {
             void this.serve(request, response);
@@ -65,17 +67,25 @@
         return this.address;
     }
 
+    /** Ends a crash: listens again under the same address. */
+    async recover(): Promise<void> {
+        this.faults.clear("crash");
+        if (this.server === undefined) {
+            await this.start(this.port);
+        }
+    }
+
     /** Refuses new connections and waits until the running requests are answered, at most for a span of time. */
-    async drain(longest: number): Promise<void> {
+    async drain(longest: Milliseconds): Promise<void> {
         const server = this.server;
         if (server === undefined) {
             return;
         }
-        const closed = new Promise<void>(resolve =>
+        const closed = new Promise<void>(resolve => {
             server.close(() => {
                 resolve();
-            })
-        );
+            });
+        });
         server.closeIdleConnections();
         await Promise.race([closed, this.clock.sleep(longest, this.ended)]);
     }
@@ -101,32 +111,32 @@
     protected abstract isWork(call: StandInCall): boolean;
 
     /** Called when all connections were destroyed because of a crash. */
-    protected onCrash(): void {
-        // Kinds that hold state in memory forget it here.
-    }
+    protected abstract forget(): void;
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         response.on("error", () => undefined);
         const controls = request.url?.startsWith(controlPrefix) ?? false;
         const number = controls ? 0 : this.recordRequest(request);
-        const body = await readBody(request);
-        if (body === undefined) {
+        const body = await readBody(request, maximumBodyBytes);
+        if (body.err) {
             response.destroy();
             return;
         }
-        const call = new StandInCall(request, response, body, number, this.faults, this.record);
+        const call = new StandInCall(request, response, body.val, number, this.context);
         if (controls) {
             handleControlCall(call, this);
             return;
         }
-        this.record.update(number, { body, bodyBytes: body.length });
-        await this.handleUnderFaults(call);
+        this.record.update(number, { body: body.val, bodyBytes: body.val.length });
+        await this.handleUnderFaults(call).catch((error: unknown) => {
+            call.refuse(500, String(error));
+        });
     }
 
     private async handleUnderFaults(call: StandInCall): Promise<void> {
-        const late = this.faults.strike("answerLate", call.path);
-        if (late !== undefined) {
-            await this.clock.sleep(late.milliseconds, this.ended);
+        if (this.faults.peek("answerLate", call.path)?.when === "before") {
+            const late = this.faults.strike("answerLate", call.path);
+            await this.clock.sleep(late?.milliseconds ?? 0, this.ended);
         }
         await this.waitOutStall(call);
         if (call.response.destroyed) {
@@ -140,49 +150,43 @@
     }
 
     private async waitOutStall(call: StandInCall): Promise<void> {
-        for (;;) {
+        while (!call.response.destroyed && !this.ended.aborted) {
             const stall = this.faults.peek("stall", call.path);
             const exempt = call.path === "/v1/load" && stall?.alsoLoadReport === false;
-            if (stall === undefined || exempt || call.response.destroyed) {
+            if (stall === undefined || exempt) {
                 return;
             }
-            await this.faults.changed();
+            await this.faults.changed(this.ended);
         }
     }
 
     private recordRequest(request: IncomingMessage): number {
-        const raw = request.rawHeaders;
-        const headers: RawHeader[] = [];
-        for (let index = 0; index + 1 < raw.length; index += 2) {
-            headers.push([raw[index] ?? "", raw[index + 1] ?? ""]);
-        }
         return this.record.begin({
             receivedAt: this.clock.unixNow(),
             receivedMonotonic: this.clock.now(),
             method: request.method ?? "",
             target: request.url ?? "",
-            headers,
+            headers: rawHeadersOf(request.rawHeaders),
         });
     }
 
-    private async followCrash(): Promise<void> {
+    private crashWhereTold(): void {
         const crash = this.faults.peek("crash");
-        if (crash !== undefined && this.server !== undefined) {
-            this.stopListening();
-            this.onCrash();
-            await this.recoverLater(crash.recoverAfterMilliseconds);
+        if (crash === undefined || this.server === undefined) {
+            return;
         }
-        else if (crash === undefined && this.server === undefined && this.port !== 0 && !this.ended.aborted) {
-            await this.start(this.port);
+        this.stopListening();
+        this.forget();
+        if (crash.recoverAfterMilliseconds !== undefined) {
+            void this.recoverLater(crash.recoverAfterMilliseconds);
         }
     }
 
-    private async recoverLater(delay: number | undefined): Promise<void> {
-        if (delay === undefined) {
-            return;
-        }
+    private async recoverLater(delay: Milliseconds): Promise<void> {
         await this.clock.sleep(delay, this.ended);
-        this.faults.clear("crash");
+        if (!this.ended.aborted) {
+            await this.recover();
+        }
     }
 
     private stopListening(): void {
@@ -191,21 +195,3 @@
         this.server = undefined;
     }
 }
-
-async function readBody(request: IncomingMessage): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    try {
-        for await (const chunk of request as AsyncIterable<Buffer>) {
-            length += chunk.length;
-            if (length > maximumBodyBytes) {
-                return undefined;
-            }
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        return undefined;
-    }
-    return Buffer.concat(chunks);
-}
--- /dev/null
+++ b/tests/bin/gullhallStandIn.test.ts
@@ -0,0 +1,58 @@
+import { spawn } from "node:child_process";
+import type { ChildProcessWithoutNullStreams } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import { describe, it } from "../describe.js";
+import { callHttp, chunksOf, jsonOf } from "../standIn/httpCaller.js";
+
+interface ServingLine {
+    readonly role: string;
+    readonly name: string;
+    readonly address: string;
+}
+
+function run(...parameters: readonly string[]): ChildProcessWithoutNullStreams {
+    return spawn(process.execPath, ["dist/src/bin/gullhallStandIn.js", ...parameters]);
+}
+
+async function servingLine(program: ChildProcessWithoutNullStreams): Promise<ServingLine> {
+    const [line] = await once(createInterface(program.stdout), "line") as [string];
+    return JSON.parse(line) as ServingLine;
+}
+
+describe("gullhall-stand-in", () => {
+    for (const role of ["engine", "service", "platform"]) {
+        it(`serves as ${role} and ends on SIGTERM`, async t => {
+            const program = run(role, "--name", "one");
+            const serving = await servingLine(program);
+            t.like(serving, { role, name: "one" });
+            t.is((await callHttp(serving.address, "/stand-in/faults")).status, 200);
+            program.kill("SIGTERM");
+            const [code] = await once(program, "exit") as [number];
+            t.is(code, 0);
+        });
+    }
+
+    it("finishes a running answer before it ends", async t => {
+        const program = run("engine", "--options", JSON.stringify({ models: ["alpha"], stepMilliseconds: 2 }));
+        const { address } = await servingLine(program);
+        const body = { model: "alpha", stream: true, prompt: "hello [answer-tokens: 100]" };
+        const answer = callHttp(address, "/v1/completions", { body });
+        for (let accepted = 0; accepted === 0;) {
+            ({ accepted } = jsonOf<{ readonly accepted: number; }>(await callHttp(address, "/stand-in/figures")));
+        }
+        program.kill("SIGTERM");
+        const { chunks, done } = chunksOf(await answer);
+        t.true(done);
+        t.is(chunks.length, 100);
+        await once(program, "exit");
+    });
+
+    for (const parameters of [[], ["oven"], ["engine", "--unknown"], ["engine", "--options", "{\"models\": 3}"]]) {
+        it(`refuses the command line [${parameters.join(" ")}]`, async t => {
+            const [code] = await once(run(...parameters), "exit") as [number];
+            t.is(code, 2);
+        });
+    }
+});
