test(standIn): check imported context and orders that start at a time

Cause: two trials that broke the code on purpose (imported context counted as none; endpoints that are still starting not counted against capacity) passed the tests.

Change: the import test counts prefilled tokens, which engines now report; the order test starts endpoints with a delay; exit codes come from src/util/exitCode.ts.

--- a/src/bin/gullhallStandIn.ts
+++ b/src/bin/gullhallStandIn.ts
@@ -16,8 +16,8 @@
 import { Platform } from "../standIn/platform/platform.js";
 import { runStandIn } from "../standIn/runStandIn.js";
 import { SystemClock } from "../util/clock.js";
+import { exitUsage } from "../util/exitCode.js";
 import { packageVersion } from "../util/packageVersion.js";
-import { exitUsage } from "./runProgram.js";
 
 const clock = new SystemClock();
 
--- a/src/standIn/modelEngine/batch.ts
+++ b/src/standIn/modelEngine/batch.ts
@@ -147,6 +147,7 @@
 
     private prefill(sequence: Sequence, tokens: number): void {
         sequence.remainingPrefill -= tokens;
+        sequence.prefilledTokens += tokens;
         if (sequence.remainingPrefill === 0) {
             this.cache.store(sequence.request.digests);
         }
--- a/src/standIn/modelEngine/completionCalls.ts
+++ b/src/standIn/modelEngine/completionCalls.ts
@@ -132,6 +132,7 @@
             cancelled: sequence.complete ? 0 : 1,
             promptTokens: sequence.request.promptTokens,
             cachedTokens: sequence.cachedTokens ?? 0,
+            prefilledTokens: sequence.prefilledTokens,
             tokensMade: sequence.nextToken - sequence.request.firstToken,
             preemptions: sequence.preemptions,
         });
--- a/src/standIn/modelEngine/engineFigures.ts
+++ b/src/standIn/modelEngine/engineFigures.ts
@@ -7,6 +7,8 @@
     readonly tokensMade: number;
     readonly promptTokens: number;
     readonly cachedTokens: number;
+    /** Tokens of context that were computed. */
+    readonly prefilledTokens: number;
     readonly preemptions: number;
 }
 
@@ -20,6 +22,7 @@
         tokensMade: 0,
         promptTokens: 0,
         cachedTokens: 0,
+        prefilledTokens: 0,
         preemptions: 0,
     };
 
--- a/src/standIn/modelEngine/sequence.ts
+++ b/src/standIn/modelEngine/sequence.ts
@@ -56,6 +56,8 @@
     remainingPrefill = 0;
     /** Prompt tokens that the prefix cache saved at the first admission; undefined before it. */
     cachedTokens: number | undefined;
+    /** Tokens of context that were computed so far. */
+    prefilledTokens = 0;
     /** How often it was pushed out of the batch. */
     preemptions = 0;
 
--- a/src/standIn/runStandIn.ts
+++ b/src/standIn/runStandIn.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import process from "node:process";
 import { z } from "zod";
-import { exitFailure, exitUsage } from "../bin/runProgram.js";
+import { exitFailure, exitUsage } from "../util/exitCode.js";
 import type { StandInServer } from "./standInServer.js";
 
 /** How long running requests may take to end after a signal, in milliseconds. */
--- a/tests/standIn/modelEngine/modelEngine.test.ts
+++ b/tests/standIn/modelEngine/modelEngine.test.ts
@@ -242,6 +242,10 @@
             t.is(tokens, Math.ceil(promptText({ messages: messagesOf(content) }).length / 4) + 1);
             const body = { requestId: "r1", handle };
             t.is((await callHttp(other.address, "/v1/kv/import", { body })).status, 204);
+            const fields = { resume_at: 1, resume_text: planOf(content).text(0, 1), max_tokens: 2 };
+            await chat(other, content, "r1", fields);
+            await chat(other, content.replace("y", "z"), "r2", { max_tokens: 2 });
+            t.like(other.figures(), { finished: 2, prefilledTokens: tokens - 1 });
         });
     });
 
--- a/tests/standIn/platform/platform.test.ts
+++ b/tests/standIn/platform/platform.test.ts
@@ -47,7 +47,7 @@
         });
 
         it("are granted in part where capacity is short, counted over orders at a time", async t => {
-            await using platform = await startPlatform();
+            await using platform = await startPlatform({ startMilliseconds: 30 });
             const answers = await Promise.all(["o1", "o2"].map(async id => startOrder(platform, id, true, 2)));
             t.is(answers.reduce((sum, answer) => sum + answer.granted.length, 0), 2);
             t.is(answers.reduce((sum, answer) => sum + answer.unavailable, 0), 2);
