--- a/src/process/entry/entryMetrics.ts
+++ b/src/process/entry/entryMetrics.ts
@@ -36,6 +36,24 @@
     readonly times: Readonly<Record<MeasuredTime, TimeSummary>>;
 }
 
+/** What is counted over all requests. */
+export const entryCounters = [
+    "firstAttempts",
+    "retries",
+    "resumes",
+    "preemptions",
+    "foreignAnswers",
+    "malformedAnswers",
+    "stalledAnswers",
+    "callersCut",
+    "callersRefused",
+    "claimsRepeated",
+    "claimsUnconfirmed",
+] as const;
+
+/** Name of a counter. */
+export type EntryCounter = typeof entryCounters[number];
+
 interface Series extends SeriesLabels {
     readonly times: Readonly<Record<MeasuredTime, TimeHistogram>>;
     readonly ends: Record<RequestEnd, number>;
@@ -56,6 +74,17 @@
 /** Histograms and counters of an entry, for each class and team; bounded in number. */
 export class EntryMetrics {
     private readonly series = new Map<string, Series>();
+    private readonly counts = new Map<EntryCounter, number>(entryCounters.map(counter => [counter, 0]));
+
+    /** Adds to a counter. */
+    count(counter: EntryCounter, increment = 1): void {
+        this.counts.set(counter, this.countOf(counter) + increment);
+    }
+
+    /** The present value of a counter. */
+    countOf(counter: EntryCounter): number {
+        return this.counts.get(counter) ?? 0;
+    }
 
     /** Records a time of a request. */
     recordTime(labels: SeriesLabels, measured: MeasuredTime, time: Milliseconds): void {
@@ -101,6 +130,11 @@
         for (const series of this.series.values()) {
             writeSeries(writer, series);
         }
+        for (const [counter, count] of this.counts) {
+            const name = `gullhall_${snakeCase(counter)}_total`;
+            writer.family(name, "counter", "Events over all requests.");
+            writer.sample(name, {}, count);
+        }
     }
 
     private seriesOf(labels: SeriesLabels): Series {
@@ -152,3 +186,7 @@
     }
     writer.sample(targetFamily, labels, series.withinTarget);
 }
+
+function snakeCase(name: string): string {
+    return name.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+}
