feat(operator): add drain, usage and members

Change: calls /v1/usage, /v1/members/add, promote and remove, /v1/entries/drain; status shows members, term and log positions; an entry that is asked to drain leaves discovery, finishes its requests and ends by itself. Conclusion: the commands are built; the tests with a running cluster follow.

--- a/src/bin/runProgram.ts
+++ b/src/bin/runProgram.ts
@@ -11,6 +11,8 @@
 export interface ServingProcess extends AsyncDisposable {
     /** Starts to serve; resolves with what is shown on standard output. */
     start(): Promise<object>;
+    /** Resolves with the reason when the process should stop without a signal. */
+    readonly stopRequested?: Promise<string>;
 }
 
 /** What a program's settings must contain to run it. */
@@ -60,7 +62,7 @@
         process.exitCode = exitFailure;
         return;
     }
-    eventLog.write("processStopping", { reason: await stopping });
+    eventLog.write("processStopping", { reason: await Promise.race([stopping, serving.stopRequested ?? stopping]) });
     await serving[Symbol.asyncDispose]();
     eventLog.write("processStopped", {});
 }
--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -123,6 +123,9 @@
             entries: listing === this.sentListing ? undefined : entries.listings(),
         });
         this.sentListing = listing;
+        if (!request.status.draining && entries.drainRequested(hello.entry, hello.incarnation)) {
+            this.send({ kind: "drain" });
+        }
     }
 
     private reached(position: number): Promise<boolean> {
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -4,14 +4,18 @@
 import { keyDigest } from "../../util/keyDigest.js";
 import { listen } from "../../util/socketAddress.js";
 import { answerFailure } from "../httpAnswer.js";
+import { EntryCalls } from "./entryCalls.js";
 import { ExplainCalls } from "./explainCalls.js";
 import { KeyCalls } from "./keyCalls.js";
 import { ManifestCalls } from "./manifestCalls.js";
 import type { ManifestCallsOptions } from "./manifestCalls.js";
+import { MemberCalls } from "./memberCalls.js";
 import type { OperatorRoute } from "./operatorExchange.js";
 import { StatusCalls } from "./statusCalls.js";
 import type { StatusCallsOptions } from "./statusCalls.js";
 
+import { UsageCalls } from "./usageCalls.js";
+
 /** What the server uses. */
 export interface OperatorServerOptions extends ManifestCallsOptions, StatusCallsOptions {
     /** Address to listen on. */
@@ -31,6 +35,9 @@
             new KeyCalls(options),
             new StatusCalls(options),
             new ExplainCalls(options),
+            new UsageCalls(options),
+            new MemberCalls(options.members),
+            new EntryCalls(options),
         ];
         const routes = groups.flatMap(group => group.routes);
         this.routes = new Map(routes.map(route => [`${route.method} ${route.path}`, route]));
--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { CommandLog, FencingToken } from "../../process/replicatedLog/commandLog.js";
+import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLog.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
@@ -8,9 +9,10 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { Result } from "../../util/result.js";
 import { answerFailure } from "../httpAnswer.js";
+import type { MemberAdministration } from "./memberCalls.js";
 import { answerResult, checkCall, leaderToken } from "./operatorExchange.js";
 import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
-import type { ControlStatus, EntryStanding } from "./operatorMessages.js";
+import type { ControlStatus, EntryStanding, LogStanding, MemberStanding } from "./operatorMessages.js";
 
 /** Longest wait for a version to be in force everywhere, in milliseconds. */
 const maximumInForceWait: Milliseconds = 30_000;
@@ -26,6 +28,7 @@
     readonly clock: Clock;
     readonly state: ControlState;
     readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly members: MemberAdministration;
     readonly entries: EntryTable;
 }
 
@@ -51,15 +54,19 @@
     }
 
     private status(token: FencingToken, now: Milliseconds): ControlStatus {
-        const { state, entries, settings, commandLog } = this.options;
+        const { state, entries, settings, commandLog, members } = this.options;
         const section = state.configuration;
+        entries.enterTerm(token.fencingNumber, now);
         return {
             control: settings.name,
             leaderAddress: commandLog.leaderAddress(),
             fencingNumber: token.fencingNumber,
+            log: logStanding(members.status()),
+            members: memberStandings(members.status()),
             version: section.current.version,
             manifest: section.newestManifest,
             entries: entryStandings(entries, now),
+            entriesComplete: !entries.mayMissEntries(now),
             pools: (section.current.manifest?.pools ?? []).map(({ name, kind, endpoints }) => ({
                 name,
                 kind,
@@ -105,6 +112,7 @@
 export function entryStandings(entries: EntryTable, now: Milliseconds): readonly EntryStanding[] {
     return entries.all(now).map(record => ({
         entry: record.entry,
+        incarnation: record.incarnation,
         failureDomain: record.failureDomain,
         callerAddress: record.callerAddress,
         metricsAddress: record.metricsAddress,
@@ -114,3 +122,17 @@
         ...record.status,
     }));
 }
+
+function logStanding({ memberId, term, lastPosition, commitPosition, appliedPosition }: ReplicaStatus): LogStanding {
+    return { memberId, term, lastPosition, commitPosition, appliedPosition };
+}
+
+function memberStandings({ membership, leaderId }: ReplicaStatus): readonly MemberStanding[] {
+    return membership.members.map(({ memberId, role, address, operatorAddress }) => ({
+        memberId,
+        role,
+        address,
+        operatorAddress,
+        leads: memberId === leaderId,
+    }));
+}
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -36,6 +36,8 @@
     readonly configuration: EntryConfiguration;
     readonly permit: ServingPermit;
     readonly status: () => EntryStatus;
+    /** Called when an operator asked this entry to stop gracefully. */
+    readonly onDrain: () => void;
     readonly onListing: (entries: readonly EntryListing[]) => void;
 }
 
@@ -125,6 +127,10 @@
                 this.reportVersion();
                 return followed;
             })
+            .with({ kind: "drain" }, () => {
+                this.context.onDrain();
+                return true;
+            })
             .with({ kind: "permit" }, permit => {
                 this.takePermit(permit);
                 return true;
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -63,6 +63,8 @@
     | { readonly kind: "redirect"; readonly leaderAddress: string | undefined; }
     /** Bytes of an encoded {@link ConfigurationSnapshot}; the last part completes it. */
     | { readonly kind: "snapshotPart"; readonly bytes: Uint8Array; readonly last: boolean; }
+    /** An operator asked this entry to stop gracefully. */
+    | { readonly kind: "drain"; }
     | { readonly kind: "changes"; readonly changes: readonly VersionedChange[]; }
     | {
         readonly kind: "permit";
--- a/src/operator/answerSchemas.ts
+++ b/src/operator/answerSchemas.ts
@@ -31,6 +31,7 @@
 
 const entrySchema = z.object({
     entry: z.string(),
+    incarnation: z.string(),
     failureDomain: z.string(),
     callerAddress: z.string(),
     metricsAddress: z.string(),
@@ -46,16 +47,80 @@
 export const controlStatusSchema = z.object({
     control: z.string(),
     leaderAddress: z.string().optional(),
-    fencingNumber: z.int().optional(),
+    fencingNumber: z.int(),
+    log: z.object({
+        memberId: z.string(),
+        term: z.int(),
+        lastPosition: z.int(),
+        commitPosition: z.int(),
+        appliedPosition: z.int(),
+    }).readonly(),
+    members: z.array(
+        z.object({
+            memberId: z.string(),
+            role: z.string(),
+            address: z.string(),
+            operatorAddress: z.string(),
+            leads: z.boolean(),
+        }).readonly(),
+    ).readonly(),
     version: z.int(),
     manifest: z.object({ number: z.int().optional(), operator: z.string(), receivedAt: z.number() }).readonly()
         .optional(),
     entries: z.array(entrySchema).readonly(),
+    entriesComplete: z.boolean(),
     pools: z.array(
         z.object({ name: z.string(), kind: z.string(), endpoints: z.array(endpointSchema).readonly() }).readonly(),
     ).readonly(),
 }).readonly();
 
+/** Schema of a change of members. */
+export const memberChangeSchema = z.object({ position: z.int(), repeated: z.boolean() }).readonly();
+
+/** Schema of an accepted wish to drain an entry. */
+export const drainSchema = z.object({ entry: z.string() }).readonly();
+
+const integerText = z.string().regex(/^\d+$/);
+const totalsSchema = z.object({
+    requests: integerText,
+    promptTokens: integerText,
+    cachedTokens: integerText,
+    outputTokens: integerText,
+    endpointTime: integerText,
+    price: integerText,
+    cut: integerText,
+}).readonly();
+
+/** Schema of the usage that control has counted. */
+export const usageSchema = z.object({
+    currency: z.string().optional(),
+    open: z.array(
+        z.object({
+            start: z.number(),
+            end: z.number(),
+            totals: totalsSchema,
+            lines: z.array(
+                z.object({
+                    team: z.string(),
+                    requestClass: z.string(),
+                    outcome: z.string(),
+                    correctionOf: z.number().optional(),
+                    totals: totalsSchema,
+                }).readonly(),
+            ).readonly(),
+        }).readonly(),
+    ).readonly(),
+    sealed: z.array(
+        z.object({
+            start: z.number(),
+            end: z.number(),
+            digest: z.string(),
+            reportedAt: z.number().optional(),
+            totals: totalsSchema,
+        }).readonly(),
+    ).readonly(),
+}).readonly();
+
 /** Schema of how the configuration alone resolves a request. */
 export const explanationSchema = z.object({
     version: z.int(),
@@ -117,6 +182,9 @@
 /** The state of the cluster as a control process sees it. */
 export type ShownStatus = z.output<typeof controlStatusSchema>;
 
+/** The usage that control has counted. */
+export type ShownUsage = z.output<typeof usageSchema>;
+
 /** How the configuration alone resolves a request. */
 export type ShownExplanation = z.output<typeof explanationSchema>;
 
--- a/src/operator/commandLine.ts
+++ b/src/operator/commandLine.ts
@@ -10,10 +10,13 @@
 import { printErrors, runCommand } from "./commandResult.js";
 import type { CommandResult } from "./commandResult.js";
 import { addDiffCommand } from "./diffCommand.js";
+import { addDrainCommand } from "./drainCommand.js";
 import { addExplainCommand } from "./explainCommand.js";
 import type { GlobalFlags } from "./globalFlags.js";
 import { addKeyCommands } from "./keyCommands.js";
+import { addMemberCommands } from "./memberCommands.js";
 import { addStatusCommand } from "./statusCommand.js";
+import { addUsageCommand } from "./usageCommand.js";
 import { addValidateCommand } from "./validateCommand.js";
 
 /** The commands, in the order of the help. */
@@ -24,6 +27,9 @@
     addKeyCommands,
     addStatusCommand,
     addExplainCommand,
+    addDrainCommand,
+    addUsageCommand,
+    addMemberCommands,
 ];
 
 /**
--- a/src/operator/statusLines.ts
+++ b/src/operator/statusLines.ts
@@ -10,6 +10,8 @@
     return [
         ...controlLines(status),
         "",
+        ...memberLines(status.members),
+        "",
         ...entryLines(status),
         "",
         ...endpointLines(status, states),
@@ -19,20 +21,34 @@
 }
 
 function controlLines(status: ShownStatus): readonly string[] {
-    const { control, fencingNumber, leaderAddress, version, manifest } = status;
-    const lease = fencingNumber === undefined ? "holds no lease" : `holds the lease of term ${fencingNumber}`;
+    const { control, fencingNumber, log, version, manifest } = status;
     const submitted = manifest === undefined
         ? "no manifest"
         : `manifest ${manifest.number ?? unknownFigure} by ${manifest.operator} at ${isoTime(manifest.receivedAt)}`;
-    const leader = leaderAddress === undefined ? [] : [`leader   ${leaderAddress}`];
-    return [`control  ${control}, ${lease}`, ...leader, `version  ${version}, ${submitted}`];
+    return [
+        `leader   ${control}, holds the lease of term ${fencingNumber}`,
+        `log      last ${log.lastPosition}, committed ${log.commitPosition}, applied ${log.appliedPosition}`,
+        `version  ${version}, ${submitted}`,
+    ];
+}
+
+/** The members of the log group for people. */
+export function memberLines(members: ShownStatus["members"]): readonly string[] {
+    const rows = members.map(member => [
+        member.memberId,
+        member.leads ? "leader" : member.role,
+        member.address,
+        member.operatorAddress,
+    ]);
+    return textTable(["member", "role", "peers at", "operators at"], rows);
 }
 
-function isoTime(unixMilliseconds: number): string {
+/** A time in the form of ISO 8601. */
+export function isoTime(unixMilliseconds: number): string {
     return new Date(unixMilliseconds).toISOString();
 }
 
-function entryLines({ version, entries }: ShownStatus): readonly string[] {
+function entryLines({ version, entries, entriesComplete }: ShownStatus): readonly string[] {
     const rows = entries.map(entry => [
         entry.entry,
         entry.failureDomain,
@@ -42,7 +58,8 @@
         String(entry.runningRequests),
         String(entry.waitingRequests),
     ]);
-    return textTable(["entry", "failure domain", "callers at", "version", "state", "running", "waiting"], rows);
+    const table = textTable(["entry", "failure domain", "callers at", "version", "state", "running", "waiting"], rows);
+    return entriesComplete ? table : [...table, "The leader is new; entries may be missing for a few seconds."];
 }
 
 function endpointLines({ pools }: ShownStatus, states: readonly FetchedState[]): readonly string[] {
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -11,6 +11,7 @@
 import { listen } from "../../util/socketAddress.js";
 import { WakeUp } from "../../util/wakeUp.js";
 import type { CommandLog } from "../replicatedLog/commandLog.js";
+import type { ReplicatedLog } from "../replicatedLog/replicatedLog.js";
 import { ControlProposals } from "../state/controlProposals.js";
 import { ControlState } from "../state/controlState.js";
 import type { ControlCommand, ControlOutcome } from "../state/controlState.js";
@@ -66,7 +67,7 @@
     }
 
     private async listenForOperators(
-        commandLog: CommandLog<ControlCommand, ControlOutcome>,
+        commandLog: ReplicatedLog<ControlCommand, ControlOutcome>,
         address: string,
     ): Promise<void> {
         const { settings, clock, state, entries, eventLog } = this;
@@ -76,7 +77,16 @@
             clock,
             eventLog,
         });
-        const server = new OperatorServer({ settings, clock, state, configuration, entries, commandLog, address });
+        const server = new OperatorServer({
+            settings,
+            clock,
+            state,
+            configuration,
+            entries,
+            commandLog,
+            members: commandLog,
+            address,
+        });
         await this.store.add(server).start();
     }
 
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -22,6 +22,7 @@
 /** The entries that may serve, as the leader of one term sees them. */
 export class EntryTable {
     private readonly records = new Map<string, EntryRecord>();
+    private readonly drainRequests = new Set<string>();
     private listingNumber = 0;
     private term: number | undefined;
     private earlierPermitsEndAt: Milliseconds = Number.POSITIVE_INFINITY;
@@ -36,6 +37,7 @@
         if (term !== this.term) {
             this.term = term;
             this.records.clear();
+            this.drainRequests.clear();
             this.earlierPermitsEndAt = now + permitMilliseconds;
             this.listingNumber++;
         }
@@ -72,6 +74,18 @@
         }
     }
 
+    /** Asks an entry to stop gracefully; false where no process of that name is connected. */
+    requestDrain(entry: string): boolean {
+        const connected = [...this.records].filter(([, record]) => record.entry === entry && record.connected);
+        connected.forEach(([key]) => this.drainRequests.add(key));
+        return connected.length > 0;
+    }
+
+    /** Whether this process of an entry was asked to stop. */
+    drainRequested(entry: string, incarnation: string): boolean {
+        return this.drainRequests.has(recordKey(entry, incarnation));
+    }
+
     /** The connected entries for discovery. */
     listings(): readonly EntryListing[] {
         const connected = [...this.records.values()].filter(record => record.connected);
@@ -93,6 +107,7 @@
         for (const [key, record] of this.records) {
             if (!record.connected && record.permitEndsAt <= now) {
                 this.records.delete(key);
+                this.drainRequests.delete(key);
             }
         }
     }
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -23,6 +23,11 @@
     private readonly store = new DisposableStore();
     private readonly stopping = new AbortController();
     private readonly state: EntryProcessState;
+    private requestStop: (reason: string) => void = () => undefined;
+    /** Resolves with the reason when the process should stop by itself. */
+    readonly stopRequested = new Promise<string>(resolve => {
+        this.requestStop = resolve;
+    });
 
     constructor(private readonly settings: EntrySettings, private readonly clock: Clock, eventLog: EventLog) {
         this.state = this.store.add(new EntryProcessState(settings, clock, eventLog));
@@ -60,6 +65,9 @@
                 configuration: state.configuration,
                 permit: state.permit,
                 status: () => state.status(),
+                onDrain: () => {
+                    this.requestStop("an operator drains this entry");
+                },
                 onListing: listings => {
                     state.discovery.update(listings);
                 },
--- a/src/resultCode/operatorCodes.ts
+++ b/src/resultCode/operatorCodes.ts
@@ -38,6 +38,12 @@
         text: "No entry named {entry} is connected to the leader.",
         advice: "Check the name with `gullhall status`.",
     },
+    drainNotBegun: {
+        number: 1507,
+        httpStatus: 504,
+        text: "Entry {entry} has not begun to drain in time.",
+        advice: "Look at `gullhall status`, and repeat the command.",
+    },
     optionsInvalid: {
         number: 1506,
         httpStatus: 400,
