--- a/src/bin/gullhall.ts
+++ b/src/bin/gullhall.ts
@@ -2,6 +2,7 @@
 /** `gullhall`: the operators' command line. */
 import { hideBin } from "yargs/helpers";
 import { runCommandLine } from "../operator/commandLine.js";
+import { ProcessSurroundings } from "../operator/surroundings.js";
 import { packageVersion } from "../util/packageVersion.js";
 
-await runCommandLine(hideBin(process.argv), packageVersion());
+process.exitCode = await runCommandLine(hideBin(process.argv), packageVersion(), new ProcessSurroundings());
--- a/src/operator/acceptedChange.ts
+++ b/src/operator/acceptedChange.ts
@@ -1,8 +1,8 @@
 import { Err, Ok } from "../util/result.js";
 import { acceptanceSchema, inForceSchema } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import type { CommandResult } from "./commandResult.js";
 import type { OperatorCall, OperatorClient } from "./operatorClient.js";
-import { askControl } from "./operatorCommand.js";
 
 /** The flag of commands that change the configuration. */
 export const waitOption = {
--- a/src/operator/applyCommand.ts
+++ b/src/operator/applyCommand.ts
@@ -3,11 +3,10 @@
 import { commandError } from "./commandError.js";
 import { connectionOptions } from "./connectionFlags.js";
 import type { CommandAdder } from "./globalFlags.js";
-import { runOperatorCommand } from "./operatorCommand.js";
 import { readDocument } from "./readDocument.js";
 
 /** Adds `gullhall apply FILE [--wait]`. */
-export const addApplyCommand: CommandAdder = program =>
+export const addApplyCommand: CommandAdder = (program, run) =>
     program.command(
         "apply <file>",
         "Submit a manifest; a repeat of the same one gives the first answer again",
@@ -17,7 +16,7 @@
                 .options(waitOption)
                 .positional("file", { type: "string", demandOption: true, describe: "Manifest" }),
         flags =>
-            runOperatorCommand(flags, async client => {
+            run.executeConnected(flags, async client => {
                 const body = await readDocument(flags.file);
                 if (body.err) {
                     return Err([commandError(body.val)]);
--- a/src/operator/operatorCommand.ts
+++ b/src/operator/askControl.ts
@@ -1,15 +1,10 @@
 import { z } from "zod";
 import type { FailureBody } from "../connection/httpAnswer.js";
 import { failure } from "../resultCode/resultCode.js";
-import { SystemClock } from "../util/clock.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { answeredErrors, commandError } from "./commandError.js";
 import type { CommandError } from "./commandError.js";
-import { runCommand } from "./commandResult.js";
-import type { CommandResult } from "./commandResult.js";
-import { connectOperator } from "./connectionFlags.js";
-import type { ConnectionFlags } from "./connectionFlags.js";
 import type { OperatorCall, OperatorClient } from "./operatorClient.js";
 
 /** The form of a failure of ours; other servers' errors look otherwise. */
@@ -21,22 +16,6 @@
     }),
 });
 
-/** The flags of a command that asks control. */
-export interface OperatorCommandFlags extends ConnectionFlags {
-    readonly json: boolean;
-}
-
-/** Runs a command that asks control: connects, runs it, prints its answer or errors. */
-export async function runOperatorCommand(
-    flags: OperatorCommandFlags,
-    command: (client: OperatorClient) => Promise<CommandResult>,
-): Promise<void> {
-    await runCommand(flags.json, async () => {
-        const client = await connectOperator(flags, process.env, new SystemClock());
-        return client.err ? Err(client.val.map(commandError)) : command(client.val);
-    });
-}
-
 /** Makes one call and checks the form of its answer. */
 export async function askControl<Schema extends z.ZodType>(
     client: OperatorClient,
--- a/src/operator/commandLine.ts
+++ b/src/operator/commandLine.ts
@@ -7,8 +7,9 @@
 import { Err, Ok } from "../util/result.js";
 import { addApplyCommand } from "./applyCommand.js";
 import { commandError } from "./commandError.js";
-import { printErrors, runCommand } from "./commandResult.js";
+import { printErrors } from "./commandResult.js";
 import type { CommandResult } from "./commandResult.js";
+import { CommandRun } from "./commandRun.js";
 import { addDiffCommand } from "./diffCommand.js";
 import { addDrainCommand } from "./drainCommand.js";
 import { addExplainCommand } from "./explainCommand.js";
@@ -16,9 +17,13 @@
 import { addKeyCommands } from "./keyCommands.js";
 import { addMemberCommands } from "./memberCommands.js";
 import { addStatusCommand } from "./statusCommand.js";
+import type { Surroundings } from "./surroundings.js";
 import { addUsageCommand } from "./usageCommand.js";
 import { addValidateCommand } from "./validateCommand.js";
 
+/** A command line that cannot be understood. */
+class UsageError extends Error {}
+
 /** The commands, in the order of the help. */
 const commandAdders = [
     addValidateCommand,
@@ -33,31 +38,49 @@
 ];
 
 /**
- * Runs the operators' command line; sets the exit code of the process.
+ * Runs the operators' command line.
  *
  * @param commandArguments Arguments after the program's name.
+ * @returns The exit code.
  */
-export async function runCommandLine(commandArguments: readonly string[], version: string): Promise<void> {
+export async function runCommandLine(
+    commandArguments: readonly string[],
+    version: string,
+    surroundings: Surroundings,
+): Promise<number> {
+    const run = new CommandRun(surroundings);
     const program = yargs([...commandArguments])
         .scriptName("gullhall")
         .usage("$0 <command> [options]")
         .option("json", { type: "boolean", default: false, global: true, describe: "Print JSON for programs" })
         .version(version);
-    const complete = commandAdders.reduce((extended, add) => add(extended), addSettingsCheck(program));
-    await complete
-        .epilogue("Exit codes: 0 done, 1 refused or failed, 2 wrong command line or settings.")
-        .strict()
-        .fail((message: string | undefined, error: Error | undefined) => {
-            const reason = message ?? error?.message ?? "unknown";
-            const json = commandArguments.includes("--json");
-            printErrors(json, [commandError(failure("commandLineInvalid", { reason, program: "gullhall" }))]);
-            process.exit(exitUsage);
-        })
-        .parseAsync();
+    const complete = commandAdders.reduce((extended, add) => add(extended, run), addSettingsCheck(program, run));
+    const showText = (...[, , text]: readonly [unknown, unknown, string]): void => {
+        surroundings.writeOutput(text === "" ? "" : `${text}\n`);
+    };
+    try {
+        await complete
+            .epilogue("Exit codes: 0 done, 1 refused or failed, 2 wrong command line or settings.")
+            .strict()
+            .exitProcess(false)
+            .fail((message: string | undefined, error: Error | undefined) => {
+                throw message ? new UsageError(message) : error ?? new UsageError("it cannot be read");
+            })
+            .parseAsync([...commandArguments], {}, showText);
+    }
+    catch (error) {
+        if (!(error instanceof UsageError)) {
+            throw error;
+        }
+        const reported = failure("commandLineInvalid", { reason: error.message, program: "gullhall" });
+        printErrors(surroundings, commandArguments.includes("--json"), [commandError(reported)]);
+        return exitUsage;
+    }
+    return run.exitCode;
 }
 
 /** Adds `gullhall --check-settings --settings FILE`, which runs no command. */
-function addSettingsCheck(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addSettingsCheck(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "$0",
         false,
@@ -70,13 +93,14 @@
                 })
                 .option("settings", { type: "string", describe: "Settings file, JSON with comments" })
                 .check(flags => {
-                    if (!flags["check-settings"] || flags.settings === undefined) {
+                    const complete = flags["check-settings"] && flags.settings !== undefined;
+                    if (!complete && flags["help"] !== true) {
                         throw new Error("name a command, or --check-settings with --settings FILE");
                     }
                     return true;
                 }),
         async flags => {
-            await runCommand(flags.json, () => checkSettings(flags.settings ?? ""), exitUsage);
+            await run.execute(flags, () => checkSettings(flags.settings ?? ""), exitUsage);
         },
     );
 }
--- a/src/operator/commandResult.ts
+++ b/src/operator/commandResult.ts
@@ -1,6 +1,6 @@
-import { exitFailure } from "../util/exitCode.js";
 import type { Result } from "../util/result.js";
 import type { CommandError } from "./commandError.js";
+import type { Surroundings } from "./surroundings.js";
 
 /** What a command shows on success. */
 export interface CommandAnswer {
@@ -13,28 +13,18 @@
 /** How a command ended. */
 export type CommandResult = Result<CommandAnswer, readonly CommandError[]>;
 
-/**
- * Runs a command, prints its answer or its errors, and sets the exit code of the process.
- *
- * @param failureCode Exit code when the command fails.
- */
-export async function runCommand(
-    json: boolean,
-    command: () => Promise<CommandResult>,
-    failureCode = exitFailure,
-): Promise<void> {
-    const result = await command();
-    if (result.ok) {
-        const { value, lines } = result.val;
-        process.stdout.write(`${json ? JSON.stringify(value) : lines.join("\n")}\n`);
+/** Prints what a command shows: its answer on standard output, or its errors on standard error. */
+export function printResult(surroundings: Surroundings, json: boolean, result: CommandResult): void {
+    if (result.err) {
+        printErrors(surroundings, json, result.val);
         return;
     }
-    printErrors(json, result.val);
-    process.exitCode = failureCode;
+    const { value, lines } = result.val;
+    surroundings.writeOutput(`${json ? JSON.stringify(value) : lines.join("\n")}\n`);
 }
 
-/** Prints errors on standard error: one line each, or one JSON object. */
-export function printErrors(json: boolean, errors: readonly CommandError[]): void {
+/** Prints errors: one line each, or one JSON object. */
+export function printErrors(surroundings: Surroundings, json: boolean, errors: readonly CommandError[]): void {
     const text = json ? JSON.stringify({ errors }) : errors.map(error => error.message).join("\n");
-    process.stderr.write(`${text}\n`);
+    surroundings.writeError(`${text}\n`);
 }
--- a/src/operator/diffCommand.ts
+++ b/src/operator/diffCommand.ts
@@ -1,10 +1,10 @@
 import { Err, Ok } from "../util/result.js";
 import { comparisonSchema } from "./answerSchemas.js";
 import type { Comparison } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import { commandError } from "./commandError.js";
 import { connectionOptions } from "./connectionFlags.js";
 import type { CommandAdder } from "./globalFlags.js";
-import { askControl, runOperatorCommand } from "./operatorCommand.js";
 import { readDocument } from "./readDocument.js";
 
 type Change = Comparison["changes"][number];
@@ -13,7 +13,7 @@
 const marks: Readonly<Record<Change["kind"], string>> = { added: "+", changed: "~", removed: "-" };
 
 /** Adds `gullhall diff FILE`. */
-export const addDiffCommand: CommandAdder = program =>
+export const addDiffCommand: CommandAdder = (program, run) =>
     program.command(
         "diff <file>",
         "Show what a manifest would change against the one in force",
@@ -22,7 +22,7 @@
                 .options(connectionOptions)
                 .positional("file", { type: "string", demandOption: true, describe: "Manifest" }),
         flags =>
-            runOperatorCommand(flags, async client => {
+            run.executeConnected(flags, async client => {
                 const body = await readDocument(flags.file);
                 if (body.err) {
                     return Err([commandError(body.val)]);
--- a/src/operator/drainCommand.ts
+++ b/src/operator/drainCommand.ts
@@ -1,16 +1,15 @@
 import { failure } from "../resultCode/resultCode.js";
-import { SystemClock } from "../util/clock.js";
 import type { Clock, Milliseconds } from "../util/clock.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { controlStatusSchema, drainSchema } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import { commandError } from "./commandError.js";
 import type { CommandError } from "./commandError.js";
 import type { CommandResult } from "./commandResult.js";
 import { connectionOptions } from "./connectionFlags.js";
 import type { CommandAdder } from "./globalFlags.js";
 import type { OperatorClient } from "./operatorClient.js";
-import { askControl, runOperatorCommand } from "./operatorCommand.js";
 
 /** Pause between two looks at the entry, in milliseconds. */
 const lookInterval: Milliseconds = 200;
@@ -30,7 +29,7 @@
 }
 
 /** Adds `gullhall drain ENTRY [--wait]`. */
-export const addDrainCommand: CommandAdder = program =>
+export const addDrainCommand: CommandAdder = (program, run) =>
     program.command(
         "drain <entry>",
         "Take an entry out of discovery and stop it gracefully; no request is cut",
@@ -39,7 +38,7 @@
                 .options(connectionOptions)
                 .positional("entry", { type: "string", demandOption: true, describe: "Name of the entry" })
                 .option("wait", { type: "boolean", default: false, describe: "Return when the entry has ended" }),
-        flags => runOperatorCommand(flags, client => drain(client, flags.entry, flags.wait, new SystemClock())),
+        flags => run.executeConnected(flags, client => drain(client, flags.entry, flags.wait, run.surroundings.clock)),
     );
 
 async function drain(client: OperatorClient, entry: string, wait: boolean, clock: Clock): Promise<CommandResult> {
--- a/src/operator/explainCommand.ts
+++ b/src/operator/explainCommand.ts
@@ -1,5 +1,6 @@
 import { Err, Ok } from "../util/result.js";
 import { explanationSchema } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import type { CommandResult } from "./commandResult.js";
 import { connectionOptions } from "./connectionFlags.js";
 import { fetchStates } from "./entryStateClient.js";
@@ -7,7 +8,6 @@
 import { explanationLines } from "./explanationLines.js";
 import type { CommandAdder } from "./globalFlags.js";
 import type { OperatorClient } from "./operatorClient.js";
-import { askControl, runOperatorCommand } from "./operatorCommand.js";
 
 /** The properties of the request that is asked about. */
 interface RequestFlags {
@@ -18,7 +18,7 @@
 }
 
 /** Adds `gullhall explain`. */
-export const addExplainCommand: CommandAdder = program =>
+export const addExplainCommand: CommandAdder = (program, run) =>
     program.command(
         "explain",
         "Say whether a request would be admitted, queued or refused, why, and where it would go",
@@ -35,7 +35,7 @@
                     }
                     return true;
                 }),
-        flags => runOperatorCommand(flags, client => explain(client, flags)),
+        flags => run.executeConnected(flags, client => explain(client, flags)),
     );
 
 async function explain(client: OperatorClient, flags: RequestFlags): Promise<CommandResult> {
--- a/src/operator/globalFlags.ts
+++ b/src/operator/globalFlags.ts
@@ -1,4 +1,5 @@
 import type { Argv } from "yargs";
+import type { CommandRun } from "./commandRun.js";
 
 /** Flags that every command of `gullhall` knows. */
 export interface GlobalFlags {
@@ -7,4 +8,4 @@
 }
 
 /** Adds a command to the command line. */
-export type CommandAdder = (program: Argv<GlobalFlags>) => Argv<GlobalFlags>;
+export type CommandAdder = (program: Argv<GlobalFlags>, run: CommandRun) => Argv<GlobalFlags>;
--- a/src/operator/keyCommands.ts
+++ b/src/operator/keyCommands.ts
@@ -3,22 +3,21 @@
 import { keyDigest } from "../util/keyDigest.js";
 import { Ok } from "../util/result.js";
 import { changeConfiguration, waitOption } from "./acceptedChange.js";
-import { runCommand } from "./commandResult.js";
 import type { CommandResult } from "./commandResult.js";
+import type { CommandRun } from "./commandRun.js";
 import { connectionOptions } from "./connectionFlags.js";
 import type { CommandAdder, GlobalFlags } from "./globalFlags.js";
 import type { OperatorClient } from "./operatorClient.js";
-import { runOperatorCommand } from "./operatorCommand.js";
 
 /** Adds `gullhall key new` and `gullhall key withdraw`. */
-export const addKeyCommands: CommandAdder = program =>
+export const addKeyCommands: CommandAdder = (program, run) =>
     program.command(
         "key",
         "Make and withdraw keys of teams",
-        builder => addWithdraw(addNew(builder)).demandCommand(1, "Name a command: new or withdraw."),
+        builder => addWithdraw(addNew(builder, run), run).demandCommand(1, "name a command: new or withdraw"),
     );
 
-function addNew(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addNew(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "new",
         "Make a key; its text is shown once and stored nowhere",
@@ -38,10 +37,10 @@
         async flags => {
             const { issue, team, name } = flags;
             if (issue && team !== undefined && name !== undefined) {
-                await runOperatorCommand(flags, client => issueKey(client, team, name, flags.wait));
+                await run.executeConnected(flags, client => issueKey(client, team, name, flags.wait));
                 return;
             }
-            await runCommand(flags.json, () => Promise.resolve(makeKey()));
+            await run.execute(flags, makeKey);
         },
     );
 }
@@ -68,7 +67,7 @@
     });
 }
 
-function addWithdraw(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addWithdraw(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "withdraw [digest]",
         "Withdraw a key for ever, by its digest or by team and name",
@@ -91,7 +90,7 @@
             const { digest, team, name } = flags;
             const body = JSON.stringify(digest === undefined ? { team, name } : { digest });
             const call = { method: "POST", path: "/v1/keys/withdraw", body };
-            return runOperatorCommand(flags, client => changeConfiguration(client, call, "Withdrawal", flags.wait));
+            return run.executeConnected(flags, client => changeConfiguration(client, call, "Withdrawal", flags.wait));
         },
     );
 }
--- a/src/operator/memberCommands.ts
+++ b/src/operator/memberCommands.ts
@@ -1,32 +1,33 @@
 import type { Argv } from "yargs";
 import { Err, Ok } from "../util/result.js";
 import { controlStatusSchema, memberChangeSchema } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import type { CommandResult } from "./commandResult.js";
+import type { CommandRun } from "./commandRun.js";
 import { connectionOptions } from "./connectionFlags.js";
 import type { CommandAdder, GlobalFlags } from "./globalFlags.js";
 import type { OperatorClient } from "./operatorClient.js";
-import { askControl, runOperatorCommand } from "./operatorCommand.js";
 import { memberLines } from "./statusLines.js";
 
 /** Adds `gullhall members list`, `add`, `promote` and `remove`. */
-export const addMemberCommands: CommandAdder = program =>
+export const addMemberCommands: CommandAdder = (program, run) =>
     program.command(
         "members",
         "Show and change the control processes that keep the log",
         builder =>
-            addRemove(addPromote(addAdd(addList(builder)))).demandCommand(
+            addRemove(addPromote(addAdd(addList(builder, run), run), run), run).demandCommand(
                 1,
-                "Name a command: list, add, promote or remove.",
+                "name a command: list, add, promote or remove",
             ),
     );
 
-function addList(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addList(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "list",
         "Show the members",
         builder => builder.options(connectionOptions),
         flags =>
-            runOperatorCommand(flags, async client => {
+            run.executeConnected(flags, async client => {
                 const status = await askControl(client, { method: "GET", path: "/v1/status" }, controlStatusSchema);
                 if (status.err) {
                     return Err(status.val);
@@ -37,7 +38,7 @@
     );
 }
 
-function addAdd(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addAdd(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "add <member>",
         "Admit a member as a learner, which receives the log but does not vote",
@@ -54,12 +55,12 @@
         flags => {
             const { member: memberId, peerAddress: address, operatorAddress } = flags;
             const body = { memberId, address, operatorAddress };
-            return runOperatorCommand(flags, client => change(client, "add", body, "admitted as a learner"));
+            return run.executeConnected(flags, client => change(client, "add", body, "admitted as a learner"));
         },
     );
 }
 
-function addPromote(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addPromote(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "promote <member>",
         "Make a learner that has caught up a voter",
@@ -68,14 +69,14 @@
                 .options(connectionOptions)
                 .positional("member", { type: "string", demandOption: true, describe: "Identity of the member" }),
         flags =>
-            runOperatorCommand(
+            run.executeConnected(
                 flags,
                 client => change(client, "promote", { memberId: flags.member }, "promoted to a voter"),
             ),
     );
 }
 
-function addRemove(program: Argv<GlobalFlags>): Argv<GlobalFlags> {
+function addRemove(program: Argv<GlobalFlags>, run: CommandRun): Argv<GlobalFlags> {
     return program.command(
         "remove <member>",
         "Remove a member that is lost or no longer wanted",
@@ -83,7 +84,7 @@
             builder
                 .options(connectionOptions)
                 .positional("member", { type: "string", demandOption: true, describe: "Identity of the member" }),
-        flags => runOperatorCommand(flags, client => change(client, "remove", { memberId: flags.member }, "removed")),
+        flags => run.executeConnected(flags, client => change(client, "remove", { memberId: flags.member }, "removed")),
     );
 }
 
--- a/src/operator/usageCommand.ts
+++ b/src/operator/usageCommand.ts
@@ -1,9 +1,9 @@
 import { Err, Ok } from "../util/result.js";
 import { usageSchema } from "./answerSchemas.js";
 import type { ShownUsage } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import { connectionOptions } from "./connectionFlags.js";
 import type { CommandAdder } from "./globalFlags.js";
-import { askControl, runOperatorCommand } from "./operatorCommand.js";
 import { isoTime } from "./statusLines.js";
 import { textTable } from "./textTable.js";
 
@@ -13,7 +13,7 @@
 const millionths = 1_000_000n;
 
 /** Adds `gullhall usage`. */
-export const addUsageCommand: CommandAdder = program =>
+export const addUsageCommand: CommandAdder = (program, run) =>
     program.command(
         "usage",
         "Show usage windows: open ones line by line, sealed ones with their sums",
@@ -22,7 +22,7 @@
                 .options(connectionOptions)
                 .option("team", { type: "string", describe: "Show only this team's lines of open windows" }),
         flags =>
-            runOperatorCommand(flags, async client => {
+            run.executeConnected(flags, async client => {
                 const usage = await askControl(client, { method: "GET", path: "/v1/usage" }, usageSchema);
                 if (usage.err) {
                     return Err(usage.val);
--- a/src/operator/validateCommand.ts
+++ b/src/operator/validateCommand.ts
@@ -1,18 +1,17 @@
 import { Err, Ok } from "../util/result.js";
 import { readManifest } from "../version/readManifest.js";
 import { commandError } from "./commandError.js";
-import { runCommand } from "./commandResult.js";
 import type { CommandResult } from "./commandResult.js";
 import type { CommandAdder } from "./globalFlags.js";
 import { readDocument } from "./readDocument.js";
 
 /** Adds `gullhall validate FILE`. */
-export const addValidateCommand: CommandAdder = program =>
+export const addValidateCommand: CommandAdder = (program, run) =>
     program.command(
         "validate <file>",
         "Check a manifest without submitting it",
         builder => builder.positional("file", { type: "string", demandOption: true, describe: "Manifest" }),
-        flags => runCommand(flags.json, () => validate(flags.file)),
+        flags => run.execute(flags, () => validate(flags.file)),
     );
 
 async function validate(file: string): Promise<CommandResult> {
--- a/src/util/exitCode.ts
+++ b/src/util/exitCode.ts
@@ -1,3 +1,6 @@
+/** Exit code of a program that did what it was asked for. */
+export const exitSuccess = 0;
+
 /** Exit code of a program that was refused or failed while it ran. */
 export const exitFailure = 1;
 
