--- a/src/connection/control/entryCalls.ts
+++ b/src/connection/control/entryCalls.ts
@@ -18,13 +18,13 @@
     constructor(private readonly options: StatusCallsOptions) {}
 
     /** Has an entry told, with its next permit, to stop gracefully; a repeat changes nothing. */
-    private async drain({ request, response }: OperatorExchange): Promise<void> {
+    private async drain({ request, response, operator }: OperatorExchange): Promise<void> {
         const call = await readCall(request, drainSchema);
         if (call.err) {
             answerFailure(response, call.val);
             return;
         }
-        const { commandLog, clock, entries } = this.options;
+        const { commandLog, clock, entries, eventLog } = this.options;
         const token = leaderToken(commandLog, clock.now());
         if (token.err) {
             answerFailure(response, token.val);
@@ -35,6 +35,7 @@
             answerFailure(response, failure("entryUnknown", { entry }));
             return;
         }
+        eventLog.write("drainRequested", { entry, operator });
         answerJson(response, 200, { entry });
     }
 }
--- a/src/connection/control/memberCalls.ts
+++ b/src/connection/control/memberCalls.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import type { EventLog } from "../../logEvent/eventLog.js";
 import type { Membership, MembershipChange } from "../../process/replicatedLog/membership.js";
 import { findMember } from "../../process/replicatedLog/membership.js";
 import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLog.js";
@@ -34,7 +35,7 @@
         { method: "POST", path: "/v1/members/remove", answer: exchange => this.changeNamed(exchange, "remove") },
     ];
 
-    constructor(private readonly members: MemberAdministration) {}
+    constructor(private readonly members: MemberAdministration, private readonly eventLog: EventLog) {}
 
     private async add(exchange: OperatorExchange): Promise<void> {
         const member = await readCall(exchange.request, addSchema);
@@ -54,13 +55,18 @@
         await this.change(exchange, { kind, memberId: call.val.memberId });
     }
 
-    private async change({ response }: OperatorExchange, change: MembershipChange): Promise<void> {
+    private async change({ response, operator }: OperatorExchange, change: MembershipChange): Promise<void> {
         const { role, membership, commitPosition } = this.members.status();
         if (role === "leader" && isDone(membership, change)) {
             answerJson(response, 200, { position: commitPosition, repeated: true });
             return;
         }
         const changed = await this.members.changeMembership(change);
+        if (changed.ok) {
+            const memberId = change.kind === "addLearner" ? change.member.memberId : change.memberId;
+            const fields = { change: change.kind, memberId, operator, position: changed.val };
+            this.eventLog.write("membersChangeRequested", fields);
+        }
         answerResult(response, changed.map(position => ({ position, repeated: false })));
     }
 }
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -36,7 +36,7 @@
             new StatusCalls(options),
             new ExplainCalls(options),
             new UsageCalls(options),
-            new MemberCalls(options.members),
+            new MemberCalls(options.members, options.eventLog),
             new EntryCalls(options),
         ];
         const routes = groups.flatMap(group => group.routes);
--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { CommandLog, FencingToken } from "../../process/replicatedLog/commandLog.js";
 import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLog.js";
@@ -26,6 +27,7 @@
 export interface StatusCallsOptions {
     readonly settings: ControlSettings;
     readonly clock: Clock;
+    readonly eventLog: EventLog;
     readonly state: ControlState;
     readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
     readonly members: MemberAdministration;
--- a/src/logEvent/controlEvents.ts
+++ b/src/logEvent/controlEvents.ts
@@ -20,6 +20,24 @@
         text: "A key was withdrawn.",
         fields: ["digest", "operator", "version"],
     },
+    keyIssued: {
+        number: 2112,
+        level: "info",
+        text: "A key was issued beside the manifest.",
+        fields: ["team", "keyName", "digest", "operator", "version"],
+    },
+    drainRequested: {
+        number: 2113,
+        level: "info",
+        text: "An operator asked an entry to stop gracefully.",
+        fields: ["entry", "operator"],
+    },
+    membersChangeRequested: {
+        number: 2114,
+        level: "info",
+        text: "An operator changed the members of the log group.",
+        fields: ["change", "memberId", "operator", "position"],
+    },
     connectionRejected: {
         number: 2120,
         level: "warn",
--- a/src/process/control/configurationService.ts
+++ b/src/process/control/configurationService.ts
@@ -85,7 +85,15 @@
     /** Issues a key beside the manifest. */
     async issueKey(team: string, key: Key, operator: string): Promise<Result<Acceptance, Failure>> {
         const outcome = await this.propose({ kind: "issueKey", team, key, origin: this.originOf(operator) });
-        return outcome.err ? outcome : acceptanceOf(outcome.val);
+        if (outcome.err) {
+            return outcome;
+        }
+        const accepted = acceptanceOf(outcome.val);
+        if (accepted.ok) {
+            const fields = { team, keyName: key.name, digest: key.digest, operator, version: accepted.val.version };
+            this.options.eventLog.write("keyIssued", fields);
+        }
+        return accepted;
     }
 
     /** Withdraws a key for ever. */
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -121,6 +121,7 @@
         const server = new OperatorServer({
             settings,
             clock,
+            eventLog,
             state,
             configuration,
             entries,
--- /dev/null
+++ b/tests/documentation/generatedSections.test.ts
@@ -0,0 +1,47 @@
+import { readFile } from "node:fs/promises";
+import { generatedSections, replaceSection } from "../../src/documentation/generatedSections.js";
+import { logEvents } from "../../src/logEvent/logEvent.js";
+import { resultCodes } from "../../src/resultCode/resultCode.js";
+import { describe, it } from "../describe.js";
+
+describe("pages", () => {
+    for (const { page, name, content } of generatedSections) {
+        it(`${page} gives "${name}" as the code does (else run: npm run docs)`, async t => {
+            const text = await readFile(page, "utf8");
+            t.is(replaceSection(text, name, content()), text);
+        });
+    }
+});
+
+describe("catalogues", () => {
+    for (const [catalogue, entries] of [["result codes", resultCodes], ["log events", logEvents]] as const) {
+        it(`${catalogue} have unique numbers`, t => {
+            const numbers = Object.values<{ readonly number: number; }>(entries).map(entry => entry.number);
+            t.is(new Set(numbers).size, numbers.length);
+        });
+    }
+
+    it("no event has a field with the name of a member that every line has", t => {
+        const reserved = new Set(["time", "level", "process", "event", "id", "text"]);
+        const fields = Object.values(logEvents).flatMap<string>(event => event.fields);
+        t.deepEqual(fields.filter(field => reserved.has(field)), []);
+    });
+
+    it("each advice and text is a sentence", t => {
+        for (const { text, advice } of Object.values(resultCodes)) {
+            t.regex(text, /^[A-Z{].*[.}]$/);
+            t.regex(advice, /^[A-Z].*\.$/);
+        }
+    });
+});
+
+describe("markdown of generated sections", () => {
+    it("keeps the rest of a page", t => {
+        const page = "before\n<!-- generated: x -->\nold\n<!-- end: x -->\nafter\n";
+        t.is(
+            replaceSection(page, "x", "new"),
+            "before\n<!-- generated: x -->\n\nnew\n\n<!-- end: x -->\nafter\n",
+        );
+        t.is(replaceSection(page, "y", "new"), undefined);
+    });
+});
