--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
+import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { CommandLog, FencingToken } from "../../process/replicatedLog/commandLog.js";
+import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLog.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
@@ -8,9 +10,10 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { Result } from "../../util/result.js";
 import { answerFailure } from "../httpAnswer.js";
+import type { MemberAdministration } from "./memberCalls.js";
 import { answerResult, checkCall, leaderToken } from "./operatorExchange.js";
 import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
-import type { ControlStatus, EntryStanding } from "./operatorMessages.js";
+import type { ControlStatus, EntryStanding, LogStanding, MemberStanding } from "./operatorMessages.js";
 
 /** Longest wait of one call for a version to be in force everywhere, in milliseconds; the caller asks again. */
 const maximumInForceWait: Milliseconds = 2_000;
@@ -24,8 +27,10 @@
 export interface StatusCallsOptions {
     readonly settings: ControlSettings;
     readonly clock: Clock;
+    readonly eventLog: EventLog;
     readonly state: ControlState;
     readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly members: MemberAdministration;
     readonly entries: EntryTable;
 }
 
@@ -51,15 +56,19 @@
     }
 
     private status(token: FencingToken, now: Milliseconds): ControlStatus {
-        const { state, entries, settings, commandLog } = this.options;
+        const { state, entries, settings, commandLog, members } = this.options;
         const section = state.configuration;
+        entries.enterTerm(token.fencingNumber, now);
         return {
             control: settings.name,
             leaderAddress: commandLog.leaderAddress(),
             fencingNumber: token.fencingNumber,
+            log: logStanding(members.status()),
+            members: memberStandings(members.status()),
             version: section.current.version,
             manifest: section.newestManifest,
             entries: entryStandings(entries, now),
+            entriesComplete: entries.unheard(state.usage.incarnations.running(), now).length === 0,
             pools: (section.current.manifest?.pools ?? []).map(({ name, kind, endpoints }) => ({
                 name,
                 kind,
@@ -105,6 +114,7 @@
 export function entryStandings(entries: EntryTable, now: Milliseconds): readonly EntryStanding[] {
     return entries.all(now).map(record => ({
         entry: record.entry,
+        incarnation: record.incarnation,
         failureDomain: record.failureDomain,
         callerAddress: record.callerAddress,
         metricsAddress: record.metricsAddress,
@@ -114,3 +124,17 @@
         ...record.status,
     }));
 }
+
+function logStanding({ memberId, term, lastPosition, commitPosition, appliedPosition }: ReplicaStatus): LogStanding {
+    return { memberId, term, lastPosition, commitPosition, appliedPosition };
+}
+
+function memberStandings({ membership, leaderId }: ReplicaStatus): readonly MemberStanding[] {
+    return membership.members.map(({ memberId, role, address, operatorAddress }) => ({
+        memberId,
+        role,
+        address,
+        operatorAddress,
+        leads: memberId === leaderId,
+    }));
+}
--- /dev/null
+++ b/src/documentation/catalogueTables.ts
@@ -0,0 +1,34 @@
+import { logEvents } from "../logEvent/logEvent.js";
+import type { LogEventDefinition } from "../logEvent/logEvent.js";
+import { resultCodes } from "../resultCode/resultCode.js";
+import type { ResultCodeDefinition } from "../resultCode/resultCode.js";
+import { markdownTable } from "./markdownTable.js";
+
+/** The table of result codes, by number. */
+export function resultCodeTable(): string {
+    const codes: readonly (readonly [string, ResultCodeDefinition])[] = Object.entries(resultCodes);
+    const ordered = [...codes].sort(([, left], [, right]) => left.number - right.number);
+    const rows = ordered.map(([id, { number, httpStatus, outcome, text, advice }]) => [
+        `GH${number}`,
+        `\`${id}\``,
+        String(httpStatus),
+        outcome ?? "",
+        text,
+        advice,
+    ]);
+    return markdownTable(["number", "id", "HTTP", "outcome", "text", "what to do"], rows);
+}
+
+/** The table of log events, by number. */
+export function logEventTable(): string {
+    const events: readonly (readonly [string, LogEventDefinition])[] = Object.entries(logEvents);
+    const ordered = [...events].sort(([, left], [, right]) => left.number - right.number);
+    const rows = ordered.map(([id, { number, level, text, fields }]) => [
+        String(number),
+        `\`${id}\``,
+        level,
+        text,
+        fields.map(field => `\`${field}\``).join(", "),
+    ]);
+    return markdownTable(["number", "id", "level", "text", "fields"], rows);
+}
