--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -20,6 +20,7 @@
 /** A program of a cluster that can be started again with the same settings. */
 export class ClusterMember implements AsyncDisposable {
     private running: StartedProgram | undefined;
+    private lastCallerAddress = "";
 
     constructor(
         readonly name: string,
@@ -37,9 +38,15 @@
         return this.running;
     }
 
+    /** Address for callers at its last start; empty for control processes. */
+    get callerAddress(): string {
+        return this.lastCallerAddress;
+    }
+
     /** Starts the program and waits until it serves. */
     async start(): Promise<void> {
         this.running = await StartedProgram.start(this.program, ["--settings", this.settingsFile]);
+        this.lastCallerAddress = this.running.shown["callerAddress"] ?? "";
     }
 
     /** Ends the program at once, as the loss of its VM would. */
@@ -83,7 +90,7 @@
 
     /** Caller addresses of the entries. */
     get entryAddresses(): readonly string[] {
-        return this.entryMembers.map(entry => entry.started.shown["callerAddress"] ?? "");
+        return this.entryMembers.map(entry => entry.callerAddress);
     }
 
     /** Operator addresses of the control processes. */
