--- a/src/connection/tcpPeerNetwork.ts
+++ b/src/connection/tcpPeerNetwork.ts
@@ -99,6 +99,9 @@
 
     /** Closes all connections and stops listening. */
     async close(): Promise<void> {
+        if (this.closing) {
+            return;
+        }
         this.closing = true;
         for (const { connection } of this.links.values()) {
             connection[Symbol.dispose]();
--- /dev/null
+++ b/tests/process/replicatedLog/mechanisms.test.ts
@@ -0,0 +1,99 @@
+import { defaultLogTiming } from "../../../src/process/replicatedLog/logTiming.js";
+import { describe, it } from "../../describe.js";
+import { VirtualCluster } from "./virtualCluster.js";
+
+/** Time in which a group forms, elects a leader and obtains the lease, in milliseconds. */
+const settlingTime = 6000;
+
+async function startCluster(seed: number): Promise<{ readonly cluster: VirtualCluster; readonly leader: number; }> {
+    const cluster = new VirtualCluster(3, seed);
+    for (const slot of cluster.disks.keys()) {
+        cluster.start(slot);
+    }
+    await cluster.run(settlingTime);
+    return { cluster, leader: cluster.leaderSlot ?? 0 };
+}
+
+/** Cuts all wires of a member. */
+function isolate(cluster: VirtualCluster, slot: number): void {
+    for (const other of cluster.disks.keys()) {
+        cluster.setCut(slot, other, true);
+        cluster.setCut(other, slot, true);
+    }
+}
+
+describe("ReplicatedLog", () => {
+    it("counts the lease from when the heartbeat was sent, not from its answer", async t => {
+        const { cluster, leader } = await startCluster(1);
+        const way = 80;
+        cluster.wires.leastDelay = way;
+        await cluster.run(3000);
+        const holdsLease = (): boolean => {
+            const member = cluster.members[leader];
+            return member?.log?.lease(member.clock.now(), 0) !== undefined;
+        };
+        t.true(holdsLease());
+        isolate(cluster, leader);
+        await cluster.run(defaultLogTiming.leaseDuration - 2 * way + 10);
+        t.false(holdsLease());
+        t.deepEqual(cluster.violations, []);
+    });
+
+    it("does not count the leader's own copy before it is durable", async t => {
+        const { cluster, leader } = await startCluster(2);
+        isolate(cluster, (leader + 1) % 3);
+        cluster.setStalled(leader, true);
+        const before = cluster.acknowledgedPosition;
+        cluster.propose(leader);
+        await cluster.run(500);
+        t.is(cluster.acknowledgedPosition, before);
+        t.is(cluster.members[(leader + 2) % 3]?.log?.status().lastPosition, 3);
+    });
+
+    it("refuses a change of members while another one is under way", async t => {
+        const { cluster, leader } = await startCluster(3);
+        const log = cluster.members[leader]?.log;
+        const [first, second] = [1, 2].map(step => cluster.members[(leader + step) % 3]?.log?.status().memberId ?? "");
+        isolate(cluster, leader);
+        const codes: (string | undefined)[] = [];
+        for (const memberId of [first ?? "", second ?? ""]) {
+            void log?.changeMembership({ kind: "remove", memberId }).then(changed => {
+                codes.push(changed.err ? changed.val.code : undefined);
+            });
+            await cluster.run(50);
+        }
+        t.deepEqual(codes, ["membershipChangeRefused"]);
+    });
+
+    it("halts a member that comes back with an older copy of its disk", async t => {
+        const { cluster, leader } = await startCluster(4);
+        const slot = (leader + 1) % 3;
+        const disk = cluster.disks[slot];
+        const image = disk?.image() ?? new Map<string, Buffer>();
+        for (let round = 0; round < 5; round += 1) {
+            cluster.propose(leader);
+            await cluster.run(300);
+        }
+        cluster.crash(slot);
+        disk?.restore(image);
+        cluster.start(slot);
+        await cluster.run(100);
+        t.is(cluster.members[slot]?.log?.status().halted?.code, "logFolderOutdated");
+    });
+
+    it("steps down when its disk is full, and loses nothing", async t => {
+        const { cluster, leader } = await startCluster(5);
+        cluster.propose(leader);
+        await cluster.run(300);
+        cluster.setFull(leader, true);
+        cluster.propose(leader);
+        await cluster.run(settlingTime);
+        t.not(cluster.leaderSlot, leader);
+        cluster.propose(cluster.leaderSlot ?? leader);
+        cluster.setFull(leader, false);
+        await cluster.run(settlingTime);
+        const commands = cluster.commandsOf(leader);
+        t.deepEqual([cluster.violations, cluster.agrees], [[], true]);
+        t.deepEqual([commands[0], commands.at(-1)], ["command-1", "command-3"]);
+    });
+});
--- a/tests/process/replicatedLog/virtualTime.ts
+++ b/tests/process/replicatedLog/virtualTime.ts
@@ -31,6 +31,7 @@
     /** Runs all actions that are due within a span, and all that follows from each before the next. */
     async run(span: number, afterEach: () => void): Promise<void> {
         const end = this.now + span;
+        await new Promise(resolve => setImmediate(resolve));
         for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
             this.removeFirst();
             this.now = next.at;
@@ -76,6 +77,8 @@
     private stopped = false;
     private readonly backlog: (() => void)[] = [];
 
+    constructor(private readonly time: VirtualTime) {}
+
     /** Whether it runs code now. */
     get running(): boolean {
         return this.alive && !this.stopped;
@@ -95,10 +98,13 @@
         this.stopped = true;
     }
 
+    /** Continues; what waited happens one after the other from now on. */
     continue(): void {
         this.stopped = false;
         for (const action of this.backlog.splice(0)) {
-            this.run(action);
+            this.time.schedule(0, () => {
+                this.run(action);
+            });
         }
     }
 }
