--- a/src/process/entry/entryStateReport.ts
+++ b/src/process/entry/entryStateReport.ts
@@ -49,12 +49,12 @@
 }
 
 function poolReport(state: EntryProcessState, pool: string): PoolReport {
-    const { running, waiting, endpoints } = state.dispatcherOf(pool);
+    const { running, waiting, table } = state.dispatcherOf(pool);
     return {
         pool,
         running,
         waiting,
-        endpoints: endpoints.map(endpoint => ({
+        endpoints: table.all.map(endpoint => ({
             name: endpoint.name,
             running: endpoint.running,
             freeSlots: endpoint.freeSlots,
