--- a/src/connection/peerClientConnection.ts
+++ b/src/connection/peerClientConnection.ts
@@ -2,7 +2,7 @@
 import type { Failure } from "../resultCode/resultCode.js";
 import { failure } from "../resultCode/resultCode.js";
 import type { Milliseconds } from "../util/clock.js";
-import type { HostAndPort } from "./hostAndPort.js";
+import type { HostAndPort } from "../util/socketAddress.js";
 import { MessageConnection } from "./messageConnection.js";
 import type { PeerIntroduction } from "./peerHello.js";
 import { checkHello, helloFrame, helloTimeout, readPeerFrame } from "./peerHello.js";
--- a/src/connection/peerSecurity.ts
+++ b/src/connection/peerSecurity.ts
@@ -8,7 +8,7 @@
 import { failure } from "../resultCode/resultCode.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
-import type { HostAndPort } from "./hostAndPort.js";
+import type { HostAndPort } from "../util/socketAddress.js";
 
 /**
  * How control processes prove who they are to each other.
--- a/src/connection/tcpPeerNetwork.ts
+++ b/src/connection/tcpPeerNetwork.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds } from "../util/clock.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
-import { parseHostAndPort } from "./hostAndPort.js";
+import { listen, splitAddress } from "../util/socketAddress.js";
 import { MessageConnection } from "./messageConnection.js";
 import { PeerClientConnection } from "./peerClientConnection.js";
 import type { PeerIntroduction } from "./peerHello.js";
@@ -53,21 +53,17 @@
 
     /** Listens on the address of the options. */
     static async listen(options: TcpPeerNetworkOptions): Promise<Result<TcpPeerNetwork, Failure>> {
-        const address = parseHostAndPort(options.address);
+        const address = splitAddress(options.address);
         const security = await loadPeerSecurity(options.security);
         if (security.err) {
             return security;
         }
-        if (address === undefined) {
-            return Err(failure("peerListenFailed", { address: options.address, reason: "not an address" }));
-        }
         if (!security.val.allows(address)) {
             return Err(failure("peerPlainRefused", { address: options.address }));
         }
         const network = new TcpPeerNetwork(options, security.val);
         try {
-            network.server.listen(address);
-            await once(network.server, "listening");
+            await listen(network.server, options.address);
             return Ok(network);
         }
         catch (error) {
@@ -120,9 +116,9 @@
         if (known !== undefined && !known.connection.closed) {
             return known.connection;
         }
-        const parts = parseHostAndPort(address);
+        const parts = splitAddress(address);
         const tooSoon = known !== undefined && now - known.openedAt < reconnectInterval;
-        if (tooSoon || parts === undefined || this.closing || !this.security.allows(parts)) {
+        if (tooSoon || this.closing || !isPort(parts.port) || !this.security.allows(parts)) {
             return undefined;
         }
         const { identity: introduction, events } = this.options;
@@ -147,3 +143,7 @@
         return handler === undefined ? { kind: "refused", reason: "unknownGroup" } : handler.handle(request);
     }
 }
+
+function isPort(port: number): boolean {
+    return Number.isInteger(port) && port > 0 && port < 65_536;
+}
--- a/src/process/replicatedLog/followerLink.ts
+++ b/src/process/replicatedLog/followerLink.ts
@@ -1,7 +1,7 @@
 import type { PeerResponse } from "../../connection/peerMessage.js";
 import type { PeerNetwork } from "../../connection/peerNetwork.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
-import { Condition } from "../../util/condition.js";
+import { WakeUp } from "../../util/wakeUp.js";
 import type { LeaderLease } from "./leaderLease.js";
 import type { LogSnapshot } from "./logSnapshot.js";
 import type { Member } from "./membership.js";
@@ -21,8 +21,8 @@
     readonly clock: Clock;
     readonly lease: LeaderLease;
     readonly term: number;
-    /** Notified when entries were added, became durable, or were committed. */
-    readonly logChanged: Condition;
+    /** Woken when entries were added, became durable, or were committed. */
+    readonly logChanged: WakeUp;
     /** Called when the member made more entries durable. */
     readonly onMatched: () => void;
     /** The positions that the leader knows to be durable, by member. */
@@ -34,7 +34,7 @@
     private nextPosition: number;
     private matched = 0;
     private sentCommitPosition = 0;
-    private readonly heartbeatWanted = new Condition();
+    private readonly heartbeatWanted = new WakeUp();
     private heartbeatWantedAt: Milliseconds = -Infinity;
     private readonly ended = new AbortController();
 
@@ -60,7 +60,7 @@
     /** Asks for a heartbeat that is sent after `now`, without waiting for its turn. */
     hasten(now: Milliseconds): void {
         this.heartbeatWantedAt = now;
-        this.heartbeatWanted.notify();
+        this.heartbeatWanted.wake();
     }
 
     private get over(): boolean {
--- a/src/process/replicatedLog/leadership.ts
+++ b/src/process/replicatedLog/leadership.ts
@@ -3,9 +3,9 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
-import { Condition } from "../../util/condition.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { WakeUp } from "../../util/wakeUp.js";
 import { committablePosition } from "./commitRule.js";
 import { FollowerLink } from "./followerLink.js";
 import { LeaderLease } from "./leaderLease.js";
@@ -37,7 +37,7 @@
     private readonly writer: ProposalWriter;
     private readonly admission: MemberAdmission;
     private readonly links = new Map<string, FollowerLink>();
-    private readonly logChanged = new Condition();
+    private readonly logChanged = new WakeUp();
     private readonly ended = new AbortController();
     /** Position of the entry that opened the term. */
     private readonly openingPosition: number;
@@ -174,7 +174,7 @@
             termAt: position => log.termAt(position),
         }));
         this.replica.acknowledged.note(this.term, this.acknowledgedPositions());
-        this.logChanged.notify();
+        this.logChanged.wake();
     }
 
     private durablePositionOf(memberId: string): number {
--- a/src/process/replicatedLog/proposalWriter.ts
+++ b/src/process/replicatedLog/proposalWriter.ts
@@ -1,8 +1,8 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
-import { Condition } from "../../util/condition.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { WakeUp } from "../../util/wakeUp.js";
 import type { EntryContent, LogEntry } from "./logEntry.js";
 import { entryBytes } from "./logEntry.js";
 import type { Replica } from "./replica.js";
@@ -28,7 +28,7 @@
 /** Writes the proposals of one leadership into its own log, as many as wait with one sync (group commit). */
 export class ProposalWriter {
     private waiting: Proposal[] = [];
-    private readonly arrived = new Condition();
+    private readonly arrived = new WakeUp();
 
     /**
      * @param term Term of the leadership.
@@ -51,7 +51,7 @@
             return;
         }
         this.waiting.push({ content, onPlaced });
-        this.arrived.notify();
+        this.arrived.wake();
     }
 
     /** Writes until the signal ends it; what waits then is refused. */
--- a/src/process/replicatedLog/replica.ts
+++ b/src/process/replicatedLog/replica.ts
@@ -3,9 +3,9 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import { describeFailure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
-import { Condition } from "../../util/condition.js";
 import type { RandomSource } from "../../util/randomSource.js";
 import { SerialQueue } from "../../util/serialQueue.js";
+import { WakeUp } from "../../util/wakeUp.js";
 import { AcknowledgedPositions } from "./acknowledgedPositions.js";
 import type { DurableLog } from "./durableLog.js";
 import type { GroupFiles } from "./groupFiles.js";
@@ -32,10 +32,10 @@
 export class Replica {
     /** Runs everything that changes durable state, one action after the other. */
     readonly storageQueue = new SerialQueue();
-    /** Notified when role, leader, term or election deadline changed. */
-    readonly roleChanged = new Condition();
-    /** Notified when the commit position rose. */
-    readonly committed = new Condition();
+    /** Woken when role, leader, term or election deadline changed. */
+    readonly roleChanged = new WakeUp();
+    /** Woken when the commit position rose. */
+    readonly committed = new WakeUp();
     /** What leaders told about the positions that members made durable. */
     readonly acknowledged = new AcknowledgedPositions();
 
@@ -181,7 +181,7 @@
     /** Takes the leader's offer to stand for election at once. */
     acceptLead(): void {
         this.leadOffered = true;
-        this.roleChanged.notify();
+        this.roleChanged.wake();
     }
 
     /** Starts to stand for election in a new term; the caller makes term and own vote durable. */
@@ -215,7 +215,7 @@
         const reached = Math.min(position, this.log.lastPosition);
         if (reached > this.committedUpTo) {
             this.committedUpTo = reached;
-            this.committed.notify();
+            this.committed.wake();
         }
     }
 
@@ -240,7 +240,7 @@
     private change(role: ReplicaRole, leaderId: string | undefined): void {
         this.present = { role, leaderId };
         this.leadOffered = false;
-        this.roleChanged.notify();
+        this.roleChanged.wake();
     }
 
     private randomTimeout(): Milliseconds {
--- a/src/process/replicatedLog/stateApplier.ts
+++ b/src/process/replicatedLog/stateApplier.ts
@@ -1,8 +1,8 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
-import { Condition } from "../../util/condition.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { WakeUp } from "../../util/wakeUp.js";
 import type { CommittedCommand, StateMachine } from "./commandLog.js";
 import type { LogSnapshot } from "./logSnapshot.js";
 import { decodeValue } from "./recordCodec.js";
@@ -19,8 +19,8 @@
 
 /** Applies committed commands to the state machine, and takes snapshots of it. */
 export class StateApplier<Command, Outcome> {
-    /** Notified when the applied position rose. */
-    readonly changed = new Condition();
+    /** Woken when the applied position rose. */
+    readonly changed = new WakeUp();
 
     private applied = 0;
     private readonly awaited = new Map<number, AwaitedCommand<Outcome>>();
@@ -64,7 +64,7 @@
     restore(snapshot: LogSnapshot): void {
         this.machine.restore(snapshot.state);
         this.applied = snapshot.position;
-        this.changed.notify();
+        this.changed.wake();
     }
 
     /** Applies entries as they are committed, until the signal ends it. */
@@ -75,7 +75,7 @@
                 continue;
             }
             this.applyCommitted();
-            this.changed.notify();
+            this.changed.wake();
             if (this.applied - (this.replica.log.snapshot?.position ?? 0) >= this.snapshotInterval) {
                 await this.takeSnapshot();
             }
--- a/src/util/wakeUp.ts
+++ b/src/util/wakeUp.ts
@@ -1,11 +1,13 @@
+import type { Clock, Milliseconds } from "./clock.js";
+
 /** Lets tasks wait until something has changed. */
 export class WakeUp {
-    private waiting: (() => void)[] = [];
+    private waiting = new Set<() => void>();
 
     /** Wakes every task that waits now. */
     wake(): void {
         const woken = this.waiting;
-        this.waiting = [];
+        this.waiting = new Set();
         woken.forEach(resume => {
             resume();
         });
@@ -20,10 +22,30 @@
             }
             const finish = (): void => {
                 signal?.removeEventListener("abort", finish);
+                this.waiting.delete(finish);
                 resolve();
             };
-            this.waiting.push(finish);
+            this.waiting.add(finish);
             signal?.addEventListener("abort", finish, { once: true });
         });
     }
+
+    /**
+     * Resolves at the next {@link wake}, after a span of time, or when the signal aborts; never rejects.
+     *
+     * @param duration Longest wait in milliseconds.
+     */
+    async waitFor(clock: Clock, duration: Milliseconds, signal?: AbortSignal): Promise<void> {
+        const ended = new AbortController();
+        const end = (): void => {
+            ended.abort();
+        };
+        signal?.addEventListener("abort", end, { once: true });
+        if (signal?.aborted === true) {
+            end();
+        }
+        await Promise.race([this.wait(ended.signal), clock.sleep(duration, ended.signal)]);
+        end();
+        signal?.removeEventListener("abort", end);
+    }
 }
