fix(control): form a group only where all settings name the same members

Cause: two control processes with different lists of members could each form a group of their own. Change: members say whom they expect, and the first one forms the group only when all say the same; an unexpected error while answering a peer is logged and leaves the request unanswered. Options of the log have their own file. Conclusion: with lists that differ the group stays unformed until the settings agree.

--- a/src/connection/peerMessage.ts
+++ b/src/connection/peerMessage.ts
@@ -83,6 +83,7 @@
         memberId,
         operatorAddress: z.string(),
         formed: z.boolean(),
+        expectedAddresses: z.array(z.string()).readonly(),
         leaderAddress: z.string().optional(),
         acknowledged: z.object({ term, position }).optional()
             .describe("What the answering member knows that the asking one made durable."),
--- a/src/connection/peerServerConnection.ts
+++ b/src/connection/peerServerConnection.ts
@@ -57,9 +57,14 @@
     }
 
     private async serve(id: number, request: PeerRequest): Promise<void> {
-        const response = await this.parts.answer(request);
-        if (response !== undefined) {
-            this.connection.send({ kind: "response", id, response });
+        try {
+            const response = await this.parts.answer(request);
+            if (response !== undefined) {
+                this.connection.send({ kind: "response", id, response });
+            }
+        }
+        catch (error) {
+            this.parts.events.write("taskFailed", { task: `peer request ${request.kind}`, reason: String(error) });
         }
     }
 
--- a/src/process/replicatedLog/joinTask.ts
+++ b/src/process/replicatedLog/joinTask.ts
@@ -29,8 +29,8 @@
  * Brings a member into its group after a start.
  *
  * One with entries asks the others whether its disk is older than what it acknowledged. One without entries asks to be
- * admitted to the group that exists; where all expected members are present and none has entries, the one with the
- * lowest address forms the group.
+ * admitted to the group that exists; where all expected members are present, none has entries and all name the
+ * same members, the one with the lowest address forms the group.
  */
 export class JoinTask {
     constructor(private readonly parts: JoinTaskParts) {}
@@ -69,7 +69,7 @@
             if (formed.length > 0) {
                 await this.askToJoin(formed);
             }
-            else if (descriptions.length === others.length && this.isLowest()) {
+            else if (descriptions.length === others.length && this.isLowest() && this.agreesWithAll(descriptions)) {
                 await this.form(descriptions);
             }
             await clock.sleep(replica.timing.heartbeatInterval * 2, signal);
@@ -89,6 +89,12 @@
         }
     }
 
+    /** Whether all settings name the same control processes; different ones could form two groups. */
+    private agreesWithAll(descriptions: readonly Description[]): boolean {
+        const expected = [...this.parts.expectedAddresses].sort().join(" ");
+        return descriptions.every(({ response }) => [...response.expectedAddresses].sort().join(" ") === expected);
+    }
+
     private isLowest(): boolean {
         return [...this.parts.expectedAddresses].sort()[0] === this.parts.address;
     }
--- a/src/process/replicatedLog/replicaRequestHandler.ts
+++ b/src/process/replicatedLog/replicaRequestHandler.ts
@@ -14,6 +14,8 @@
     readonly clock: Clock;
     /** This member's address for operators. */
     readonly operatorAddress: string;
+    /** Addresses that the settings give to control processes. */
+    readonly expectedAddresses: readonly string[];
     /** Puts an installed snapshot into the state machine. */
     readonly restore: (snapshot: LogSnapshot) => void;
     /** Ends with the process. */
@@ -76,11 +78,12 @@
     }
 
     private describe(request: PeerRequestOf<"describe">): PeerResponse {
-        const { replica, operatorAddress } = this.parts;
+        const { replica, operatorAddress, expectedAddresses } = this.parts;
         return {
             kind: "describe",
             memberId: replica.memberId,
             operatorAddress,
+            expectedAddresses,
             formed: replica.log.lastPosition > 0,
             leaderAddress: replica.leaderPeerAddress,
             acknowledged: replica.acknowledged.of(request.from),
--- a/src/process/replicatedLog/replicatedLog.ts
+++ b/src/process/replicatedLog/replicatedLog.ts
@@ -1,69 +1,25 @@
-import type { PeerNetwork } from "../../connection/peerNetwork.js";
-import type { EventLog } from "../../logEvent/eventLog.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
-import type { Clock, Milliseconds } from "../../util/clock.js";
+import type { Milliseconds } from "../../util/clock.js";
 import { DisposableStore } from "../../util/disposableStore.js";
-import type { RandomSource } from "../../util/randomSource.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import { CommandLog } from "./commandLog.js";
-import type { CommittedCommand, FencingToken, StateMachine } from "./commandLog.js";
+import type { CommittedCommand, FencingToken } from "./commandLog.js";
 import { DurableLog } from "./durableLog.js";
 import { ElectionTask } from "./electionTask.js";
 import type { GroupFiles } from "./groupFiles.js";
 import { JoinTask } from "./joinTask.js";
-import type { LogStorage } from "./logStorage.js";
 import { timingFault } from "./logTiming.js";
-import type { LogTiming } from "./logTiming.js";
-import type { MemberIdentity } from "./memberIdentity.js";
-import type { Membership, MembershipChange } from "./membership.js";
+import type { MembershipChange } from "./membership.js";
 import { findMember } from "./membership.js";
 import { encodeValue } from "./recordCodec.js";
 import { Replica } from "./replica.js";
-import type { ReplicaRole } from "./replica.js";
 import { ReplicaRequestHandler } from "./replicaRequestHandler.js";
+import type { ReplicaStatus, ReplicatedLogOptions } from "./replicatedLogOptions.js";
 import { StateApplier } from "./stateApplier.js";
 import { VoteRecord } from "./voteRecord.js";
 
-/** What a replicated log is made of. */
-export interface ReplicatedLogOptions<Command, Outcome> {
-    /** Name of the log group; several groups may share storage, identity and network. */
-    readonly group: string;
-    readonly storage: LogStorage;
-    readonly identity: MemberIdentity;
-    readonly network: PeerNetwork;
-    readonly machine: StateMachine<Command, Outcome>;
-    /** This member's address for peers, as `host:port`. */
-    readonly address: string;
-    /** This member's address for operators and entries. */
-    readonly operatorAddress: string;
-    /** Addresses for peers of all control processes that the settings name, this one's included. */
-    readonly expectedAddresses: readonly string[];
-    readonly timing: LogTiming;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly events: EventLog;
-    /** Entries between two snapshots. */
-    readonly snapshotInterval: number;
-    /** Entries that stay behind a snapshot for members that lag a little. */
-    readonly retainedEntries: number;
-}
-
-/** How one member stands, for operators and tests. */
-export interface ReplicaStatus {
-    readonly memberId: string;
-    readonly role: ReplicaRole;
-    readonly term: number;
-    readonly leaderId: string | undefined;
-    readonly lastPosition: number;
-    readonly commitPosition: number;
-    readonly appliedPosition: number;
-    readonly membership: Membership;
-    /** Why the member takes part no more; undefined while it does. */
-    readonly halted: Failure | undefined;
-}
-
 /**
  * One member's copy of a log that 3 or 5 control processes share (Raft, with pre-vote, check-quorum, leases and
  * learners).
