feat(experiment): measure what an entry adds to calls (bench:overhead)

Cause: the targets for throughput, added latency and streams need one run that compares like with like.

--- /dev/null
+++ b/src/experiment/overhead/benchSetup.ts
@@ -0,0 +1,72 @@
+import { Cluster } from "../../quickstart/cluster.js";
+import { StartedProgram } from "../../quickstart/startedProgram.js";
+import { createKey } from "../../util/createKey.js";
+import { DisposableStore } from "../../util/disposableStore.js";
+import { keyDigest } from "../../util/keyDigest.js";
+import { benchModel } from "./benchRequest.js";
+import type { BenchPath } from "./benchRequest.js";
+
+/** Engines behind every path, each a process of its own. */
+const engineCount = 4;
+
+/** Requests that one engine runs at a time. */
+const concurrentRequests = 512;
+
+/** Longest time of a request, in milliseconds; no request of the bench comes near it. */
+const generousTarget = 600_000;
+
+/** The processes of a bench: engines, a bare proxy, and a cluster of which one entry is used. */
+export class BenchSetup implements AsyncDisposable {
+    /** Key of the only team. */
+    readonly key = createKey();
+    private readonly store = new DisposableStore();
+    private readonly cluster = this.store.add(new Cluster());
+
+    /**
+     * Starts everything; resolves with the ways to the engines.
+     *
+     * @param stepMilliseconds Time between two tokens of a stream.
+     */
+    async start(stepMilliseconds: number): Promise<readonly BenchPath[]> {
+        await this.cluster.start();
+        const options = {
+            models: [benchModel],
+            stepMilliseconds,
+            stepMillisecondsPerRequest: 0,
+            prefillMillisecondsPerToken: 0,
+            maximumRunning: concurrentRequests,
+        };
+        const names = [...Array(engineCount).keys()].map(index => `engine-${index + 1}`);
+        const engines = await Promise.all(names.map(name => this.cluster.startStandIn("engine", name, options)));
+        const proxy = this.store.add(await StartedProgram.start("../experiment/overhead/proxyProgram", engines));
+        const manifest = await this.cluster.writeFile("manifest.json", benchManifest(this.key, engines));
+        await this.cluster.operate("apply", manifest, "--wait");
+        return [
+            { name: "direct", addresses: engines },
+            { name: "proxy", addresses: [proxy.shown["address"] ?? ""] },
+            { name: "entry", addresses: this.cluster.entryAddresses.slice(0, 1) },
+        ];
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.store.dispose();
+    }
+}
+
+function benchManifest(key: string, engines: readonly string[]): object {
+    const endpoints = engines.map((address, index) => ({
+        name: `engine-${index + 1}`,
+        address,
+        failureDomain: "hobart-a",
+    }));
+    const pool = { name: "engines", kind: "model", model: benchModel, endpoints };
+    const route = { name: "bench", kind: "model", model: benchModel, pool: "engines", requestClass: "bench" };
+    return {
+        number: 1,
+        teams: [{ name: "bench", keys: [{ name: "main", digest: keyDigest(key) }] }],
+        classes: [{ name: "bench", tier: 0, target: { totalMilliseconds: generousTarget } }],
+        routes: [{ ...route, teams: "all" }],
+        pools: [{ ...pool, concurrentRequestsPerEndpoint: concurrentRequests }],
+        billing: { currency: "AUD", cutPerMillion: 0 },
+    };
+}
