--- /dev/null
+++ b/src/documentation/generatedSections.ts
@@ -0,0 +1,41 @@
+import { controlSettingsSchema } from "../settings/controlSettings.js";
+import { entrySettingsSchema } from "../settings/entrySettings.js";
+import { operatorSettingsSchema } from "../settings/operatorSettings.js";
+import { manifestSchema } from "../version/manifest.js";
+import { logEventTable, resultCodeTable } from "./catalogueTables.js";
+import { schemaTable } from "./schemaTable.js";
+
+/** A part of a page that is made from the code. */
+export interface GeneratedSection {
+    /** Page, relative to the root of the project. */
+    readonly page: string;
+    /** Name in the marks around the section. */
+    readonly name: string;
+    readonly content: () => string;
+}
+
+/** Every generated part of the pages. */
+export const generatedSections: readonly GeneratedSection[] = [
+    { page: "docs/RESULT-CODES.md", name: "result codes", content: resultCodeTable },
+    { page: "docs/LOG-EVENTS.md", name: "log events", content: logEventTable },
+    { page: "docs/OPERATIONS.md", name: "control settings", content: () => schemaTable(controlSettingsSchema) },
+    { page: "docs/OPERATIONS.md", name: "entry settings", content: () => schemaTable(entrySettingsSchema) },
+    { page: "docs/OPERATIONS.md", name: "operator settings", content: () => schemaTable(operatorSettingsSchema) },
+    { page: "docs/OPERATIONS.md", name: "manifest", content: () => schemaTable(manifestSchema) },
+];
+
+/**
+ * Puts a section's content between its marks; the rest of the page stays.
+ *
+ * @returns The page's new text; undefined where the marks are missing.
+ */
+export function replaceSection(text: string, name: string, content: string): string | undefined {
+    const opening = `<!-- generated: ${name} -->`;
+    const closing = `<!-- end: ${name} -->`;
+    const start = text.indexOf(opening);
+    const end = text.indexOf(closing);
+    if (start === -1 || end < start) {
+        return undefined;
+    }
+    return `${text.slice(0, start)}${opening}\n\n${content}\n\n${text.slice(end)}`;
+}
--- a/src/operator/acceptedChange.ts
+++ b/src/operator/acceptedChange.ts
@@ -2,10 +2,10 @@
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { acceptanceSchema, inForceSchema } from "./answerSchemas.js";
+import { askControl } from "./askControl.js";
 import type { CommandError } from "./commandError.js";
 import type { CommandResult } from "./commandResult.js";
 import type { OperatorCall, OperatorClient } from "./operatorClient.js";
-import { askControl } from "./operatorCommand.js";
 
 /** The flag of commands that change the configuration. */
 export const waitOption = {
--- a/src/settings/controlSettings.ts
+++ b/src/settings/controlSettings.ts
@@ -22,6 +22,7 @@
         z.strictObject({ kind: z.literal("plainOnLoopback") }).readonly(),
         z.strictObject({ kind: z.literal("plainWithoutProof") }).readonly(),
     ]).describe("How control processes prove to each other who they are."),
+    metricsAddress: addressSchema.default("127.0.0.1:0").describe("Where metrics and state are shown, over HTTP."),
     dataFolder: z.string().min(1).describe("Folder of the durable state."),
     operators: z.array(
         z.strictObject({
