--- a/src/operator/answerSchemas.ts
+++ b/src/operator/answerSchemas.ts
@@ -162,7 +162,14 @@
             running: z.int(),
             waiting: z.int(),
             endpoints: z.array(
-                z.object({ name: z.string(), running: z.int(), freeSlots: z.int(), leaving: z.boolean() }).readonly(),
+                z.object({
+                    name: z.string(),
+                    running: z.int(),
+                    freeSlots: z.int(),
+                    load: z.number(),
+                    condition: z.enum(["sound", "trial", "setAside", "leaving"]),
+                    fault: z.string().optional(),
+                }).readonly(),
             ).readonly(),
         }).readonly(),
     ).readonly(),
--- a/src/resultCode/settingsCodes.ts
+++ b/src/resultCode/settingsCodes.ts
@@ -26,4 +26,10 @@
         text: "{file}:{line}: {path}: unknown name; nearest known name: {nearest}.",
         advice: "Correct or remove the name.",
     },
+    startFailed: {
+        number: 1004,
+        httpStatus: 500,
+        text: "The program could not start: {reason}.",
+        advice: "Correct the cause, often an address that is in use or a folder that cannot be written.",
+    },
 } as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
