--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -20,6 +20,7 @@
 /** A program of a cluster that can be started again with the same settings. */
 export class ClusterMember implements AsyncDisposable {
     private running: StartedProgram | undefined;
+    private ended: number | undefined;
 
     constructor(
         readonly name: string,
@@ -29,6 +30,11 @@
         readonly dataFolder: string,
     ) {}
 
+    /** Exit code of its last graceful stop; undefined while it runs, and when a signal ended it. */
+    get exitCode(): number | undefined {
+        return this.ended;
+    }
+
     /** The running program; throws while it does not run. */
     get started(): StartedProgram {
         if (this.running === undefined) {
@@ -57,6 +63,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.running?.resume();
         await this.running?.[Symbol.asyncDispose]();
+        this.ended = this.running?.exitCode ?? this.ended;
         this.running = undefined;
     }
 }
@@ -70,6 +77,7 @@
     private addresses: readonly ControlAddressSettings[] = [];
     private controlMembers: readonly ClusterMember[] = [];
     private entryMembers: readonly ClusterMember[] = [];
+    private readonly standIns: StartedProgram[] = [];
 
     /** The control processes. */
     get controls(): readonly ClusterMember[] {
@@ -91,6 +99,11 @@
         return this.addresses.map(address => address.operatorAddress);
     }
 
+    /** Exit codes of all programs after the cluster was stopped; undefined for those that a signal ended. */
+    get exitCodes(): readonly (number | undefined)[] {
+        return [...this.entryMembers, ...this.controlMembers, ...this.standIns].map(program => program.exitCode);
+    }
+
     /** Starts control processes and one entry in each failure domain. */
     async start(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "gullhall-"));
@@ -106,6 +119,7 @@
     async startStandIn(role: "engine" | "service" | "platform", name: string, options: object): Promise<string> {
         const flags = [role, "--name", name, "--options", JSON.stringify(options)];
         const program = this.store.add(await StartedProgram.start("gullhallStandIn", flags));
+        this.standIns.push(program);
         return program.shown["address"] ?? "";
     }
 
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -33,6 +33,11 @@
         return new StartedProgram(started, JSON.parse(line[0]) as Readonly<Record<string, string>>, closed);
     }
 
+    /** Exit code of the program; undefined while it runs, and when a signal ended it. */
+    get exitCode(): number | undefined {
+        return this.process.exitCode ?? undefined;
+    }
+
     /** Ends the program at once, as the loss of its VM would, and waits for its end. */
     async kill(): Promise<void> {
         this.process.kill("SIGKILL");
--- a/src/quickstart/tourTable.ts
+++ b/src/quickstart/tourTable.ts
@@ -21,24 +21,35 @@
         return this.lines.every(line => line.asExpected);
     }
 
-    /** Runs a step and records it. */
+    /** Runs a step and records it; a step that throws is recorded as wrong and ends the tour. */
     async run<T>(tried: string, step: () => Promise<T>, expected: (answer: T) => boolean): Promise<T> {
         const start = this.clock.now();
-        const answer = await step();
-        const time = this.clock.now() - start;
-        this.lines.push({ tried, answer: shorten(answer), time, asExpected: expected(answer) });
-        return answer;
+        try {
+            const answer = await step();
+            this.record(tried, answer, start, expected(answer));
+            return answer;
+        }
+        catch (error) {
+            this.record(tried, String(error), start, false);
+            throw error;
+        }
+    }
+
+    private record(tried: string, answer: unknown, start: Milliseconds, asExpected: boolean): void {
+        this.lines.push({ tried, answer: shorten(answer), time: this.clock.now() - start, asExpected });
     }
 
     /** Prints the table on standard output. */
     print(): void {
         for (const { tried, answer, time, asExpected } of this.lines) {
             const mark = asExpected ? "ok" : "WRONG";
-            process.stdout.write(`${mark.padEnd(6)}${tried.padEnd(32)}${time.toFixed(1).padStart(8)} ms  ${answer}\n`);
+            process.stdout.write(`${mark.padEnd(6)}${tried.padEnd(42)}${time.toFixed(1).padStart(8)} ms  ${answer}\n`);
         }
     }
 }
 
 function shorten(answer: unknown): string {
-    return JSON.stringify(answer).slice(0, maximumAnswerCharacters);
+    const text = typeof answer === "string" ? answer : JSON.stringify(answer);
+    const line = text.trim().replace(/\s*\n\s*/g, "; ");
+    return line.length <= maximumAnswerCharacters ? line : `${line.slice(0, maximumAnswerCharacters - 1)}…`;
 }
