--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -68,7 +68,7 @@
             version: section.current.version,
             manifest: section.newestManifest,
             entries: entryStandings(entries, now),
-            entriesComplete: !entries.mayMissEntries(now),
+            entriesComplete: entries.unheard(state.usage.incarnations.running(), now).length === 0,
             pools: (section.current.manifest?.pools ?? []).map(({ name, kind, endpoints }) => ({
                 name,
                 kind,
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -31,10 +31,10 @@
     private readonly store = new DisposableStore();
     private readonly applied = new WakeUp();
     private readonly entries = new EntryTable();
-    private readonly inForce = new InForceWatch(this.entries);
     private readonly state = new ControlState(() => {
         this.applied.wake();
     });
+    private readonly inForce = new InForceWatch(this.entries, () => this.state.usage.incarnations.running());
 
     constructor(
         private readonly settings: ControlSettings,
--- a/src/process/control/inForceWatch.ts
+++ b/src/process/control/inForceWatch.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { TimeHistogram } from "../metrics/timeHistogram.js";
+import type { Incarnation } from "../usage/incarnationTable.js";
 import type { EntryTable } from "./entryTable.js";
 
 /** How often the watch looks, and so how exact its times are, in milliseconds. */
@@ -21,7 +22,11 @@
     private newest = 0;
     private term: number | undefined;
 
-    constructor(private readonly entries: EntryTable) {}
+    /**
+     * @param entries The entries that the leader knows.
+     * @param registered Every registered incarnation, also of entries that the leader has not heard of yet.
+     */
+    constructor(private readonly entries: EntryTable, private readonly registered: () => readonly Incarnation[]) {}
 
     /** Age of the oldest version that is not yet in force everywhere; 0 where there is none. */
     oldestPending(now: Milliseconds): Milliseconds {
@@ -63,7 +68,7 @@
     }
 
     private settle(now: Milliseconds): void {
-        if (this.entries.mayMissEntries(now)) {
+        if (this.pending.length === 0 || this.entries.unheard(this.registered(), now).length > 0) {
             return;
         }
         for (const { version, seenAt } of [...this.pending]) {
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -44,7 +44,7 @@
 
     /** Exit code of the program; undefined while it runs, and when a signal ended it. */
     get exitCode(): number | undefined {
-        return this.process.exitCode ?? undefined;
+        return this.child.exitCode ?? undefined;
     }
 
     /** Ends the program at once, as the loss of its VM would, and waits for its end. */
--- a/tests/process/control/inForceWatch.test.ts
+++ b/tests/process/control/inForceWatch.test.ts
@@ -22,7 +22,8 @@
 function watchFrom(now: number): { readonly table: EntryTable; readonly watch: InForceWatch; } {
     const table = new EntryTable();
     table.enterTerm(term, now);
-    const watch = new InForceWatch(table);
+    const registered = { entry: "entry-1", incarnation: "a", startedAt: 0, through: 0, endedAt: undefined };
+    const watch = new InForceWatch(table, () => [registered]);
     watch.observe(term, 1, now);
     return { table, watch };
 }
