--- a/src/bin/gullhallStandIn.ts
+++ b/src/bin/gullhallStandIn.ts
@@ -10,6 +10,7 @@
 import yargs from "yargs";
 import type { Options } from "yargs";
 import { hideBin } from "yargs/helpers";
+import { describeFailure, failure } from "../resultCode/resultCode.js";
 import { ModelEngine } from "../standIn/modelEngine/modelEngine.js";
 import { PlainService } from "../standIn/plainService/plainService.js";
 import { engineKindsSchema, KindStarter } from "../standIn/platform/kindStarter.js";
@@ -25,6 +26,7 @@
     port: { type: "number", default: 0, describe: "Port on 127.0.0.1; 0 takes a free one" },
     name: { type: "string", describe: "Name of this stand-in" },
     options: { type: "string", default: "{}", describe: "Further options of the role, as a JSON object" },
+    "check-settings": { type: "boolean", default: false, describe: "Check the options and end" },
 } as const satisfies Readonly<Record<string, Options>>;
 
 const platformFlags = {
@@ -50,11 +52,13 @@
             return new Platform(options, clock, new KindStarter(clock, kinds));
         });
     })
-    .demandCommand(1, 1, "Name a role: engine, service or platform.")
+    .demandCommand(1, 1, "name a role: engine, service or platform")
     .strict()
     .version(packageVersion())
     .fail((message, error) => {
-        process.stderr.write(`${message || String(error)}\n`);
+        const reason = message || String(error);
+        const reported = failure("commandLineInvalid", { reason, program: "gullhall-stand-in" });
+        process.stderr.write(`${describeFailure(reported)}\n`);
         process.exit(exitUsage);
     });
 
--- a/src/logEvent/hideSecrets.ts
+++ b/src/logEvent/hideSecrets.ts
@@ -2,7 +2,7 @@
 import type { LogValue } from "./logEvent.js";
 
 /** What stands in a line in place of a secret. */
-export const hiddenSecret = `${keyPrefix}[hidden]`;
+const hiddenSecret = `${keyPrefix}[hidden]`;
 
 /** Keys by their beginning, and whatever follows "Bearer". */
 const secretPattern = new RegExp(`${keyPrefix}[\\w-]+|(?<=\\bBearer\\s+)\\S+`, "gi");
--- a/src/operator/answerSchemas.ts
+++ b/src/operator/answerSchemas.ts
@@ -200,6 +200,3 @@
 
 /** What a manifest would change. */
 export type Comparison = z.output<typeof comparisonSchema>;
-
-/** An accepted change. */
-export type Acceptance = z.output<typeof acceptanceSchema>;
--- a/src/operator/usageCommand.ts
+++ b/src/operator/usageCommand.ts
@@ -67,7 +67,7 @@
 }
 
 /** Writes an amount in millionths as currency units with six places. */
-export function moneyText(amount: string): string {
+function moneyText(amount: string): string {
     const value = BigInt(amount);
     return `${value / millionths}.${(value % millionths).toString().padStart(6, "0")}`;
 }
--- a/src/quickstart/quickstartManifest.ts
+++ b/src/quickstart/quickstartManifest.ts
@@ -59,6 +59,14 @@
                 endpoints: [{ name: "bookings-1", address: serviceAddress, failureDomain: "hobart-b" }],
             },
         ],
-        billing: { currency: "AUD", cutPerMillion: 50_000 },
+        billing: {
+            currency: "AUD",
+            cutPerMillion: 50_000,
+            prices: [
+                { requestClass: "bookings", perRequest: 2_000 },
+                { requestClass: "drafts", perMillionPromptTokens: 900_000, perMillionOutputTokens: 3_600_000 },
+                { requestClass: "summaries", perMillionPromptTokens: 600_000, perMillionOutputTokens: 2_400_000 },
+            ],
+        },
     };
 }
--- a/src/quickstart/tour.ts
+++ b/src/quickstart/tour.ts
@@ -16,6 +16,15 @@
 /** Classes of the chat requests. */
 const chatClasses = ["drafts", "summaries"] as const;
 
+/** Requests that teams pay for: the chats, one more on the open connection, and one booking. */
+const billedRequests = chatsPerClass * chatClasses.length + 2;
+
+/** Looks at usage before it counts as wrong. */
+const usageLooks = 10;
+
+/** Pause before a look at usage, in milliseconds. */
+const usagePause = 100;
+
 /** Idempotency key of the booking. */
 const bookingKey = "place-17";
 
@@ -27,6 +36,11 @@
     readonly clock: Clock;
 }
 
+/** The part of a usage window that the tour looks at. */
+interface UsageSums {
+    readonly totals: { readonly requests: string; };
+}
+
 /** Leads a newcomer through the whole path; each step becomes a line of the table. */
 export class Tour {
     private readonly keys = [createKey(), createKey()] as const;
@@ -169,6 +183,23 @@
             };
             return { members: status.members.length, entries: status.entries.length, version: status.version };
         }, ({ members, entries, version }) => members === 3 && entries === 3 && version === 2);
+        await table.run("gullhall usage", () => this.billed(), requests => requests === billedRequests);
+    }
+
+    /** Requests that usage has counted; asked for again while some are still on their way. */
+    private async billed(): Promise<number> {
+        const { cluster, clock } = this.options;
+        let requests = 0;
+        for (let look = 0; look < usageLooks && requests < billedRequests; look++) {
+            await clock.sleep(usagePause);
+            const usage = JSON.parse(await cluster.operate("usage", "--json")) as {
+                readonly open: readonly UsageSums[];
+                readonly sealed: readonly UsageSums[];
+            };
+            const windows = [...usage.open, ...usage.sealed];
+            requests = windows.reduce((sum, window) => sum + Number(window.totals.requests), 0);
+        }
+        return requests;
     }
 
     private entryAt(index: number): string {
--- a/src/standIn/runStandIn.ts
+++ b/src/standIn/runStandIn.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import process from "node:process";
 import { z } from "zod";
+import { describeFailure, failure } from "../resultCode/resultCode.js";
 import { exitFailure, exitUsage } from "../util/exitCode.js";
 import type { StandInServer } from "./standInServer.js";
 
@@ -13,6 +14,8 @@
     readonly name: string | undefined;
     /** Further options of the role as a JSON object. */
     readonly options: string;
+    /** Whether to end after the options were checked. */
+    readonly checkSettings: boolean;
 }
 
 /** Makes a stand-in from the options of the command line; throws on options that it does not know. */
@@ -26,6 +29,10 @@
         process.exitCode = exitUsage;
         return;
     }
+    if (flags.checkSettings) {
+        process.stdout.write("The options are valid.\n");
+        return;
+    }
     await using standIn = made;
     const stopped = Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
     try {
@@ -46,7 +53,12 @@
         return create({ ...z.record(z.string(), z.unknown()).parse(JSON.parse(options)), name });
     }
     catch (error) {
-        process.stderr.write(`The options are not acceptable: ${String(error)}\n`);
+        const reason = error instanceof z.ZodError ? reasonsOf(error) : String(error);
+        process.stderr.write(`${describeFailure(failure("optionsInvalid", { reason }))}\n`);
         return undefined;
     }
 }
+
+function reasonsOf(error: z.ZodError): string {
+    return error.issues.map(issue => `${issue.path.map(String).join(".")}: ${issue.message}`).join("; ");
+}
