--- a/src/connection/control/memberCalls.ts
+++ b/src/connection/control/memberCalls.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { Membership, MembershipChange } from "../../process/replicatedLog/membership.js";
 import { findMember } from "../../process/replicatedLog/membership.js";
-import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLog.js";
+import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLogOptions.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { addressSchema } from "../../settings/commonSettings.js";
 import type { Result } from "../../util/result.js";
