fix(control): sync every folder that is made for the data folder

Cause: where several folders were made at once, only the parent of the last one was synced. Change: all parents up to the first made one are synced; the length of an open file is kept instead of asked for. Conclusion: a first start survives a loss of power as a whole or not at all.

--- a/src/process/replicatedLog/fileLogStorage.ts
+++ b/src/process/replicatedLog/fileLogStorage.ts
@@ -1,6 +1,6 @@
 import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
-import { join } from "node:path";
+import { dirname, join, resolve } from "node:path";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
 import { Err, Ok } from "../../util/result.js";
@@ -10,9 +10,15 @@
 /** Ending of a file that is not complete yet; such files are ignored and overwritten. */
 const temporaryEnding = ".tmp";
 
+/** A file that is open for appending, and its durable length. */
+interface OpenFile {
+    readonly handle: FileHandle;
+    readonly bytes: number;
+}
+
 /** Files in one folder of the local disk. */
 export class FileLogStorage extends LogStorage {
-    private readonly appending = new Map<string, FileHandle>();
+    private readonly appending = new Map<string, OpenFile>();
 
     private constructor(private readonly folder: string) {
         super();
@@ -21,9 +27,10 @@
     /** Opens a folder, and creates it where it is missing. */
     static async open(folder: string): Promise<Result<FileLogStorage, Failure>> {
         return attempt("open", folder, async () => {
-            await mkdir(folder, { recursive: true, mode: 0o700 });
-            await syncFolder(join(folder, ".."));
-            return new FileLogStorage(folder);
+            const path = resolve(folder);
+            const firstMade = await mkdir(path, { recursive: true, mode: 0o700 });
+            await syncParents(path, firstMade ?? path);
+            return new FileLogStorage(path);
         });
     }
 
@@ -68,27 +75,28 @@
 
     override async append(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
         return attempt("append", name, async () => {
-            const handle = await this.appendingHandle(name);
-            const { size } = await handle.stat();
+            const file = await this.openFile(name);
             try {
-                await handle.appendFile(bytes);
+                await file.handle.appendFile(bytes);
             }
             catch (error) {
                 await mustSucceed(async () => {
-                    await handle.truncate(size);
-                    await handle.sync();
+                    await file.handle.truncate(file.bytes);
+                    await file.handle.sync();
                 });
                 throw error;
             }
-            await mustSucceed(async () => handle.datasync());
+            await mustSucceed(async () => file.handle.datasync());
+            this.appending.set(name, { ...file, bytes: file.bytes + bytes.length });
         });
     }
 
     override async truncate(name: string, length: number): Promise<Result<void, Failure>> {
         return attempt("truncate", name, async () => {
-            const handle = await this.appendingHandle(name);
+            const { handle } = await this.openFile(name);
             await handle.truncate(length);
             await handle.sync();
+            this.appending.set(name, { handle, bytes: length });
         });
     }
 
@@ -110,20 +118,21 @@
         return join(this.folder, name);
     }
 
-    private async appendingHandle(name: string): Promise<FileHandle> {
+    private async openFile(name: string): Promise<OpenFile> {
         const known = this.appending.get(name);
         if (known !== undefined) {
             return known;
         }
         const handle = await open(this.pathOf(name), "a");
-        this.appending.set(name, handle);
-        return handle;
+        const file = { handle, bytes: (await handle.stat()).size };
+        this.appending.set(name, file);
+        return file;
     }
 
     private async release(name: string): Promise<void> {
-        const handle = this.appending.get(name);
+        const file = this.appending.get(name);
         this.appending.delete(name);
-        await handle?.close();
+        await file?.handle.close();
     }
 }
 
@@ -150,6 +159,17 @@
     }
 }
 
+/** Syncs every folder that got a new folder in it, from the parent of `path` up to that of `firstMade`. */
+async function syncParents(path: string, firstMade: string): Promise<void> {
+    const last = dirname(firstMade);
+    for (let parent = dirname(path); parent.length >= last.length; parent = dirname(parent)) {
+        await syncFolder(parent);
+        if (parent === dirname(parent)) {
+            return;
+        }
+    }
+}
+
 async function syncFolder(folder: string): Promise<void> {
     const handle = await open(folder, "r");
     try {
