--- a/src/process/replicatedLog/logSegments.ts
+++ b/src/process/replicatedLog/logSegments.ts
@@ -59,6 +59,7 @@
  */
 export class LogSegments {
     private segments: readonly Segment[] = [];
+    private rollWanted = false;
 
     constructor(private readonly files: GroupFiles) {}
 
@@ -98,7 +99,7 @@
     async append(entries: readonly LogEntry[], base: LogBase, replaces: boolean): Promise<Result<void, Failure>> {
         const record = encodeRecord({ entries });
         const current = this.segments.at(-1);
-        if (replaces || current === undefined || current.bytes > segmentBytes) {
+        if (replaces || this.rollWanted || current === undefined || current.bytes > segmentBytes) {
             return this.start(base, false, record);
         }
         const appended = await this.files.storage.append(current.name, record);
@@ -122,13 +123,19 @@
         const content = Buffer.concat([header, firstRecord ?? new Uint8Array()]);
         const written = await this.files.storage.replace(name, content);
         if (written.ok) {
+            this.rollWanted = false;
             this.segments = [...this.segments, { sequence, name, base, bytes: content.length }];
         }
         return written;
     }
 
-    /** Removes the oldest segments that hold nothing behind a committed position; returns the base of the rest. */
+    /**
+     * Removes the oldest segments that hold nothing behind a committed position; returns the base of the rest.
+     *
+     * The next batch starts a new segment, so that the present one can go next time.
+     */
     async removeUpTo(position: number): Promise<Result<LogBase | undefined, Failure>> {
+        this.rollWanted = true;
         const kept = this.segments.findLastIndex((segment, index) =>
             segment.base.position <= position
             && this.segments.slice(index + 1).every(later => later.base.position >= segment.base.position)
--- a/tests/process/replicatedLog/durableLog.test.ts
+++ b/tests/process/replicatedLog/durableLog.test.ts
@@ -7,12 +7,12 @@
 import type { Failure, ResultCode } from "../../../src/resultCode/resultCode.js";
 import type { Result } from "../../../src/util/result.js";
 import { describe, it } from "../../describe.js";
-import { ImmediateStorage } from "./immediateStorage.js";
+import { MemoryLogStorage } from "./memoryLogStorage.js";
 
 const identity = { cluster: "test", memberId: "me" };
 const segmentName = "main.log.0000000001";
 
-function filesOn(storage: ImmediateStorage): GroupFiles {
+function filesOn(storage: MemoryLogStorage): GroupFiles {
     return { storage, identity, group: "main" };
 }
 
@@ -21,7 +21,7 @@
 }
 
 /** Writes `count` entries, each synced on its own. */
-async function write(storage: ImmediateStorage, count: number): Promise<DurableLog> {
+async function write(storage: MemoryLogStorage, count: number): Promise<DurableLog> {
     const log = (await DurableLog.open(filesOn(storage), true)).unwrap();
     for (let position = 1; position <= count; position += 1) {
         (await log.append([entryAt(position)])).unwrap();
@@ -43,12 +43,12 @@
         it("finds all synced entries behind any cut of the last write", async t => {
             await fastCheck.assert(
                 fastCheck.asyncProperty(fastCheck.nat(200), async cut => {
-                    const storage = new ImmediateStorage();
+                    const storage = new MemoryLogStorage();
                     await write(storage, 5);
-                    const sound = storage.contentOf(segmentName).length;
+                    const sound = storage.disk.contentOf(segmentName).length;
                     await write(storage, 0).then(async log => log.append([entryAt(6), entryAt(7)]));
-                    const whole = storage.contentOf(segmentName);
-                    storage.files.set(segmentName, whole.subarray(0, Math.min(sound + cut, whole.length - 1)));
+                    const whole = storage.disk.contentOf(segmentName);
+                    storage.disk.files.set(segmentName, whole.subarray(0, Math.min(sound + cut, whole.length - 1)));
                     const log = (await DurableLog.open(filesOn(storage), false)).unwrap();
                     t.is(log.lastPosition, 5);
                     (await log.append([entryAt(6, 2)])).unwrap();
@@ -60,16 +60,16 @@
         });
 
         it("refuses a flipped bit before the last record", async t => {
-            const storage = new ImmediateStorage();
+            const storage = new MemoryLogStorage();
             await write(storage, 4);
-            const before = storage.contentOf(segmentName).length;
+            const before = storage.disk.contentOf(segmentName).length;
             await write(storage, 0).then(async log => log.append([entryAt(5)]));
-            const whole = storage.contentOf(segmentName);
+            const whole = storage.disk.contentOf(segmentName);
             await fastCheck.assert(
                 fastCheck.asyncProperty(fastCheck.nat(before - 1), fastCheck.nat(7), async (place, bit) => {
                     const flipped = Buffer.from(whole);
                     flipped.writeUInt8(flipped.readUInt8(place) ^ (1 << bit), place);
-                    storage.files.set(segmentName, flipped);
+                    storage.disk.files.set(segmentName, flipped);
                     t.is(codeOf(await DurableLog.open(filesOn(storage), false)), "logDamaged");
                 }),
                 { seed: 2, numRuns: 300 },
@@ -77,7 +77,7 @@
         });
 
         it("replaces entries where a later leader wrote others, also over a snapshot", async t => {
-            const storage = new ImmediateStorage();
+            const storage = new MemoryLogStorage();
             const log = await write(storage, 6);
             (await log.append([entryAt(4, 2), entryAt(5, 2)])).unwrap();
             t.deepEqual(termsOf(log), [1, 1, 1, 2, 2]);
@@ -91,28 +91,33 @@
             t.deepEqual([last.basePosition, last.lastPosition, last.lastTerm], [9, 9, 3]);
         });
 
-        const faults: readonly (readonly [string, (storage: ImmediateStorage) => void, ResultCode])[] = [
-            ["no segment", storage => storage.files.delete(segmentName), "logIncomplete"],
-            ["no snapshot before the first entry", storage => storage.files.delete("main.snapshot"), "logIncomplete"],
+        const faults: readonly (readonly [string, (storage: MemoryLogStorage) => void, ResultCode])[] = [
+            ["no segment", storage => storage.disk.files.delete(segmentName), "logIncomplete"],
+            [
+                "no snapshot before the first entry",
+                storage => storage.disk.files.delete("main.snapshot"),
+                "logIncomplete",
+            ],
             [
                 "a missing segment",
-                storage => storage.files.set("main.log.0000000009", storage.contentOf("main.log.0000000002")),
+                storage => storage.disk.files.set("main.log.0000000009", storage.disk.contentOf("main.log.0000000002")),
                 "logIncomplete",
             ],
             [
                 "a truncated snapshot",
-                storage => storage.files.set("main.snapshot", storage.contentOf("main.snapshot").subarray(0, 40)),
+                storage =>
+                    storage.disk.files.set("main.snapshot", storage.disk.contentOf("main.snapshot").subarray(0, 40)),
                 "logDamaged",
             ],
             [
                 "an empty segment file",
-                storage => storage.files.set("main.log.0000000002", Buffer.alloc(0)),
+                storage => storage.disk.files.set("main.log.0000000002", Buffer.alloc(0)),
                 "logDamaged",
             ],
         ];
         for (const [title, spoil, code] of faults) {
             it(`refuses a folder with ${title}`, async t => {
-                const storage = new ImmediateStorage();
+                const storage = new MemoryLogStorage();
                 const log = await write(storage, 6);
                 if (code === "logDamaged" || title !== "no segment") {
                     (await log.append([entryAt(4, 2)])).unwrap();
@@ -125,7 +130,7 @@
         }
 
         it("refuses the files of another member", async t => {
-            const storage = new ImmediateStorage();
+            const storage = new MemoryLogStorage();
             await write(storage, 2);
             const files = { ...filesOn(storage), identity: { cluster: "test", memberId: "other" } };
             t.is(codeOf(await DurableLog.open(files, false)), "logFolderForeign");
@@ -134,12 +139,12 @@
 
     describe("append", () => {
         it("keeps what stood there when the disk is full", async t => {
-            const storage = new ImmediateStorage();
+            const storage = new MemoryLogStorage();
             const log = await write(storage, 3);
-            storage.full = true;
+            storage.disk.full = true;
             t.is(codeOf(await log.append([entryAt(2, 2), entryAt(3, 2)])), "storageFull");
             t.deepEqual([termsOf(log), log.syncedPosition], [[1, 1, 1], 3]);
-            storage.full = false;
+            storage.disk.full = false;
             (await log.append([entryAt(4, 2)])).unwrap();
             t.deepEqual(termsOf((await DurableLog.open(filesOn(storage), false)).unwrap()), [1, 1, 1, 2]);
         });
@@ -148,26 +153,26 @@
 
 describe("VoteRecord", () => {
     it("is read back, and refused when flipped", async t => {
-        const storage = new ImmediateStorage();
+        const storage = new MemoryLogStorage();
         const record = (await VoteRecord.create(filesOn(storage))).unwrap();
         (await record.save(7, "candidate")).unwrap();
         const read = (await VoteRecord.load(filesOn(storage))).unwrap();
         t.deepEqual([read?.term, read?.votedFor], [7, "candidate"]);
-        const flipped = storage.contentOf("main.vote");
+        const flipped = storage.disk.contentOf("main.vote");
         flipped.writeUInt8(flipped.readUInt8(30) ^ 1, 30);
-        storage.files.set("main.vote", flipped);
+        storage.disk.files.set("main.vote", flipped);
         t.is(codeOf(await VoteRecord.load(filesOn(storage))), "logDamaged");
     });
 });
 
 describe("loadIdentity", () => {
     it("makes an identity once, and refuses another cluster and a folder without identity", async t => {
-        const storage = new ImmediateStorage();
+        const storage = new MemoryLogStorage();
         const made = (await loadIdentity(storage, "test")).unwrap();
         t.deepEqual((await loadIdentity(storage, "test")).unwrap(), made);
         t.is(codeOf(await loadIdentity(storage, "other")), "logFolderForeign");
         await write(storage, 1);
-        storage.files.delete("identity");
+        storage.disk.files.delete("identity");
         t.is(codeOf(await loadIdentity(storage, "test")), "logIncomplete");
     });
 });
--- a/tests/process/replicatedLog/memoryLogStorage.ts
+++ b/tests/process/replicatedLog/memoryLogStorage.ts
@@ -4,7 +4,6 @@
 import type { RandomSource } from "../../../src/util/randomSource.js";
 import { Err, Ok } from "../../../src/util/result.js";
 import type { Result } from "../../../src/util/result.js";
-import type { VirtualProcess, VirtualTime } from "./virtualTime.js";
 
 /** Files as they stand on a disk; they outlive the processes that use them. */
 export class MemoryDisk {
@@ -16,6 +15,18 @@
     /** Leaves what a crash may leave of the operation under way. */
     private tear: ((fraction: number) => void) | undefined;
 
+    /** A copy of a file; empty when there is none. */
+    contentOf(name: string): Buffer {
+        return Buffer.from(this.files.get(name) ?? Buffer.alloc(0));
+    }
+
+    /** Puts a content in place of a file's, if there is one. */
+    put(name: string, content: Uint8Array | undefined): void {
+        if (content !== undefined) {
+            this.files.set(name, Buffer.from(content));
+        }
+    }
+
     /** Begins an operation that a crash would tear. */
     begin(tear: (fraction: number) => void): void {
         this.tear = tear;
@@ -43,14 +54,24 @@
     }
 }
 
-/** A storage in memory whose operations take virtual time and are durable only when they end. */
+/** Decides when the operations of a storage take effect. */
+export abstract class DiskPace {
+    /** Begins an operation, and completes it after its time. */
+    abstract run(begin: () => void, complete: () => void): Promise<void>;
+}
+
+/** Operations that take effect at once. */
+class ImmediatePace extends DiskPace {
+    override async run(begin: () => void, complete: () => void): Promise<void> {
+        begin();
+        complete();
+        return Promise.resolve();
+    }
+}
+
+/** A storage in memory whose operations are durable only when they end. */
 export class MemoryLogStorage extends LogStorage {
-    constructor(
-        private readonly disk: MemoryDisk,
-        private readonly time: VirtualTime,
-        private readonly process: VirtualProcess,
-        private readonly random: RandomSource,
-    ) {
+    constructor(readonly disk = new MemoryDisk(), private readonly pace: DiskPace = new ImmediatePace()) {
         super();
     }
 
@@ -59,71 +80,52 @@
     }
 
     override async read(name: string): Promise<Result<Uint8Array | undefined, Failure>> {
-        const content = this.disk.files.get(name);
-        return Promise.resolve(Ok(content === undefined ? undefined : Buffer.from(content)));
+        return Promise.resolve(Ok(this.disk.files.has(name) ? this.disk.contentOf(name) : undefined));
     }
 
     override async replace(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
-        return this.change(name, fraction => fraction < 1 ? undefined : Buffer.from(bytes));
+        return this.grow(fraction => {
+            this.disk.put(name, fraction < 1 ? undefined : bytes);
+        });
     }
 
     override async append(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
-        const before = this.disk.files.get(name) ?? Buffer.alloc(0);
-        return this.change(
-            name,
-            fraction => Buffer.concat([before, bytes.subarray(0, Math.floor(bytes.length * Math.min(1, fraction)))]),
-        );
+        const before = this.disk.contentOf(name);
+        return this.grow(fraction => {
+            const written = bytes.subarray(0, Math.floor(bytes.length * Math.min(1, fraction)));
+            this.disk.put(name, Buffer.concat([before, written]));
+        });
     }
 
     override async truncate(name: string, length: number): Promise<Result<void, Failure>> {
-        const before = this.disk.files.get(name) ?? Buffer.alloc(0);
+        const cut = this.disk.contentOf(name).subarray(0, length);
         return this.operate(fraction => {
-            this.disk.files.set(name, fraction < 1 ? before : before.subarray(0, length));
+            this.disk.put(name, fraction < 1 ? undefined : cut);
         });
     }
 
     override async remove(name: string): Promise<Result<void, Failure>> {
-        return this.operate(fraction => {
-            if (fraction >= 1) {
-                this.disk.files.delete(name);
-            }
-        });
+        return this.operate(fraction => fraction >= 1 && this.disk.files.delete(name));
     }
 
     override async close(): Promise<void> {
         return Promise.resolve();
     }
 
-    private async change(
-        name: string,
-        contentAt: (fraction: number) => Buffer | undefined,
-    ): Promise<Result<void, Failure>> {
-        if (this.disk.full) {
-            return Err(failure("storageFull", { operation: "write", name }));
-        }
-        return this.operate(fraction => {
-            const content = contentAt(fraction);
-            if (content !== undefined) {
-                this.disk.files.set(name, content);
-            }
-        });
+    private async grow(apply: (fraction: number) => void): Promise<Result<void, Failure>> {
+        return this.disk.full
+            ? Promise.resolve(Err(failure("storageFull", { operation: "write", name: "memory" })))
+            : this.operate(apply);
     }
 
     private async operate(apply: (fraction: number) => void): Promise<Result<void, Failure>> {
-        const { disk, process } = this;
-        if (process.alive) {
-            disk.begin(apply);
-        }
-        const slow = this.random.float() < 0.02 ? 200 : 2;
-        await new Promise<void>(resolve => {
-            this.time.schedule(this.random.float() * slow, () => {
-                if (process.alive && !disk.stalled) {
-                    apply(1);
-                    disk.end();
-                    process.run(resolve);
-                }
-            });
-        });
+        const complete = (): void => {
+            apply(1);
+            this.disk.end();
+        };
+        await this.pace.run(() => {
+            this.disk.begin(apply);
+        }, complete);
         return Ok(undefined);
     }
 }
--- a/tests/process/replicatedLog/replicatedLog.test.ts
+++ b/tests/process/replicatedLog/replicatedLog.test.ts
@@ -7,6 +7,9 @@
 import { describe, it } from "../../describe.js";
 import { CommandRecorder } from "./commandRecorder.js";
 
+/** Length of each numbered command: long enough that a snapshot takes several messages. */
+const commandLength = 10_000;
+
 type Member = LocalLogMember<CommandRecorder>;
 
 /** Runs a test with a group of three whose files are removed afterwards. */
@@ -38,7 +41,7 @@
 }
 
 function numbered(prefix: string, count: number): readonly string[] {
-    return [...Array(count).keys()].map(index => `${prefix}${index}`);
+    return [...Array(count).keys()].map(index => `${prefix}${index}`.padEnd(commandLength, "."));
 }
 
 describe("ReplicatedLog", () => {
--- a/tests/process/replicatedLog/virtualCluster.ts
+++ b/tests/process/replicatedLog/virtualCluster.ts
@@ -6,7 +6,7 @@
 import { describeFailure } from "../../../src/resultCode/resultCode.js";
 import { RandomSource } from "../../../src/util/randomSource.js";
 import { CommandRecorder } from "./commandRecorder.js";
-import { MemoryDisk, MemoryLogStorage } from "./memoryLogStorage.js";
+import { DiskPace, MemoryDisk, MemoryLogStorage } from "./memoryLogStorage.js";
 import { VirtualNetwork, VirtualWires } from "./virtualNetwork.js";
 import { VirtualClock, VirtualProcess, VirtualTime } from "./virtualTime.js";
 
@@ -32,6 +32,33 @@
 
 const events = new EventLog("test", "hidden");
 
+/** Operations that take up to 2 ms, or now and then up to 200 ms, and end with their process. */
+class VirtualPace extends DiskPace {
+    constructor(
+        private readonly time: VirtualTime,
+        private readonly process: VirtualProcess,
+        private readonly disk: MemoryDisk,
+        private readonly random: RandomSource,
+    ) {
+        super();
+    }
+
+    override async run(begin: () => void, complete: () => void): Promise<void> {
+        if (this.process.alive) {
+            begin();
+        }
+        const longest = this.random.float() < 0.02 ? 200 : 2;
+        await new Promise<void>(resolve => {
+            this.time.schedule(this.random.float() * longest, () => {
+                if (this.process.alive && !this.disk.stalled) {
+                    complete();
+                    this.process.run(resolve);
+                }
+            });
+        });
+    }
+}
+
 /** Members over virtual time, disks and wires, with a record of all that must never be contradicted. */
 export class VirtualCluster {
     readonly time = new VirtualTime();
@@ -78,7 +105,11 @@
             commitPosition: 0,
         };
         this.members[slot] = member;
-        void this.open(slot, member, new MemoryLogStorage(disk, this.time, process, this.random));
+        void this.open(
+            slot,
+            member,
+            new MemoryLogStorage(disk, new VirtualPace(this.time, process, disk, this.random)),
+        );
     }
 
     /** Kills a member; what it did not sync is lost, or torn. */
