--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -138,6 +138,9 @@
             entries: listing === this.sentListing ? undefined : entries.listings(),
         });
         this.sentListing = listing;
+        if (!request.status.draining && entries.drainRequested(hello.entry, hello.incarnation)) {
+            this.send({ kind: "drain" });
+        }
     }
 
     /** Registers the entry's incarnation; false when it may not be used, after telling the entry. */
--- /dev/null
+++ b/src/documentation/markdownTable.ts
@@ -0,0 +1,9 @@
+/** Writes a table in Markdown; cells are escaped. */
+export function markdownTable(headings: readonly string[], rows: readonly (readonly string[])[]): string {
+    const lines = [headings, headings.map(() => "---"), ...rows];
+    return lines.map(cells => `| ${cells.map(escapeCell).join(" | ")} |`).join("\n");
+}
+
+function escapeCell(text: string): string {
+    return text.replace(/\|/g, "\\|").replace(/</g, "&lt;").replace(/\s*\n\s*/g, " ");
+}
--- a/src/logEvent/entryEvents.ts
+++ b/src/logEvent/entryEvents.ts
@@ -86,4 +86,10 @@
         text: "A caller's bytes were refused before they became a request.",
         fields: ["address", "code"],
     },
+    usageUndelivered: {
+        number: 2212,
+        level: "error",
+        text: "The entry stops although control has not confirmed all of its usage records.",
+        fields: [],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -3,6 +3,7 @@
 import { EntryConnection } from "../../connection/control/entryConnection.js";
 import type { EntryConnectionContext } from "../../connection/control/entryConnection.js";
 import { OperatorServer } from "../../connection/control/operatorServer.js";
+import { MetricsServer } from "../../connection/metrics/metricsServer.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import { describeFailure } from "../../resultCode/resultCode.js";
 import type { ControlSettings } from "../../settings/controlSettings.js";
@@ -11,13 +12,17 @@
 import { listen } from "../../util/socketAddress.js";
 import { WakeUp } from "../../util/wakeUp.js";
 import type { CommandLog } from "../replicatedLog/commandLog.js";
+import type { ReplicatedLog } from "../replicatedLog/replicatedLog.js";
 import { ControlProposals } from "../state/controlProposals.js";
 import { ControlState } from "../state/controlState.js";
 import type { ControlCommand, ControlOutcome } from "../state/controlState.js";
 import { ConfigurationService } from "./configurationService.js";
+import { controlExposition } from "./controlExposition.js";
 import { openControlLog, ownAddresses } from "./controlLog.js";
 import type { ControlAddresses } from "./controlLog.js";
+import { controlStateReport } from "./controlStateReport.js";
 import { EntryTable } from "./entryTable.js";
+import { InForceWatch } from "./inForceWatch.js";
 import { runLeaderDuties } from "./leaderDuties.js";
 import type { LeaderDutyContext } from "./leaderDuties.js";
 
@@ -26,6 +31,7 @@
     private readonly store = new DisposableStore();
     private readonly applied = new WakeUp();
     private readonly entries = new EntryTable();
+    private readonly inForce = new InForceWatch(this.entries);
     private readonly state = new ControlState(() => {
         this.applied.wake();
     });
@@ -37,7 +43,7 @@
     ) {}
 
     /** Starts to serve; resolves with the addresses, rejects when the state cannot be opened. */
-    async start(): Promise<ControlAddresses> {
+    async start(): Promise<ControlAddresses & { readonly metricsAddress: string; }> {
         const { settings, clock, eventLog, state, entries, store } = this;
         const commandLog = await openControlLog({ settings, state, clock, eventLog, store });
         if (commandLog.err) {
@@ -57,18 +63,38 @@
             applied: this.applied,
             leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
+        const metricsAddress = await this.listenForMetrics(commandLog.val);
         this.runDuties({ state, commandLog: commandLog.val, proposals, entries, clock });
-        return addresses;
+        return { ...addresses, metricsAddress };
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
         await this.store.dispose();
     }
 
+    private listenForMetrics(log: ReplicatedLog<ControlCommand, ControlOutcome>): Promise<string> {
+        const { settings, state, entries, clock, inForce } = this;
+        const sources = { control: settings.name, log, state, entries, inForce };
+        const server = new MetricsServer({
+            exposition: () => controlExposition(controlStateReport(sources, clock.now()), inForce.times),
+            state: () => controlStateReport(sources, clock.now()),
+        });
+        return this.store.add(server).start(settings.metricsAddress);
+    }
+
     /** Runs the leader's recurring duties until the process stops. */
     private runDuties(context: LeaderDutyContext): void {
         const stopping = new AbortController();
-        const duties = runLeaderDuties(context, stopping.signal);
+        const { state, commandLog, clock } = context;
+        const duties = Promise.all([
+            runLeaderDuties(context, stopping.signal),
+            this.inForce.run(
+                () => commandLog.leadingTerm(),
+                () => state.configuration.current.version,
+                clock,
+                stopping.signal,
+            ),
+        ]);
         this.store.defer(async () => {
             stopping.abort();
             await duties;
@@ -81,7 +107,7 @@
     }
 
     private async listenForOperators(
-        commandLog: CommandLog<ControlCommand, ControlOutcome>,
+        commandLog: ReplicatedLog<ControlCommand, ControlOutcome>,
         proposals: ControlProposals,
         address: string,
     ): Promise<void> {
@@ -92,7 +118,17 @@
             clock,
             eventLog,
         });
-        const server = new OperatorServer({ settings, clock, state, configuration, entries, commandLog, address });
+        const server = new OperatorServer({
+            settings,
+            clock,
+            eventLog,
+            state,
+            configuration,
+            entries,
+            commandLog,
+            members: commandLog,
+            address,
+        });
         await this.store.add(server).start();
     }
 
