--- a/src/process/replicatedLog/replicatedLog.ts
+++ b/src/process/replicatedLog/replicatedLog.ts
@@ -20,6 +20,8 @@
 import { StateApplier } from "./stateApplier.js";
 import { VoteRecord } from "./voteRecord.js";
 
+export type { ReplicaStatus, ReplicatedLogOptions } from "./replicatedLogOptions.js";
+
 /**
  * One member's copy of a log that 3 or 5 control processes share (Raft, with pre-vote, check-quorum, leases and
  * learners).
