docs(standIn): page of stand-ins, faults and load plans

Cause: options, faults and control calls could be learnt from the code alone, and the program told a fault of its options in several lines without a number.

Conclusion: pages and code cannot drift apart unnoticed.

--- /dev/null
+++ b/src/documentation/faultTable.ts
@@ -0,0 +1,15 @@
+import type { z } from "zod";
+import { faultSchema } from "../standIn/fault.js";
+import { markdownTable } from "./markdownTable.js";
+
+/** The table of the faults that stand-ins can be told to show. */
+export function faultTable(): string {
+    const rows = faultSchema.options.map(option => {
+        const { kind, ...fields } = option.shape;
+        const names = Object.entries<z.ZodType>(fields).map(([name, field]) =>
+            field.safeParse(undefined).success ? `${name}?` : name
+        );
+        return [`\`${kind.value}\``, names.map(name => `\`${name}\``).join(", "), option.description ?? ""];
+    });
+    return markdownTable(["kind", "further fields", "what happens"], rows);
+}
--- a/src/documentation/generatedSections.ts
+++ b/src/documentation/generatedSections.ts
@@ -1,8 +1,13 @@
+import { loadPlanSchema } from "../experiment/load/loadPlan.js";
 import { controlSettingsSchema } from "../settings/controlSettings.js";
 import { entrySettingsSchema } from "../settings/entrySettings.js";
 import { operatorSettingsSchema } from "../settings/operatorSettings.js";
+import { engineOptionsSchema } from "../standIn/modelEngine/engineOptions.js";
+import { plainServiceOptionsSchema } from "../standIn/plainService/plainServiceOptions.js";
+import { platformOptionsSchema } from "../standIn/platform/platformOptions.js";
 import { manifestSchema } from "../version/manifest.js";
 import { logEventTable, resultCodeTable } from "./catalogueTables.js";
+import { faultTable } from "./faultTable.js";
 import { schemaTable } from "./schemaTable.js";
 
 /** A part of a page that is made from the code. */
@@ -22,6 +27,11 @@
     { page: "docs/OPERATIONS.md", name: "entry settings", content: () => schemaTable(entrySettingsSchema) },
     { page: "docs/OPERATIONS.md", name: "operator settings", content: () => schemaTable(operatorSettingsSchema) },
     { page: "docs/OPERATIONS.md", name: "manifest", content: () => schemaTable(manifestSchema) },
+    { page: "docs/STAND-INS.md", name: "engine options", content: () => schemaTable(engineOptionsSchema) },
+    { page: "docs/STAND-INS.md", name: "service options", content: () => schemaTable(plainServiceOptionsSchema) },
+    { page: "docs/STAND-INS.md", name: "platform options", content: () => schemaTable(platformOptionsSchema) },
+    { page: "docs/STAND-INS.md", name: "faults", content: faultTable },
+    { page: "docs/STAND-INS.md", name: "load plan", content: () => schemaTable(loadPlanSchema) },
 ];
 
 /**
--- a/src/experiment/overhead/main.ts
+++ b/src/experiment/overhead/main.ts
@@ -14,7 +14,7 @@
 
 const rounds = 5;
 const warmUp: Milliseconds = 1_000;
-const throughputLoad = { callers: 64, answerTokens: 8, duration: 2_000 };
+const throughputLoad = { callers: 256, answerTokens: 8, duration: 2_000 };
 const latencyDuration: Milliseconds = 3_000;
 const streamLoad = { streams: 1_000, answerTokens: 120, spread: 500 };
 
--- a/src/standIn/runStandIn.ts
+++ b/src/standIn/runStandIn.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import process from "node:process";
 import { z } from "zod";
+import { describeFailure, failure } from "../resultCode/resultCode.js";
 import { exitFailure, exitUsage } from "../util/exitCode.js";
 import type { StandInServer } from "./standInServer.js";
 
@@ -46,7 +47,12 @@
         return create({ ...z.record(z.string(), z.unknown()).parse(JSON.parse(options)), name });
     }
     catch (error) {
-        process.stderr.write(`The options are not acceptable: ${String(error)}\n`);
+        const reason = error instanceof z.ZodError ? listIssues(error) : String(error);
+        process.stderr.write(`${describeFailure(failure("optionsInvalid", { reason }))}\n`);
         return undefined;
     }
 }
+
+function listIssues(error: z.ZodError): string {
+    return error.issues.map(issue => [...issue.path, issue.message].join(": ")).join("; ");
+}
--- a/tests/standIn/modelEngine/modelEngine.test.ts
+++ b/tests/standIn/modelEngine/modelEngine.test.ts
@@ -4,11 +4,13 @@
 import { promptText } from "../../../src/standIn/modelEngine/completionBody.js";
 import type { EngineFigures } from "../../../src/standIn/modelEngine/engineFigures.js";
 import type { EngineOptionsInput } from "../../../src/standIn/modelEngine/engineOptions.js";
+import type { EngineLoadReport } from "../../../src/standIn/modelEngine/loadReport.js";
 import { ModelEngine } from "../../../src/standIn/modelEngine/modelEngine.js";
 import { SystemClock } from "../../../src/util/clock.js";
 import { describe, it } from "../../describe.js";
 import { callHttp, chunksOf, jsonOf, textOf } from "../httpCaller.js";
 import type { HttpAnswer, StreamChunk } from "../httpCaller.js";
+import { JumpClock } from "../jumpClock.js";
 
 const clock = new SystemClock();
 const quick = { models: ["alpha"], stepMilliseconds: 1, stepMillisecondsPerRequest: 0, reportLagMilliseconds: 0 };
@@ -178,6 +180,40 @@
             t.like(jsonOf(await callHttp(engine.address, "/v1/load")), { cacheTokensUsed: 0, runningRequests: 0 });
         });
 
+        it("takes longer by a factor, while the load report stays healthy", async t => {
+            const time = new JumpClock();
+            const options = {
+                ...quick,
+                stepMilliseconds: 10,
+                prefillMillisecondsPerToken: 0,
+                reportLagMilliseconds: 50,
+            };
+            await using engine = new ModelEngine(options, time);
+            await engine.start();
+            const measured: unknown[] = [];
+            for (const factor of [1, 3]) {
+                engine.faults.set({ kind: "straggle", factor });
+                const startedAt = time.now();
+                await chat(engine, "hello [answer-tokens: 100]", "r1");
+                const report = jsonOf<EngineLoadReport>(await callHttp(engine.address, "/v1/load"));
+                measured.push({ took: time.now() - startedAt, tokensPerSecond: report.tokensPerSecond });
+            }
+            t.deepEqual(measured, [{ took: 1000, tokensPerSecond: 100 }, { took: 3000, tokensPerSecond: 100 }]);
+        });
+
+        it("handles a call late", async t => {
+            const time = new JumpClock();
+            await using engine = new ModelEngine(quick, time);
+            await engine.start();
+            engine.faults.set({ kind: "answerLate", milliseconds: 5_000, times: 1 });
+            const times: number[] = [];
+            for (let call = 0; call < 2; call++) {
+                t.is((await callHttp(engine.address, "/v1/load")).status, 200);
+                times.push(time.now());
+            }
+            t.deepEqual(times, [5_000, 5_000]);
+        });
+
         it("refuses work as leaving, truly not run", async t => {
             await using engine = await startEngine();
             engine.faults.set({ kind: "refuseLeaving" });
