--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -30,6 +30,7 @@
     readonly startedAt: UnixMilliseconds;
     readonly failureDomain: string;
     readonly callerAddress: string;
+    readonly metricsAddress: string;
 }
 
 /** What a connection to a control process works on. */
