--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -17,7 +17,7 @@
 const permitInterval: Milliseconds = 400;
 
 /** Longest wait for a connection or for an answer, in milliseconds. */
-const answerTimeout: Milliseconds = 1500;
+const answerTimeout: Milliseconds = 1000;
 
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
@@ -44,6 +44,8 @@
     readonly configuration: EntryConfiguration;
     readonly permit: ServingPermit;
     readonly status: () => EntryStatus;
+    /** Called when an operator asked this entry to stop gracefully. */
+    readonly onDrain: () => void;
     readonly onListing: (entries: readonly EntryListing[]) => void;
     readonly claims: ControlClaimStore;
 }
@@ -52,6 +54,8 @@
 export interface ControlConnectionEnd {
     /** Address of the leader's port for entries, when the other side named it. */
     readonly leaderAddress: string | undefined;
+    /** Whether the other side stayed silent for too long. */
+    readonly silent: boolean;
 }
 
 /** One connection of an entry to a control process: follows the configuration and renews the permit. */
@@ -64,6 +68,7 @@
     private nextNumber = 1;
     private awaitingUsage = false;
     private leaderAddress: string | undefined;
+    private silent = false;
 
     constructor(
         address: string,
@@ -80,7 +85,10 @@
             this.socket.destroy();
         };
         this.stop.addEventListener("abort", close, { once: true });
-        this.socket.setTimeout(answerTimeout, close);
+        this.socket.setTimeout(answerTimeout, () => {
+            this.silent = true;
+            close();
+        });
         this.greet();
         this.context.claims.attach(message => {
             this.send(message);
@@ -100,7 +108,7 @@
             close();
         }
         await renewing;
-        return { leaderAddress: this.leaderAddress };
+        return { leaderAddress: this.leaderAddress, silent: this.silent };
     }
 
     private send(message: EntryToControl): void {
@@ -158,6 +166,10 @@
                 this.reportVersion();
                 return followed;
             })
+            .with({ kind: "drain" }, () => {
+                this.context.onDrain();
+                return true;
+            })
             .with({ kind: "permit" }, permit => {
                 this.takePermit(permit);
                 return true;
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -121,6 +121,8 @@
     | { readonly kind: "redirect"; readonly leaderAddress: string | undefined; }
     /** Bytes of an encoded {@link ConfigurationSnapshot}; the last part completes it. */
     | { readonly kind: "snapshotPart"; readonly bytes: Uint8Array; readonly last: boolean; }
+    /** An operator asked this entry to stop gracefully. */
+    | { readonly kind: "drain"; }
     /** The incarnation was declared over while it could not be reached; the entry goes on under a new one. */
     | { readonly kind: "incarnationEnded"; readonly incarnation: string; }
     /** What became of the usage records of a message. */
--- a/src/connection/peerMessage.ts
+++ b/src/connection/peerMessage.ts
@@ -35,6 +35,7 @@
         ...envelope,
         term,
         commitPosition: position,
+        commitTerm: term.describe("Term of the entry at the commit position: a log that has it may commit up to it."),
         acknowledged: acknowledgedSchema,
     }),
     z.object({
@@ -82,6 +83,7 @@
         memberId,
         operatorAddress: z.string(),
         formed: z.boolean(),
+        expectedAddresses: z.array(z.string()).readonly(),
         leaderAddress: z.string().optional(),
         acknowledged: z.object({ term, position }).optional()
             .describe("What the answering member knows that the asking one made durable."),
--- a/src/process/control/entryTable.ts
+++ b/src/process/control/entryTable.ts
@@ -1,5 +1,6 @@
 import type { EntryListing, EntryStatus } from "../../connection/entryMessages.js";
 import type { Milliseconds } from "../../util/clock.js";
+import type { Incarnation } from "../usage/incarnationTable.js";
 
 /** Longest time for which a permit lets an entry serve, in milliseconds from the sending of its request. */
 export const permitMilliseconds = 4000;
@@ -22,6 +23,7 @@
 /** The entries that may serve, as the leader of one term sees them. */
 export class EntryTable {
     private readonly records = new Map<string, EntryRecord>();
+    private readonly drainRequests = new Set<string>();
     private listingNumber = 0;
     private term: number | undefined;
     private earlierPermitsEndAt: Milliseconds = Number.POSITIVE_INFINITY;
@@ -36,16 +38,30 @@
         if (term !== this.term) {
             this.term = term;
             this.records.clear();
+            this.drainRequests.clear();
             this.earlierPermitsEndAt = now + permitMilliseconds;
             this.listingNumber++;
         }
     }
 
-    /** Whether entries that an earlier leader knew may still serve without this one knowing them. */
-    mayMissEntries(now: Milliseconds): boolean {
+    /** Whether a permit of an earlier leader may still hold. */
+    earlierPermitsMayHold(now: Milliseconds): boolean {
         return now < this.earlierPermitsEndAt;
     }
 
+    /**
+     * The entries that may still serve by a permit of an earlier leader and have not reported to this one.
+     *
+     * @param registered Every registered incarnation; an entry gets no permit before its own is registered.
+     */
+    unheard(registered: readonly Incarnation[], now: Milliseconds): readonly string[] {
+        if (!this.earlierPermitsMayHold(now)) {
+            return [];
+        }
+        const silent = registered.filter(({ entry, incarnation }) => !this.records.has(recordKey(entry, incarnation)));
+        return silent.map(({ entry }) => entry);
+    }
+
     /** Every known entry whose permit may still hold. */
     all(now: Milliseconds): readonly EntryRecord[] {
         this.forget(now);
@@ -72,6 +88,18 @@
         }
     }
 
+    /** Asks an entry to stop gracefully; false where no process of that name is connected. */
+    requestDrain(entry: string): boolean {
+        const connected = [...this.records].filter(([, record]) => record.entry === entry && record.connected);
+        connected.forEach(([key]) => this.drainRequests.add(key));
+        return connected.length > 0;
+    }
+
+    /** Whether this process of an entry was asked to stop. */
+    drainRequested(entry: string, incarnation: string): boolean {
+        return this.drainRequests.has(recordKey(entry, incarnation));
+    }
+
     /** The connected entries for discovery. */
     listings(): readonly EntryListing[] {
         const connected = [...this.records.values()].filter(record => record.connected);
@@ -93,6 +121,7 @@
         for (const [key, record] of this.records) {
             if (!record.connected && record.permitEndsAt <= now) {
                 this.records.delete(key);
+                this.drainRequests.delete(key);
             }
         }
     }
