--- /dev/null
+++ b/tests/connection/entry/testCaller.ts
@@ -0,0 +1,113 @@
+import { request as httpRequest } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import { expectedAnswer } from "../../../src/standIn/modelEngine/answerPlan.js";
+import { promptText } from "../../../src/standIn/modelEngine/completionBody.js";
+import { splitAddress } from "../../../src/util/socketAddress.js";
+import type { TestEntry } from "./testEntry.js";
+
+/** A call as a caller makes it. */
+export interface TestCall {
+    readonly method?: string;
+    readonly path: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    /** Text of the key; the entry's own when absent, none when empty. */
+    readonly key?: string;
+    readonly signal?: AbortSignal;
+}
+
+/** An answer as a caller gets it. */
+export interface TestAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+    /** Whether the answer came to its end. */
+    readonly whole: boolean;
+}
+
+/** Makes a call and waits for the beginning of its answer. */
+export function open(entry: TestEntry, call: TestCall): Promise<IncomingMessage> {
+    const key = call.key ?? entry.key;
+    return new Promise((resolve, reject) => {
+        const outgoing = httpRequest({
+            ...splitAddress(entry.address),
+            agent: false,
+            method: call.method ?? "POST",
+            path: call.path,
+            headers: {
+                "content-type": "application/json",
+                ...key === "" ? {} : { authorization: `Bearer ${key}` },
+                ...call.headers,
+            },
+            ...call.signal === undefined ? {} : { signal: call.signal },
+        });
+        outgoing.on("error", reject);
+        outgoing.once("response", resolve);
+        outgoing.end(call.body);
+    });
+}
+
+/** Makes a call and waits for its whole answer. */
+export async function ask(entry: TestEntry, call: TestCall): Promise<TestAnswer> {
+    return await collect(await open(entry, call));
+}
+
+/** Reads an answer to its end or to where it breaks off. */
+export async function collect(message: IncomingMessage): Promise<TestAnswer> {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of message as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        // What came before counts.
+    }
+    const body = Buffer.concat(chunks).toString("utf8");
+    return { status: message.statusCode ?? 0, headers: message.headers, body, whole: message.complete };
+}
+
+/** A streamed chat call with an answer of a number of tokens. */
+export function chatCall(tokens: number, text = "hello", requestClass = "drafts"): TestCall {
+    const body = JSON.stringify({ model: "alpha", stream: true, messages: messagesOf(tokens, text) });
+    return { path: "/v1/chat/completions", body, headers: { "x-request-class": requestClass } };
+}
+
+/** The text that the answer to {@link chatCall} must have. */
+export function chatText(tokens: number, text = "hello"): string {
+    return expectedAnswer("alpha", promptText({ messages: messagesOf(tokens, text) }));
+}
+
+/** The text of a streamed answer; its tokens must be numbered without gap or repeat. */
+export function streamedText(answer: TestAnswer): string {
+    const events = answer.body.split("\n\n").filter(event => event.startsWith("data: {"));
+    let text = "";
+    let next = 0;
+    for (const event of events) {
+        const chunk = JSON.parse(event.slice(6)) as StreamedChunk;
+        if (chunk.token_number !== undefined && chunk.token_number !== next++) {
+            return `token ${chunk.token_number} came in place of ${next - 1}`;
+        }
+        text += chunk.choices?.[0]?.delta.content ?? "";
+    }
+    return answer.body.endsWith("data: [DONE]\n\n") ? text : `not whole: ${answer.body.slice(-300)}`;
+}
+
+/** The identifier of the code in an answer's body. */
+export function codeOf({ body }: Pick<TestAnswer, "body">): string | undefined {
+    try {
+        return (JSON.parse(body) as { readonly error?: { readonly type: string; }; }).error?.type;
+    }
+    catch {
+        return body;
+    }
+}
+
+interface StreamedChunk {
+    readonly token_number?: number;
+    readonly choices?: readonly { readonly delta: { readonly content?: string; }; }[];
+}
+
+function messagesOf(tokens: number, text: string): { readonly role: string; readonly content: string; }[] {
+    return [{ role: "user", content: `${text} [answer-tokens: ${tokens}]` }];
+}
--- /dev/null
+++ b/tests/connection/entry/testEntry.ts
@@ -0,0 +1,149 @@
+import { CallerServer } from "../../../src/connection/entry/callerServer.js";
+import type { CallerServerLimits } from "../../../src/connection/entry/callerServer.js";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import type { PoolDispatcher } from "../../../src/process/entry/poolDispatcher.js";
+import { EntryProcessState } from "../../../src/process/entry/entryProcessState.js";
+import { entrySettingsSchema } from "../../../src/settings/entrySettings.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { createKey } from "../../../src/util/createKey.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { keyDigest } from "../../../src/util/keyDigest.js";
+import { manifestSchema } from "../../../src/version/manifest.js";
+import type { Manifest } from "../../../src/version/manifest.js";
+import { TestControl } from "./testControl.js";
+
+/** How often the entry looks for what is due, in milliseconds. */
+const sweepInterval = 10;
+
+/** Length of the permit of a test, in milliseconds. */
+const longPermit = 3_600_000;
+
+/** Addresses of the stand-ins behind an entry. */
+export interface TestEndpoints {
+    readonly engines?: readonly string[];
+    readonly services?: readonly string[];
+    /** Requests at one engine at a time. */
+    readonly slots?: number;
+}
+
+/** An entry within the process of a test, its permit and configuration given by hand. */
+export class TestEntry implements AsyncDisposable {
+    /** Text of the key of the team "north". */
+    readonly key: string;
+    readonly state: EntryProcessState;
+    address = "";
+    private version = 0;
+    private readonly store = new DisposableStore();
+    private readonly clock = new SystemClock();
+
+    private constructor(readonly name: string, readonly endpoints: TestEndpoints, key: string) {
+        this.key = key;
+        const settings = entrySettingsSchema.parse({
+            cluster: "test",
+            name,
+            failureDomain: "hobart-a",
+            callerAddress: "127.0.0.1:0",
+            controlAddresses: [],
+            maximumBodyBytes: 64 * 1024,
+            discoverySeconds: 1,
+        });
+        this.state = this.store.add(new EntryProcessState(settings, this.clock, new EventLog(name, "hidden")));
+    }
+
+    /** Starts an entry. */
+    static async start(
+        endpoints: TestEndpoints,
+        options: {
+            readonly name?: string;
+            readonly key?: string;
+            readonly control?: TestControl;
+            readonly limits?: CallerServerLimits;
+        } = {},
+    ): Promise<TestEntry> {
+        const entry = new TestEntry(options.name ?? "entry-1", endpoints, options.key ?? createKey());
+        const { state, store, clock } = entry;
+        entry.configure();
+        state.permit.grant(clock.now(), longPermit, 1);
+        await (options.control ?? new TestControl()).attach(state.claims, entry.name, state.incarnation.name);
+        const timer = setInterval(() => {
+            state.sweep(clock.now());
+        }, sweepInterval);
+        store.defer(() => {
+            clearInterval(timer);
+        });
+        const server = store.add(new CallerServer(state, options.limits));
+        entry.address = await server.start();
+        return entry;
+    }
+
+    /** Puts the next version of the configuration in force. */
+    configure(change: (manifest: Manifest) => Manifest = manifest => manifest): void {
+        this.version++;
+        const manifest = change(manifestOf(this.endpoints, this.key));
+        this.state.configuration.replace({ version: this.version, manifest, issuedKeys: [] });
+    }
+
+    /** The dispatcher of the engines. */
+    get engines(): PoolDispatcher {
+        return this.state.dispatcherOf("engines");
+    }
+
+    /** The dispatcher of the plain services. */
+    get services(): PoolDispatcher {
+        return this.state.dispatcherOf("services");
+    }
+
+    /** Waits until something holds; the test's own time limit bounds it. */
+    async until(holds: () => boolean): Promise<void> {
+        while (!holds()) {
+            await this.clock.sleep(5);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.store.dispose();
+    }
+}
+
+function manifestOf({ engines = [], services = [], slots = 64 }: TestEndpoints, key: string): Manifest {
+    const listed = (kind: string, addresses: readonly string[]): readonly object[] =>
+        addresses.map((address, index) => ({ name: `${kind}-${index + 1}`, address, failureDomain: "hobart-a" }));
+    return manifestSchema.parse({
+        number: 1,
+        teams: [{ name: "north", keys: [{ name: "main", digest: keyDigest(key) }] }],
+        classes: [
+            { name: "drafts", tier: 0, target: { firstTokenMilliseconds: 500, totalMilliseconds: 60_000 } },
+            { name: "summaries", tier: 3, preemptible: true, target: { totalMilliseconds: 120_000 } },
+        ],
+        routes: [
+            {
+                name: "chat",
+                kind: "model",
+                model: "alpha",
+                pool: "engines",
+                requestClass: "drafts",
+                classes: ["summaries"],
+                teams: "all",
+            },
+            {
+                name: "bookings",
+                kind: "service",
+                pathPrefix: "/bookings",
+                pool: "services",
+                requestClass: "drafts",
+                teams: "all",
+            },
+        ],
+        pools: [
+            {
+                name: "engines",
+                kind: "model",
+                model: "alpha",
+                concurrentRequestsPerEndpoint: slots,
+                endpoints: listed("engine", engines),
+            },
+            { name: "services", kind: "service", endpoints: listed("service", services) },
+        ],
+        billing: { currency: "AUD", cutPerMillion: 0 },
+    });
+}
--- /dev/null
+++ b/tests/request/model/wholeAnswers.test.ts
@@ -0,0 +1,117 @@
+import type { FaultInput } from "../../../src/standIn/fault.js";
+import { ModelEngine } from "../../../src/standIn/modelEngine/modelEngine.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { ask, chatCall, chatText, codeOf, collect, open, streamedText } from "../../connection/entry/testCaller.js";
+import { TestEntry } from "../../connection/entry/testEntry.js";
+import { describe, it } from "../../describe.js";
+
+async function startEngines(store: DisposableStore, count: number, options: object = {}): Promise<ModelEngine[]> {
+    const engines = [...Array(count).keys()].map(index =>
+        store.add(
+            new ModelEngine({ name: `engine-${index + 1}`, models: ["alpha"], ...options }, new SystemClock()),
+        )
+    );
+    await Promise.all(engines.map(engine => engine.start()));
+    return engines;
+}
+
+describe("model request", () => {
+    describe("under a fault of one engine", () => {
+        const faults: readonly FaultInput[] = [
+            { kind: "breakStreams", afterTokens: 7, times: 2 },
+            { kind: "crossAnswers" },
+            { kind: "crossAnswers", replace: true, times: 3 },
+            { kind: "duplicateToken", tokenNumber: 3 },
+            { kind: "skipToken", tokenNumber: 5, times: 1 },
+            { kind: "refuseLeaving", times: 2, pathPrefix: "/v1/chat" },
+            { kind: "crash" },
+        ];
+        for (const fault of faults) {
+            it(`delivers whole answers: ${JSON.stringify(fault)}`, async t => {
+                await using store = new DisposableStore();
+                const engines = await startEngines(store, 2, { stepMilliseconds: 2 });
+                const entry = store.add(await TestEntry.start({ engines: engines.map(engine => engine.address) }));
+                const texts = ["a", "b", "c", "d", "e", "f"];
+                const asked = texts.map(text => ask(entry, chatCall(30, text)));
+                await entry.until(() => entry.engines.running === texts.length);
+                engines[0]?.faults.set(fault);
+                const answers = await Promise.all(asked);
+                t.deepEqual(answers.map(streamedText), texts.map(text => chatText(30, text)));
+                t.is(entry.engines.running, 0);
+            });
+        }
+    });
+
+    it("breaks a stalled answer off and resumes it elsewhere", async t => {
+        await using store = new DisposableStore();
+        const engines = await startEngines(store, 2, { stepMilliseconds: 5 });
+        const entry = store.add(await TestEntry.start({ engines: engines.map(engine => engine.address) }));
+        const message = await open(entry, chatCall(60));
+        const busy = engines.find(engine => engine.record.containing("answer-tokens").length > 0);
+        busy?.faults.set({ kind: "stall" });
+        entry.state.deadlines.sweep(Infinity);
+        t.is(streamedText(await collect(message)), chatText(60));
+        t.is(entry.state.metrics.counters.countOf("stalledAnswers"), 1);
+    });
+
+    it("says unknown when every attempt broke off, and never that nothing ran", async t => {
+        await using store = new DisposableStore();
+        const [engine] = await startEngines(store, 1);
+        engine?.faults.set({ kind: "breakStreams", afterTokens: 0 });
+        const entry = store.add(await TestEntry.start({ engines: [engine?.address ?? ""] }));
+        engine?.faults.set({ kind: "answerLate", milliseconds: 60_000, pathPrefix: "/v1/chat" });
+        const answer = ask(entry, chatCall(5));
+        await entry.until(() => entry.engines.running === 1);
+        const timer = setInterval(() => {
+            entry.state.deadlines.sweep(Infinity);
+        }, 100);
+        const { status, headers, body } = await answer;
+        clearInterval(timer);
+        t.deepEqual([status, headers["x-outcome"], codeOf({ body })], [502, "unknown", "endpointFailed"]);
+    });
+
+    it("cancels the work at the engine when its caller leaves", async t => {
+        await using store = new DisposableStore();
+        const [engine] = await startEngines(store, 1);
+        const entry = store.add(await TestEntry.start({ engines: [engine?.address ?? ""] }));
+        const message = await open(entry, chatCall(5_000));
+        message.destroy();
+        await entry.until(() => (engine?.figures() as { readonly cancelled: number; }).cancelled === 1);
+        await entry.until(() => entry.engines.running === 0);
+        t.is(entry.state.deadlines.size, 0);
+    });
+
+    it("holds the engine up for a slow reader, with bounded memory, and cuts one that stops", async t => {
+        await using store = new DisposableStore();
+        const [engine] = await startEngines(store, 1, { stepMilliseconds: 0.1, bufferedBytesPerStream: 1024 });
+        const entry = store.add(await TestEntry.start({ engines: [engine?.address ?? ""] }));
+        const [unread, read] = await Promise.all([
+            open(entry, { ...chatCall(1, "unread"), body: longChat("unread") }),
+            ask(entry, chatCall(20, "read")),
+        ]);
+        t.is(streamedText(read), chatText(20, "read"));
+        unread.pause();
+        await entry.until(() => entry.state.deadlines.size > 0 && unread.readableLength > 0);
+        entry.state.deadlines.sweep(Infinity);
+        await entry.until(() => entry.engines.running === 0);
+        const cut = await collect(unread);
+        t.not(streamedText(cut), chatText(200_000, "unread"));
+    });
+
+    it("preempts a lower tier for a higher one and resumes it without the caller's notice", async t => {
+        await using store = new DisposableStore();
+        const [engine] = await startEngines(store, 1, { maximumRunning: 1, stepMilliseconds: 10 });
+        const entry = store.add(await TestEntry.start({ engines: [engine?.address ?? ""], slots: 1 }));
+        const low = await open(entry, chatCall(150, "low", "summaries"));
+        const high = await ask(entry, chatCall(5, "high"));
+        t.is(streamedText(high), chatText(5, "high"));
+        t.is(streamedText(await collect(low)), chatText(150, "low"));
+        t.true(entry.state.metrics.counters.countOf("preemptions") >= 1);
+    });
+});
+
+function longChat(text: string): string {
+    const messages = [{ role: "user", content: `${text} [answer-tokens: 200000]` }];
+    return JSON.stringify({ model: "alpha", stream: true, max_tokens: 4096, messages });
+}
