--- /dev/null
+++ b/tests/connection/entry/badInput.test.ts
@@ -0,0 +1,110 @@
+import { connect } from "node:net";
+import { defaultCallerServerLimits } from "../../../src/connection/entry/callerServer.js";
+import { PlainService } from "../../../src/standIn/plainService/plainService.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { splitAddress } from "../../../src/util/socketAddress.js";
+import { describe, it } from "../../describe.js";
+import { TestEntry } from "./testEntry.js";
+
+/** Callers that misbehave in one test. */
+const callers = 1_000;
+
+const limits = { ...defaultCallerServerLimits, headersTimeout: 200, requestTimeout: 300, checkInterval: 50 };
+
+/** Sends bytes, keeps the connection open, and resolves with all that comes back until it ends. */
+function send(entry: TestEntry, bytes: string, leaveAtOnce = false): Promise<string> {
+    return new Promise(resolve => {
+        let received = "";
+        const socket = connect(splitAddress(entry.address), () => {
+            socket.write(bytes, () => {
+                if (leaveAtOnce) {
+                    socket.destroy();
+                }
+            });
+        });
+        socket.setEncoding("utf8");
+        socket.on("data", text => {
+            received += text as unknown as string;
+        });
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            resolve(received);
+        });
+    });
+}
+
+function post(entry: TestEntry, path: string, body: string, headers: readonly string[] = []): string {
+    const length = `content-length: ${Buffer.byteLength(body)}`;
+    const lines = [`POST ${path} HTTP/1.1`, "host: x", `authorization: Bearer ${entry.key}`, length, ...headers];
+    return `${lines.join("\r\n")}\r\nconnection: close\r\n\r\n${body}`;
+}
+
+type BadInput = readonly [title: string, bytes: (entry: TestEntry) => string, expected: RegExp];
+
+const chatPath = "/v1/chat/completions";
+
+const badInputs: readonly BadInput[] = [
+    ["no HTTP", () => "nonsense\r\n\r\n", /^HTTP\/1.1 400 .*GH1364/s],
+    [
+        "large headers",
+        () => `GET / HTTP/1.1\r\nhost: x\r\nx: ${"x".repeat(20_000)}\r\n\r\n`,
+        /^HTTP\/1.1 431 .*GH1365/s,
+    ],
+    ["half a header", () => "GET /bookings/x HTTP/1.1\r\nhos", /^HTTP\/1.1 408 .*GH1366/s],
+    ["half a body", entry => post(entry, "/bookings/x", "{}").replace("length: 2", "length: 9"), /^HTTP\/1.1 408/],
+    ["malformed JSON", entry => post(entry, chatPath, "{\"model\":"), /^HTTP\/1.1 400 .*GH1303/s],
+    ["large body", entry => post(entry, "/bookings/x", "x".repeat(70_000)), /^HTTP\/1.1 413 .*GH1304/s],
+    ["unknown path", entry => post(entry, "/elsewhere", "{}"), /^HTTP\/1.1 404 .*GH1302/s],
+    ["dot segments", entry => post(entry, "/bookings/../admin", "{}"), /^HTTP\/1.1 400 .*GH1363/s],
+    ["escaped dots", entry => post(entry, "/bookings/%2e%2e/admin", "{}"), /^HTTP\/1.1 400 .*GH1363/s],
+    ["absolute form", entry => post(entry, "http://other/bookings/x", "{}"), /^HTTP\/1.1 400 .*GH1363/s],
+    ["unknown method", entry => post(entry, chatPath, "{}").replace("POST", "PUT"), /^HTTP\/1.1 405 .*GH1362/s],
+    [
+        "upgrade",
+        () => "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+        /^HTTP\/1.1 501 .*GH1367/s,
+    ],
+    ["tunnel", () => "CONNECT other:80 HTTP/1.1\r\nhost: other:80\r\n\r\n", /^HTTP\/1.1 501 .*GH1367/s],
+    [
+        "no key",
+        entry => post(entry, "/bookings/x", "{}").replace(/authorization.*\r\n/, ""),
+        /^HTTP\/1.1 401 .*GH1300/s,
+    ],
+    ["unknown key", entry => post(entry, "/bookings/x", "{}").replace("ghk_", "ghk-"), /^HTTP\/1.1 401 .*GH1301/s],
+    ["two lengths", entry => post(entry, "/bookings/x", "{}", ["content-length: 7"]), /^HTTP\/1.1 400 .*GH1364/s],
+];
+
+async function withEntry(check: (entry: TestEntry, service: PlainService) => Promise<void>): Promise<void> {
+    await using store = new DisposableStore();
+    const service = store.add(new PlainService({}, new SystemClock()));
+    await service.start();
+    await check(store.add(await TestEntry.start({ services: [service.address] }, { limits })), service);
+}
+
+function workOf(service: PlainService): readonly string[] {
+    return service.record.after().map(request => request.target).filter(target => target !== "/v1/load");
+}
+
+describe("bad input", () => {
+    for (const [title, bytes, expected] of badInputs) {
+        it(`gets a numbered answer: ${title}`, t =>
+            withEntry(async (entry, service) => {
+                t.regex(await send(entry, bytes(entry)), expected);
+                t.deepEqual(workOf(service), []);
+            }));
+    }
+
+    it("leaves nothing behind and reaches no endpoint, also when its callers leave", t =>
+        withEntry(async (entry, service) => {
+            const sent = Array.from(Array(callers).keys(), index => {
+                const [, bytes] = badInputs[index % badInputs.length] ?? badInputs[0] ?? ["", () => "", /x/];
+                return send(entry, bytes(entry), index % 3 === 0);
+            });
+            await Promise.all(sent);
+            await entry.until(() => entry.state.deadlines.size === 0);
+            const { running, waiting } = entry.services;
+            t.deepEqual([running, waiting, entry.state.claims.waiting, entry.state.claims.unsettled], [0, 0, 0, 0]);
+            t.deepEqual(workOf(service), []);
+        }));
+});
--- a/tests/connection/entry/testEntry.ts
+++ b/tests/connection/entry/testEntry.ts
@@ -1,8 +1,8 @@
 import { CallerServer } from "../../../src/connection/entry/callerServer.js";
 import type { CallerServerLimits } from "../../../src/connection/entry/callerServer.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
-import type { PoolDispatcher } from "../../../src/process/entry/poolDispatcher.js";
 import { EntryProcessState } from "../../../src/process/entry/entryProcessState.js";
+import type { PoolDispatcher } from "../../../src/process/entry/poolDispatcher.js";
 import { entrySettingsSchema } from "../../../src/settings/entrySettings.js";
 import { SystemClock } from "../../../src/util/clock.js";
 import { createKey } from "../../../src/util/createKey.js";
