--- /dev/null
+++ b/tests/process/entry/endpoints.test.ts
@@ -0,0 +1,108 @@
+import { ModelEngine } from "../../../src/standIn/modelEngine/modelEngine.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { ask, chatCall, chatText, collect, open, streamedText } from "../../connection/entry/testCaller.js";
+import { TestEntry } from "../../connection/entry/testEntry.js";
+import { describe, it } from "../../describe.js";
+
+async function start(store: DisposableStore, count: number): Promise<[TestEntry, ModelEngine[]]> {
+    const engines = [...Array(count).keys()].map(index =>
+        store.add(
+            new ModelEngine(
+                { name: `engine-${index + 1}`, models: ["alpha"], stepMilliseconds: 2, reportLagMilliseconds: 50 },
+                new SystemClock(),
+            ),
+        )
+    );
+    await Promise.all(engines.map(engine => engine.start()));
+    return [store.add(await TestEntry.start({ engines: engines.map(engine => engine.address) })), engines];
+}
+
+function completionsOf(engine: ModelEngine | undefined): number {
+    return engine?.record.after().filter(request => request.method === "POST").length ?? 0;
+}
+
+async function askMany(entry: TestEntry, count: number): Promise<readonly string[]> {
+    const answers = await Promise.all(
+        Array.from(Array(count).keys(), index => ask(entry, chatCall(8, `prompt ${index}`))),
+    );
+    return answers.map(streamedText);
+}
+
+function expectedMany(count: number): readonly string[] {
+    return Array.from(Array(count).keys(), index => chatText(8, `prompt ${index}`));
+}
+
+describe("endpoints of an entry", () => {
+    it("get nothing new once it was heard that they leave, and finish what they run", async t => {
+        await using store = new DisposableStore();
+        const [entry, engines] = await start(store, 2);
+        const running = await Promise.all([0, 1].map(index => open(entry, chatCall(200, `long ${index}`))));
+        const [leaving] = engines;
+        const state = entry.engines.table.find("engine-1");
+        if (leaving !== undefined) {
+            leaving.state.leaving = true;
+        }
+        await entry.until(() => state?.leaving === true);
+        const before = completionsOf(leaving);
+        t.deepEqual(await askMany(entry, 20), expectedMany(20));
+        t.is(completionsOf(leaving), before);
+        const answers = await Promise.all(running.map(collect));
+        t.deepEqual(answers.map(streamedText), [chatText(200, "long 0"), chatText(200, "long 1")]);
+    });
+
+    it("are set aside when they crash, and come back by probing", async t => {
+        await using store = new DisposableStore();
+        const [entry, engines] = await start(store, 2);
+        const [crashing] = engines;
+        const state = entry.engines.table.find("engine-1");
+        crashing?.faults.set({ kind: "crash" });
+        t.deepEqual(await askMany(entry, 20), expectedMany(20));
+        await entry.until(() => state?.health.isSetAside === true);
+        crashing?.faults.clear();
+        await entry.until(() => state?.health.isSetAside === false);
+        while (state?.health.state.kind !== "sound") {
+            t.deepEqual(await askMany(entry, 8), expectedMany(8));
+        }
+        t.true(entry.state.metrics.counters.countOf("retries") <= 20);
+    });
+
+    it("are set aside when they are much slower than their siblings, and come back when they are not", async t => {
+        await using store = new DisposableStore();
+        const [entry, engines] = await start(store, 4);
+        engines[2]?.faults.set({ kind: "straggle", factor: 8 });
+        const state = entry.engines.table.find("engine-3");
+        while (state?.health.isSetAsideAsSlow !== true) {
+            t.deepEqual(await askMany(entry, 16), expectedMany(16));
+        }
+        const others = entry.engines.table.all.filter(each => each !== state);
+        t.true(others.every(each => !each.health.isSetAsideAsSlow));
+        const before = completionsOf(engines[2]);
+        t.deepEqual(await askMany(entry, 16), expectedMany(16));
+        t.is(completionsOf(engines[2]), before);
+        engines[2]?.faults.clear();
+        while (state.health.state.kind !== "sound") {
+            await askMany(entry, 8);
+        }
+        t.pass();
+    });
+
+    it("are served on by a draining entry that leaves discovery, cuts nothing and then ends", async t => {
+        await using store = new DisposableStore();
+        const [entry] = await start(store, 1);
+        const listing = { failureDomain: "hobart-a", draining: false, load: 0 };
+        entry.state.updateListing([
+            { ...listing, entry: entry.name, callerAddress: entry.address },
+            { ...listing, entry: "entry-2", callerAddress: "127.0.0.1:9" },
+        ], 0);
+        const long = await open(entry, chatCall(300));
+        entry.state.draining = true;
+        const listed = await ask(entry, { method: "GET", path: "/v1/entries" });
+        t.true(listed.body.includes("127.0.0.1:9") && !listed.body.includes(entry.address));
+        const late = await ask(entry, chatCall(5));
+        t.deepEqual([streamedText(late), late.headers.connection], [chatText(5), "close"]);
+        const [answer] = await Promise.all([collect(long), entry[Symbol.asyncDispose]()]);
+        t.is(streamedText(answer), chatText(300));
+        await t.throwsAsync(ask(entry, chatCall(5)), { code: "ECONNREFUSED" });
+    });
+});
--- /dev/null
+++ b/tests/process/entry/stragglerReview.test.ts
@@ -0,0 +1,70 @@
+import fastCheck from "fast-check";
+import { reviewStragglers } from "../../../src/process/entry/stragglerReview.js";
+import type { PaceReading } from "../../../src/process/entry/stragglerReview.js";
+import { describe, it } from "../../describe.js";
+
+function readingOf(index: number, changes: Partial<PaceReading> = {}): PaceReading {
+    return {
+        name: `engine-${index}`,
+        stepTime: 10,
+        stepCount: 100,
+        firstTokenTime: 100,
+        firstTokenCount: 100,
+        setAside: false,
+        onTrial: false,
+        ...changes,
+    };
+}
+
+function pool(size: number, ...changes: readonly Partial<PaceReading>[]): readonly PaceReading[] {
+    return Array.from(Array(size).keys(), index => readingOf(index, changes[index] ?? {}));
+}
+
+const cases: readonly [
+    title: string,
+    readings: readonly PaceReading[],
+    slow: readonly number[],
+    recovered: readonly number[],
+][] = [
+    ["one slow engine", pool(6, { stepTime: 30 }), [0], []],
+    ["one that is slow to begin", pool(6, { firstTokenTime: 900 }), [0], []],
+    ["a small difference", pool(6, { stepTime: 24, firstTokenTime: 340 }), [], []],
+    ["too few samples", pool(6, { stepTime: 30, stepCount: 3 }), [], []],
+    ["the slowest first, at most a third", pool(6, { stepTime: 30 }, { stepTime: 90 }, { stepTime: 40 }), [1, 2], []],
+    ["a third set aside already", pool(6, { setAside: true }, { setAside: true }, { stepTime: 90 }), [], []],
+    ["a pool too small to compare", pool(2, { stepTime: 90 }), [], []],
+    ["one that recovered on trial", pool(6, { onTrial: true, stepTime: 12 }), [], [0]],
+    ["one that is still slow on trial", pool(6, { onTrial: true, stepTime: 20 }), [0], []],
+];
+
+const arbitraryReading = fastCheck.record({
+    stepTime: fastCheck.integer({ min: 1, max: 500 }),
+    stepCount: fastCheck.integer({ min: 0, max: 100 }),
+    firstTokenTime: fastCheck.integer({ min: 1, max: 5_000 }),
+    firstTokenCount: fastCheck.integer({ min: 0, max: 100 }),
+    setAside: fastCheck.boolean(),
+    onTrial: fastCheck.boolean(),
+});
+
+describe("reviewStragglers", () => {
+    for (const [title, readings, slow, recovered] of cases) {
+        it(title, t => {
+            const names = (indexes: readonly number[]): readonly string[] => indexes.map(index => `engine-${index}`);
+            t.deepEqual(reviewStragglers(readings), { slow: names(slow), recovered: names(recovered) });
+        });
+    }
+
+    it("never sets more than a third of a pool aside, nor one that is not slower than the fastest", t => {
+        const property = fastCheck.property(fastCheck.array(arbitraryReading, { maxLength: 40 }), changes => {
+            const readings = changes.map((change, index) => readingOf(index, change));
+            const before = readings.filter(reading => reading.setAside).length;
+            const { slow } = reviewStragglers(readings);
+            t.true(slow.length === 0 || before + slow.length <= readings.length / 3);
+            const fastest = Math.min(...readings.filter(each => !each.setAside).map(each => each.stepTime));
+            for (const reading of readings.filter(each => slow.includes(each.name))) {
+                t.true(reading.stepTime > fastest || reading.firstTokenTime > 250);
+            }
+        });
+        fastCheck.assert(property, { seed: 11, numRuns: 500 });
+    });
+});
