--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -50,7 +50,7 @@
         }
         const claimed = await this.claim.claim();
         if (claimed.err) {
-            this.context.metrics.count("claimsUnconfirmed");
+            this.context.metrics.counters.count("claimsUnconfirmed");
             this.fail(claimed.val, usualRetryAfter);
             return;
         }
@@ -96,7 +96,7 @@
     private async serve(): Promise<void> {
         const { dispatcher, callerLeft, metrics, retryBudgets } = this.context;
         retryBudgets.of(this.labels.requestClass).noteFirstAttempt();
-        metrics.count("firstAttempts");
+        metrics.counters.count("firstAttempts");
         let placed: Result<Placement, Refused> = await dispatcher.acquire(this.pending, callerLeft);
         if (placed.ok) {
             metrics.recordTime(this.labels, "queueWait", placed.val.startedAt - this.pending.arrivedAt);
@@ -115,7 +115,7 @@
                 this.conclude(end, attempts);
                 return;
             }
-            metrics.count("retries");
+            metrics.counters.count("retries");
             placed = await dispatcher.reacquire(placement, callerLeft);
         }
         this.refuse(placed.val);
@@ -223,7 +223,7 @@
 
     private replay(answer: StoredAnswer): void {
         const { response, requestId, metrics } = this.context;
-        metrics.count("claimsRepeated");
+        metrics.counters.count("claimsRepeated");
         metrics.countEnd(this.labels, "answered", true);
         response.writeHead(answer.status, {
             "content-type": answer.contentType,
