feat(platform): act under the lease, report usage, plan capacity

Cause: the leader must act towards the platform at most once and only within its lease, and spend close to need.

Change: ActExecutor carries out open acts, one task for each failure domain, endpoint and the weight store; a repeat keeps its id. HttpLeasedCaller connects first, checks the lease in the turn of the write and resets the connection at its time limit. UsageReporter seals and sends sealed bytes. VmWatcher reconciles the list of VMs. DemandPlanner, FixedFleetPlanner and ReactiveThresholdPlanner plan pools; src/experiment/capacity compares them with an oracle.

Conclusion: found on the way: in Node.js 20 a socket reset after its written side has ended blocks the event loop, so the caller resets only before that.

--- /dev/null
+++ b/src/process/capacity/reactiveThresholdPlanner.ts
@@ -0,0 +1,43 @@
+import type { Milliseconds, UnixMilliseconds } from "../../util/clock.js";
+import { planFor } from "./allocation.js";
+import { CapacityPlanner } from "./capacityPlanner.js";
+import type { PoolPlan, PoolView } from "./capacityPlanner.js";
+import { endpointsFor, sum } from "./demandPlanner.js";
+
+/** Thresholds of a {@link ReactiveThresholdPlanner}. */
+export interface ThresholdSettings {
+    /** Above this utilisation endpoints are added. */
+    readonly upper: number;
+    /** Below this utilisation endpoints are released. */
+    readonly lower: number;
+    /** Least time between two changes. */
+    readonly pause: Milliseconds;
+}
+
+/** Baseline: adds or releases a tenth of the endpoints when the utilisation crosses a threshold. */
+export class ReactiveThresholdPlanner extends CapacityPlanner {
+    private endpoints: number | undefined;
+    private changedAt: UnixMilliseconds = -Infinity;
+
+    constructor(private readonly settings: ThresholdSettings) {
+        super();
+    }
+
+    override plan(view: PoolView, now: UnixMilliseconds): PoolPlan {
+        const demand = sum(view.demand);
+        const before = this.endpoints ?? endpointsFor(demand / this.settings.upper, view);
+        const utilisation = demand / (before * view.serviceRate);
+        const step = Math.max(1, Math.round(before / 10));
+        let endpoints = before;
+        if (now - this.changedAt >= this.settings.pause) {
+            endpoints += utilisation > this.settings.upper ? step : 0;
+            endpoints -= utilisation < this.settings.lower ? step : 0;
+        }
+        endpoints = Math.max(1, view.minimumReplicas, endpoints);
+        this.changedAt = endpoints === before ? this.changedAt : now;
+        this.endpoints = endpoints;
+        const top = sum(view.demand.slice(0, view.protectedTiers));
+        const protectedEndpoints = endpointsFor(top, view);
+        return planFor({ endpoints, protectedEndpoints }, view, [{ kind: "threshold", utilisation }]);
+    }
+}
--- /dev/null
+++ b/src/process/platform/actProtocol.ts
@@ -0,0 +1,170 @@
+import { match } from "ts-pattern";
+import { z } from "zod";
+import { failure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
+import type { Milliseconds } from "../../util/clock.js";
+import { emptyContent, jsonContent } from "./leasedCaller.js";
+import type { CallAnswer, LeasedCall } from "./leasedCaller.js";
+import type { ActAnswer, IdentifiedAct, PlatformAct, StartEndpoints } from "./platformCommand.js";
+
+/** Where the interfaces of the platform are. */
+export interface PlatformAddresses {
+    /** Host and port of the interface for orders in a failure domain. */
+    readonly ordersOf: (failureDomain: string) => string;
+    /** Host and port of weight store, list of VMs and usage reports. */
+    readonly common: string;
+}
+
+/** What an answer says about an act. */
+export type ActProgress =
+    | { readonly kind: "answered"; readonly answer: ActAnswer; }
+    /** It was taken and goes on; ask again. */
+    | { readonly kind: "running"; }
+    /** It may not have been taken; repeat it under the same id. */
+    | { readonly kind: "repeat"; readonly failure: Failure; readonly after: Milliseconds | undefined; };
+
+const grantedSchema = z.object({
+    endpoint: z.string().min(1).max(256),
+    address: z.string().min(1).max(256),
+    failureDomain: z.string(),
+    pool: z.string(),
+    cheap: z.boolean(),
+});
+
+const orderAnswerSchema = z.object({
+    orderId: z.string(),
+    granted: z.array(grantedSchema).max(10_000).default([]),
+    unavailable: z.int().min(0).default(0),
+});
+
+const progressSchema = z.object({
+    state: z.enum(["done", "running", "failed"]),
+    orderId: z.string().optional(),
+    loadId: z.string().optional(),
+    reason: z.string().max(1_000).optional(),
+});
+
+const fencingSchema = z.object({ newestFencingNumber: z.int() });
+
+/** The call that carries an act out; a repeat differs in nothing but the fencing number. */
+export function callOf(identified: IdentifiedAct, addresses: PlatformAddresses): LeasedCall {
+    const { actId, act } = identified;
+    return match(act)
+        .with({ kind: "startEndpoints" }, ({ failureDomain, pool, engineKind, cheap, count }): LeasedCall => ({
+            address: addresses.ordersOf(failureDomain),
+            method: "POST",
+            path: `/failure-domains/${encodeURIComponent(failureDomain)}/orders`,
+            content: ({ fencingNumber }) =>
+                jsonContent({ orderId: actId, fencingNumber, kind: "start", pool, engineKind, cheap, count }),
+        }))
+        .with({ kind: "stopEndpoint" }, ({ failureDomain, endpoint }): LeasedCall => ({
+            address: addresses.ordersOf(failureDomain),
+            method: "POST",
+            path: `/failure-domains/${encodeURIComponent(failureDomain)}/orders`,
+            content: ({ fencingNumber }) => jsonContent({ orderId: actId, fencingNumber, kind: "stop", endpoint }),
+        }))
+        .with({ kind: "orderEngine" }, ({ address, order }): LeasedCall => ({
+            address,
+            method: "POST",
+            path: "/v1/orders",
+            content: ({ fencingNumber }) => jsonContent({ orderId: actId, fencingNumber, action: order }),
+        }))
+        .with({ kind: "loadWeights" }, ({ endpoint, model, version }): LeasedCall => ({
+            address: addresses.common,
+            method: "POST",
+            path: "/weight-loads",
+            content: () => jsonContent({ loadId: actId, endpoint, model, version }),
+        }))
+        .exhaustive();
+}
+
+/** The call that asks how an act goes on, without acting. */
+export function pollOf(identified: IdentifiedAct, addresses: PlatformAddresses): LeasedCall {
+    const { actId, act } = identified;
+    const id = encodeURIComponent(actId);
+    const common = { method: "GET", content: () => emptyContent } as const;
+    return match(act)
+        .with({ kind: "orderEngine" }, ({ address }) => ({ ...common, address, path: `/v1/orders/${id}` }))
+        .with({ kind: "loadWeights" }, () => ({ ...common, address: addresses.common, path: `/weight-loads/${id}` }))
+        .otherwise(({ failureDomain }) => ({
+            ...common,
+            address: addresses.ordersOf(failureDomain),
+            path: `/failure-domains/${encodeURIComponent(failureDomain)}/orders/${id}`,
+        }));
+}
+
+/** Reads what an answer says about an act; any content gives a result. */
+export function readProgress(identified: IdentifiedAct, call: LeasedCall, answer: CallAnswer): ActProgress {
+    if (answer.status === 409) {
+        return repeat(readFencing(call, answer));
+    }
+    const missing = answer.status === 404 || answer.status === 410;
+    if (missing && identified.act.kind === "stopEndpoint") {
+        return { kind: "answered", answer: { kind: "done" } };
+    }
+    if (answer.status >= 400 && answer.status < 500 && ![404, 408, 425, 429].includes(answer.status)) {
+        return { kind: "answered", answer: { kind: "failed", reason: `status ${answer.status}` } };
+    }
+    if (answer.status < 200 || answer.status > 299) {
+        const refused = failure("platformRefused", { address: call.address, status: answer.status });
+        return { kind: "repeat", failure: refused, after: answer.retryAfter };
+    }
+    const { actId, act } = identified;
+    return match(act)
+        .with({ kind: "startEndpoints" }, start => readOrder(actId, start, call, answer))
+        .with({ kind: "stopEndpoint" }, stop => readOrder(actId, stop, call, answer))
+        .otherwise(() => readState(actId, call, answer));
+}
+
+function readFencing(call: LeasedCall, answer: CallAnswer): Failure {
+    const parsed = fencingSchema.safeParse(answer.body);
+    const newest = parsed.success ? parsed.data.newestFencingNumber : "unknown";
+    return failure("fencingNumberStale", { address: call.address, newest, own: "this leader's" });
+}
+
+function readOrder(actId: string, act: PlatformAct, call: LeasedCall, answer: CallAnswer): ActProgress {
+    const parsed = orderAnswerSchema.safeParse(answer.body);
+    if (!parsed.success) {
+        return malformed(call, z.prettifyError(parsed.error));
+    }
+    if (parsed.data.orderId !== actId) {
+        return malformed(call, "it belongs to another order");
+    }
+    if (act.kind !== "startEndpoints") {
+        return { kind: "answered", answer: { kind: "done" } };
+    }
+    const granted = parsed.data.granted.filter(endpoint => isAsOrdered(endpoint, act)).slice(0, act.count);
+    return { kind: "answered", answer: { kind: "granted", granted, unavailable: act.count - granted.length } };
+}
+
+/** Endpoints that differ from the order are not taken over; the list of VMs brings them up as not ordered. */
+function isAsOrdered(endpoint: z.output<typeof grantedSchema>, act: StartEndpoints): boolean {
+    return endpoint.failureDomain === act.failureDomain && endpoint.pool === act.pool && endpoint.cheap === act.cheap;
+}
+
+function readState(actId: string, call: LeasedCall, answer: CallAnswer): ActProgress {
+    const parsed = progressSchema.safeParse(answer.body);
+    if (!parsed.success) {
+        return malformed(call, z.prettifyError(parsed.error));
+    }
+    const { state, orderId, loadId, reason } = parsed.data;
+    if ((orderId ?? loadId) !== actId) {
+        return malformed(call, "it belongs to another act");
+    }
+    return match(state)
+        .with("done", (): ActProgress => ({ kind: "answered", answer: { kind: "done" } }))
+        .with("running", (): ActProgress => ({ kind: "running" }))
+        .with("failed", (): ActProgress => ({
+            kind: "answered",
+            answer: { kind: "failed", reason: reason ?? "no reason was given" },
+        }))
+        .exhaustive();
+}
+
+function malformed(call: LeasedCall, reason: string): ActProgress {
+    return repeat(failure("platformAnswerMalformed", { address: call.address, reason }));
+}
+
+function repeat(reason: Failure): ActProgress {
+    return { kind: "repeat", failure: reason, after: undefined };
+}
--- /dev/null
+++ b/src/process/platform/httpLeasedCaller.ts
@@ -0,0 +1,177 @@
+import { request } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { failure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import type { CommandLog, FencingToken } from "../replicatedLog/commandLog.js";
+import { LeasedCaller } from "./leasedCaller.js";
+import type { CallAnswer, LeasedCall } from "./leasedCaller.js";
+
+/** Largest body of an answer that is read, in bytes. */
+export const maximumAnswerBytes = 4_194_304;
+
+/** Part of a replicated log that tells whether this process is in charge. */
+export type LeaseSource = Pick<CommandLog<never, unknown>, "lease">;
+
+/**
+ * Makes each call on a connection of its own.
+ *
+ * The connection stands before the lease is checked, so that nothing but a write follows the check. When the time limit
+ * ends or the call is given up, the connection is reset: bytes that the kernel still holds are dropped, not sent later.
+ */
+export class HttpLeasedCaller extends LeasedCaller {
+    /**
+     * @param timeLimit Longest time from the start of the connection, and from the write, to the end of the answer.
+     * @param margin What must be left of the lease beyond the time limit.
+     */
+    constructor(
+        private readonly leaseSource: LeaseSource,
+        private readonly clock: Clock,
+        private readonly timeLimit: Milliseconds,
+        private readonly margin: Milliseconds,
+    ) {
+        super();
+    }
+
+    override async call(call: LeasedCall, signal: AbortSignal): Promise<Result<CallAnswer, Failure>> {
+        const ending = new AbortController();
+        const end = (): void => {
+            ending.abort();
+        };
+        const timer = setTimeout(end, this.timeLimit);
+        signal.addEventListener("abort", end);
+        if (signal.aborted) {
+            end();
+        }
+        try {
+            return await this.callUntil(call, ending.signal);
+        }
+        finally {
+            clearTimeout(timer);
+            signal.removeEventListener("abort", end);
+        }
+    }
+
+    private async callUntil(call: LeasedCall, ended: AbortSignal): Promise<Result<CallAnswer, Failure>> {
+        const connected = await this.connect(call.address, ended);
+        if (connected.err) {
+            return connected;
+        }
+        const socket = connected.val;
+        const reset = (): void => {
+            dropConnection(socket);
+        };
+        const token = this.leaseSource.lease(this.clock.now(), this.timeLimit + this.margin);
+        if (token === undefined || ended.aborted) {
+            reset();
+            return Err(failure("leaseLost"));
+        }
+        ended.addEventListener("abort", reset, { once: true });
+        try {
+            return Ok(await this.exchange(call, token, socket));
+        }
+        catch (error) {
+            return Err(this.explain(call.address, error, ended));
+        }
+        finally {
+            ended.removeEventListener("abort", reset);
+            socket.destroy();
+        }
+    }
+
+    private async connect(address: string, ended: AbortSignal): Promise<Result<Socket, Failure>> {
+        const separator = address.lastIndexOf(":");
+        const host = address.slice(0, separator).replace(/^\[|\]$/g, "");
+        const port = Number(address.slice(separator + 1));
+        if (!Number.isInteger(port) || port < 1 || port > 65_535) {
+            return Err(failure("callFailed", { address, reason: "the address has no valid port" }));
+        }
+        const socket = connect({ host, port, noDelay: true, signal: ended });
+        try {
+            await new Promise((resolve, reject) => {
+                socket.once("connect", resolve);
+                socket.once("error", reject);
+                socket.once("close", () => {
+                    reject(new Error("closed"));
+                });
+            });
+            return Ok(socket);
+        }
+        catch (error) {
+            socket.destroy();
+            return Err(this.explain(address, error, ended));
+        }
+        finally {
+            socket.on("error", () => undefined);
+        }
+    }
+
+    private async exchange(call: LeasedCall, token: FencingToken, socket: Socket): Promise<CallAnswer> {
+        const { headers, body } = call.content(token);
+        const sent = request({
+            method: call.method,
+            path: call.path,
+            createConnection: () => socket,
+            headers: { ...headers, host: call.address, connection: "close", "content-length": body?.length ?? 0 },
+        });
+        sent.end(body);
+        const response = await responseOf(sent);
+        const text = await readText(response);
+        return {
+            status: response.statusCode ?? 0,
+            retryAfter: readRetryAfter(response.headers["retry-after"]),
+            body: text === "" ? undefined : JSON.parse(text) as unknown,
+        };
+    }
+
+    private explain(address: string, error: unknown, ended: AbortSignal): Failure {
+        const reason = error instanceof Error ? error.message : String(error);
+        if (error instanceof SyntaxError) {
+            return failure("platformAnswerMalformed", { address, reason });
+        }
+        if (ended.aborted) {
+            return failure("callTimedOut", { address, timeLimit: this.timeLimit });
+        }
+        return failure("callFailed", { address, reason });
+    }
+}
+
+/** Ends a connection at once; a reset after the end of the written side would block the event loop of Node.js 20. */
+function dropConnection(socket: Socket): void {
+    if (socket.writableEnded || socket.destroyed) {
+        socket.destroy();
+        return;
+    }
+    socket.resetAndDestroy();
+}
+
+function responseOf(sent: ClientRequest): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+        sent.once("response", resolve);
+        sent.on("error", reject);
+        sent.once("close", () => {
+            reject(new Error("closed without an answer"));
+        });
+    });
+}
+
+async function readText(response: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+        length += chunk.length;
+        if (length > maximumAnswerBytes) {
+            throw new Error(`the answer exceeds ${maximumAnswerBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+function readRetryAfter(header: string | undefined): Milliseconds | undefined {
+    return header !== undefined && /^\d{1,6}$/.test(header) ? Number(header) * 1_000 : undefined;
+}
--- /dev/null
+++ b/src/process/platform/vmWatcher.ts
@@ -0,0 +1,121 @@
+import { match } from "ts-pattern";
+import { z } from "zod";
+import { describeFailure, failure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
+import type { UnixMilliseconds } from "../../util/clock.js";
+import { Err, Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
+import type { CommandSink, PlatformTools } from "./actExecutor.js";
+import type { ActLedger } from "./actLedger.js";
+import { emptyContent } from "./leasedCaller.js";
+import type { PlatformCommand } from "./platformCommand.js";
+import { longestListLag, reconcileVms, vmListSchema } from "./vmReconciliation.js";
+import type { ListedVm, VmFinding, VmList } from "./vmReconciliation.js";
+
+/** What other parts of the leader know of endpoints. */
+export abstract class EndpointKnowledge {
+    /** Names of the endpoints that the manifest in force lists itself. */
+    abstract configured(): ReadonlySet<string>;
+
+    /** Endpoints that some entry reached after a time. */
+    abstract reachedSince(time: UnixMilliseconds): ReadonlySet<string>;
+}
+
+/** Reads the platform's list of VMs while this process leads, and records what it means for ordered endpoints. */
+export class VmWatcher {
+    private newestList: UnixMilliseconds = 0;
+    private strangers: ReadonlyMap<string, ListedVm> = new Map();
+
+    constructor(
+        private readonly ledger: Pick<ActLedger, "openActs" | "answeredActs" | "fleet">,
+        private readonly log: CommandSink<PlatformCommand>,
+        private readonly knowledge: EndpointKnowledge,
+        private readonly tools: PlatformTools,
+    ) {}
+
+    /** Endpoints on the newest list that nobody ordered. */
+    get notOrdered(): readonly ListedVm[] {
+        return [...this.strangers.values()];
+    }
+
+    /** Runs until the signal is aborted, which must happen when this process stops leading. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const list = await this.read(signal);
+            if (list.ok) {
+                await this.take(list.val, signal);
+            }
+            else {
+                this.tools.events.write("vmListUnreadable", { reason: describeFailure(list.val) });
+            }
+            await this.tools.clock.sleep(this.tools.settings.pollInterval, signal);
+        }
+    }
+
+    private async read(signal: AbortSignal): Promise<Result<VmList, Failure>> {
+        const address = this.tools.addresses.common;
+        const call = { address, method: "GET", path: "/vms", content: () => emptyContent } as const;
+        const answer = await this.tools.caller.call(call, signal);
+        if (answer.err) {
+            return answer;
+        }
+        const parsed = vmListSchema.safeParse(answer.val.body);
+        if (!parsed.success) {
+            return Err(failure("platformAnswerMalformed", { address, reason: z.prettifyError(parsed.error) }));
+        }
+        return Ok(parsed.data);
+    }
+
+    /** Acts on a list unless a newer one was seen. */
+    private async take(list: VmList, signal: AbortSignal): Promise<void> {
+        if (list.listedAt < this.newestList) {
+            return;
+        }
+        this.newestList = list.listedAt;
+        const findings = reconcileVms(list, {
+            ordered: this.ledger.fleet.list(),
+            configured: this.knowledge.configured(),
+            domainsWithOpenOrders: this.domainsWithOpenOrders(),
+            recentlyStopped: this.stoppedSince(list.listedAt - longestListLag),
+            reachedByEntries: this.knowledge.reachedSince(list.listedAt),
+        });
+        this.reportStrangers(findings);
+        await Promise.all(findings.map(finding => this.record(finding, signal)));
+    }
+
+    private domainsWithOpenOrders(): ReadonlySet<string> {
+        const acts = this.ledger.openActs().map(({ act }) => act);
+        return new Set(acts.flatMap(act => act.kind === "startEndpoints" ? [act.failureDomain] : []));
+    }
+
+    private stoppedSince(time: UnixMilliseconds): ReadonlySet<string> {
+        const stopped = this.ledger.answeredActs().filter(({ answeredAt }) => (answeredAt ?? 0) >= time);
+        return new Set(stopped.flatMap(({ act }) => act.kind === "stopEndpoint" ? [act.endpoint] : []));
+    }
+
+    private reportStrangers(findings: readonly VmFinding[]): void {
+        const before = this.strangers;
+        const found = findings.flatMap(finding => finding.kind === "notOrdered" ? [finding.vm] : []);
+        this.strangers = new Map(found.map(vm => [vm.endpoint, vm]));
+        for (const { endpoint, failureDomain, pool } of found) {
+            if (!before.has(endpoint)) {
+                this.tools.events.write("endpointNotOrdered", { endpoint, failureDomain, pool });
+            }
+        }
+    }
+
+    private async record(finding: VmFinding, signal: AbortSignal): Promise<void> {
+        const at = this.tools.clock.unixNow();
+        await match(finding)
+            .with({ kind: "notOrdered" }, () => undefined)
+            .with({ kind: "leaving" }, async ({ endpoint: { endpoint, failureDomain, pool }, leavesAt }) => {
+                this.tools.events.write("endpointLeaving", { endpoint, failureDomain, pool, leavesAt });
+                await this.log.propose({ kind: "observeEndpoint", endpoint, state: "leaving", at }, signal);
+            })
+            .with({ kind: "gone" }, async ({ endpoint: { endpoint, failureDomain, pool } }) => {
+                this.tools.events.write("endpointGone", { endpoint, failureDomain, pool });
+                await this.log.propose({ kind: "observeEndpoint", endpoint, state: "gone", at }, signal);
+            })
+            .exhaustive();
+    }
+}
--- /dev/null
+++ b/tests/process/platform/actExecutor.test.ts
@@ -0,0 +1,168 @@
+import fastCheck from "fast-check";
+import { createHash } from "node:crypto";
+import { match, P } from "ts-pattern";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import { ActExecutor } from "../../../src/process/platform/actExecutor.js";
+import type { PlatformTools } from "../../../src/process/platform/actExecutor.js";
+import { ActLedger } from "../../../src/process/platform/actLedger.js";
+import type { PlatformCommand } from "../../../src/process/platform/platformCommand.js";
+import { defaultPlatformSettings } from "../../../src/process/platform/platformSettings.js";
+import { UsageReporter } from "../../../src/process/platform/usageReporter.js";
+import type { UsageCommand } from "../../../src/process/usage/usageCommand.js";
+import { UsageLedger } from "../../../src/process/usage/usageLedger.js";
+import { RandomSource } from "../../../src/util/randomSource.js";
+import { describe, it } from "../../describe.js";
+import { usageRecordAt } from "../usage/usageRecordAt.js";
+import { FakeLog, spellsOf } from "./fakeCluster.js";
+import type { Spell } from "./fakeCluster.js";
+import { callLimit, FakePlatform, LossyCaller } from "./fakePlatform.js";
+import { VirtualClock } from "./virtualClock.js";
+
+const domains = ["hobart-a", "hobart-b", "kingston-c"];
+const wantedInEach = 2;
+/** For how long a process goes on after it lost its lease without knowing. */
+const overhang = 400;
+
+/** Leaders that follow each other, one replicated state, and one platform. */
+class ActRun {
+    readonly clock = new VirtualClock();
+    readonly platform = new FakePlatform();
+    readonly ledger = new ActLedger();
+    readonly usage = new UsageLedger();
+    readonly stuck: string[] = [];
+    private readonly random: RandomSource;
+    private readonly log: FakeLog<PlatformCommand | UsageCommand>;
+
+    constructor(seed: number, private readonly lossRate: number) {
+        this.random = new RandomSource(seed);
+        this.log = new FakeLog(command => this.applyCommand(command), this.clock, this.random, lossRate);
+        this.usage.apply({ kind: "setUsageWindow", length: 500, at: 0 });
+    }
+
+    async run(spells: readonly Spell[]): Promise<void> {
+        const end = (spells.at(-1)?.until ?? 0) + overhang;
+        const tasks = [...spells.map(spell => this.lead(spell)), this.deliver(end)];
+        await this.clock.runUntil(end + 1_000);
+        await Promise.all(tasks);
+    }
+
+    private applyCommand(command: PlatformCommand | UsageCommand): unknown {
+        return match(command)
+            .with({ kind: P.union("intendActs", "answerAct", "observeEndpoint") }, act => this.ledger.apply(act))
+            .otherwise(usage => this.usage.apply(usage));
+    }
+
+    /** Delivers usage all the time; every third record is late enough to miss its window. */
+    private async deliver(end: number): Promise<void> {
+        const incarnation = "entry-1/a";
+        this.usage.apply({ kind: "beginIncarnation", entry: "entry-1", incarnation, startedAt: 0, at: 0 });
+        for (let sequence = 1; this.clock.now() < end; sequence += 1) {
+            const finishedAt = Math.max(0, this.clock.now() - (sequence % 3 === 0 ? 700 : 0));
+            const records = [usageRecordAt(finishedAt)];
+            const command = { kind: "recordUsage", incarnation, firstSequence: sequence, records } as const;
+            this.usage.apply({ ...command, at: this.clock.now() });
+            await this.clock.sleep(35);
+        }
+    }
+
+    private async lead(spell: Spell): Promise<void> {
+        await this.clock.sleep(spell.from);
+        const lease = this.log.leaseOf(spell);
+        const process = `control-${spell.term}`;
+        const caller = new LossyCaller(process, this.platform, lease, this.clock, this.random, this.lossRate);
+        this.stuck.forEach(domain => caller.stuck.add(domain));
+        const tools: PlatformTools = {
+            caller,
+            addresses: { ordersOf: domain => domain, common: "platform" },
+            clock: this.clock,
+            random: this.random,
+            events: new EventLog("test", "hidden"),
+            settings: { ...defaultPlatformSettings, shortestRetry: 20, longestRetry: 100, sealDelay: 50 },
+        };
+        const ended = new AbortController();
+        const sink = this.log.sinkOf(spell);
+        const tasks = [
+            new ActExecutor(this.ledger, sink, tools).run(ended.signal),
+            new UsageReporter(this.usage, sink, tools).run(ended.signal),
+            this.decide(spell, ended.signal),
+        ];
+        await this.clock.sleep(spell.until - spell.from + overhang);
+        ended.abort();
+        await Promise.all(tasks);
+    }
+
+    /** Intends what is missing of the wanted endpoints, as often as a proposal seems to have failed. */
+    private async decide(spell: Spell, signal: AbortSignal): Promise<void> {
+        let number = 0;
+        while (!signal.aborted) {
+            const missing = domains.filter(domain => this.expectedIn(domain) === 0);
+            if (missing.length > 0) {
+                const acts = missing.map(failureDomain => ({
+                    actId: `${spell.term}-${(number += 1)}`,
+                    act: {
+                        kind: "startEndpoints",
+                        failureDomain,
+                        pool: "drafting",
+                        engineKind: "h100",
+                        cheap: false,
+                        count: wantedInEach,
+                    } as const,
+                }));
+                const command = {
+                    kind: "intendActs",
+                    acts,
+                    basedOn: this.ledger.revision,
+                    at: this.clock.now(),
+                } as const;
+                await this.log.sinkOf(spell).propose(command, signal);
+            }
+            await this.clock.sleep(25, signal);
+        }
+    }
+
+    private expectedIn(domain: string): number {
+        const live = this.ledger.fleet.list().filter(endpoint => endpoint.failureDomain === domain);
+        const open = this.ledger.openActs().filter(({ act }) =>
+            act.kind === "startEndpoints" && act.failureDomain === domain
+        );
+        return live.length + open.length;
+    }
+}
+
+describe("ActExecutor and UsageReporter", () => {
+    it("act once and only within the lease, whenever leaders change and answers are lost", async t => {
+        const spells = fastCheck.array(fastCheck.integer({ min: 60, max: 900 }), { minLength: 1, maxLength: 5 });
+        const property = fastCheck.asyncProperty(spells, fastCheck.nat(), async (lengths, seed) => {
+            const run = new ActRun(seed, 0.25);
+            const schedule = spellsOf([...lengths, 8_000]);
+            await run.run(schedule);
+            t.is(run.platform.executed.length, new Set(run.platform.executed.map(order => order.orderId)).size);
+            t.is(run.platform.endpointsGranted, domains.length * wantedInEach);
+            t.is(run.ledger.fleet.list().length, domains.length * wantedInEach);
+            t.is(run.platform.conflicts, 0);
+            t.true(run.platform.reports.size >= 10);
+            for (const arrival of run.platform.arrivals) {
+                const spell = schedule.find(({ term }) => term === arrival.fencingNumber);
+                t.true(spell !== undefined && spell.from <= arrival.at && arrival.at <= spell.until);
+            }
+            for (const sealed of run.usage.sealedWindows().filter(window => window.reportedAt !== undefined)) {
+                const text = run.platform.reports.get(`/usage-reports/${sealed.start}`) ?? "";
+                t.is(createHash("sha256").update(text).digest("hex"), sealed.digest);
+            }
+        });
+        await fastCheck.assert(property, { seed: 8, numRuns: 40 });
+    });
+
+    it("do not let a failure domain that never answers delay another", async t => {
+        const run = new ActRun(1, 0);
+        run.stuck.push("hobart-a");
+        await run.run(spellsOf([1_000]));
+        const served = new Set(run.ledger.fleet.list().map(endpoint => endpoint.failureDomain));
+        t.deepEqual([...served].sort(), ["hobart-b", "kingston-c"]);
+        t.is(run.ledger.openActs().length, 1);
+        const firstTimeout = 50 + callLimit;
+        for (const domain of served) {
+            t.true((run.platform.arrivals.find(({ path }) => path.includes(domain))?.at ?? Infinity) < firstTimeout);
+        }
+    });
+});
--- /dev/null
+++ b/tests/process/platform/fakePlatform.ts
@@ -0,0 +1,123 @@
+import { LeasedCaller } from "../../../src/process/platform/leasedCaller.js";
+import type { CallAnswer, LeasedCall } from "../../../src/process/platform/leasedCaller.js";
+import type { FencingToken } from "../../../src/process/replicatedLog/commandLog.js";
+import { failure } from "../../../src/resultCode/resultCode.js";
+import type { Failure } from "../../../src/resultCode/resultCode.js";
+import type { Clock, Milliseconds } from "../../../src/util/clock.js";
+import type { RandomSource } from "../../../src/util/randomSource.js";
+import { Err, Ok } from "../../../src/util/result.js";
+import type { Result } from "../../../src/util/result.js";
+
+/** One call that reached the platform. */
+export interface Arrival {
+    readonly process: string;
+    readonly fencingNumber: number;
+    readonly at: Milliseconds;
+    readonly path: string;
+    readonly text: string;
+}
+
+interface Order {
+    readonly orderId: string;
+    readonly kind: string;
+    readonly count: number;
+    readonly pool: string;
+    readonly cheap: boolean;
+}
+
+/** A platform that carries each order out once, and records whatever reaches it. */
+export class FakePlatform {
+    readonly arrivals: Arrival[] = [];
+    /** Executed orders, in order of execution. */
+    readonly executed: Order[] = [];
+    /** Bodies of taken usage reports, by path. */
+    readonly reports = new Map<string, string>();
+    conflicts = 0;
+    endpointsGranted = 0;
+    private readonly answers = new Map<string, CallAnswer>();
+
+    /** Takes a call and answers it. */
+    receive(arrival: Arrival): CallAnswer {
+        this.arrivals.push(arrival);
+        return arrival.path.startsWith("/usage-reports/") ? this.takeReport(arrival) : this.takeOrder(arrival);
+    }
+
+    private takeReport(arrival: Arrival): CallAnswer {
+        const known = this.reports.get(arrival.path) ?? arrival.text;
+        this.reports.set(arrival.path, known);
+        const same = known === arrival.text;
+        this.conflicts += same ? 0 : 1;
+        return { status: same ? 200 : 409, retryAfter: undefined, body: undefined };
+    }
+
+    private takeOrder(arrival: Arrival): CallAnswer {
+        const order = JSON.parse(arrival.text) as Order;
+        const known = this.answers.get(order.orderId);
+        if (known !== undefined) {
+            return known;
+        }
+        this.executed.push(order);
+        const failureDomain = arrival.path.split("/")[2] ?? "";
+        const granted = Array.from({ length: order.count }, () => {
+            this.endpointsGranted += 1;
+            const name = `e${this.endpointsGranted}`;
+            return { endpoint: name, address: "127.0.0.1:1", failureDomain, pool: order.pool, cheap: order.cheap };
+        });
+        const answer = {
+            status: 200,
+            retryAfter: undefined,
+            body: { orderId: order.orderId, granted, unavailable: 0 },
+        };
+        this.answers.set(order.orderId, answer);
+        return answer;
+    }
+}
+
+/** Longest time that a call of {@link LossyCaller} takes after its write. */
+export const callLimit: Milliseconds = 200;
+
+/** Calls a {@link FakePlatform} over a network that loses, repeats and delays. */
+export class LossyCaller extends LeasedCaller {
+    /** Failure domains that never answer. */
+    readonly stuck = new Set<string>();
+
+    constructor(
+        private readonly process: string,
+        private readonly platform: FakePlatform,
+        private readonly lease: (now: Milliseconds, room: Milliseconds) => FencingToken | undefined,
+        private readonly clock: Clock,
+        private readonly random: RandomSource,
+        private readonly lossRate: number,
+    ) {
+        super();
+    }
+
+    override async call(call: LeasedCall, signal: AbortSignal): Promise<Result<CallAnswer, Failure>> {
+        await this.clock.sleep(this.random.integer(1, 30), signal);
+        const token = this.lease(this.clock.now(), callLimit);
+        if (token === undefined) {
+            return Err(failure("leaseLost"));
+        }
+        const { body } = call.content(token);
+        const text = Buffer.from(body ?? []).toString("utf8");
+        const deliver = (): CallAnswer => {
+            const { process, clock } = this;
+            const { fencingNumber } = token;
+            return this.platform.receive({ process, fencingNumber, at: clock.now(), path: call.path, text });
+        };
+        const isStuck = [...this.stuck].some(domain => call.path.includes(domain));
+        if (isStuck || this.random.float() < this.lossRate) {
+            await this.clock.sleep(callLimit, signal);
+            return Err(failure("callTimedOut", { address: call.address, timeLimit: callLimit }));
+        }
+        const answer = deliver();
+        if (this.random.float() < this.lossRate) {
+            deliver();
+        }
+        await this.clock.sleep(this.random.integer(1, callLimit - 1), signal);
+        if (signal.aborted || this.random.float() < this.lossRate) {
+            return Err(failure("callFailed", { address: call.address, reason: "reset" }));
+        }
+        return Ok(answer);
+    }
+}
--- /dev/null
+++ b/tests/process/platform/httpLeasedCaller.test.ts
@@ -0,0 +1,115 @@
+import fastCheck from "fast-check";
+import { createServer } from "node:http";
+import type { RequestListener } from "node:http";
+import { createServer as createSocketServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { HttpLeasedCaller } from "../../../src/process/platform/httpLeasedCaller.js";
+import { jsonContent } from "../../../src/process/platform/leasedCaller.js";
+import type { LeasedCall } from "../../../src/process/platform/leasedCaller.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { describe, it } from "../../describe.js";
+
+const token = { fencingNumber: 7 };
+const never = new AbortController().signal;
+
+async function listen(server: Server, store: DisposableStore): Promise<string> {
+    const sockets = new Set<Socket>();
+    server.on("connection", socket => sockets.add(socket).size);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    store.defer(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function caller(timeLimit = 5_000, lease: () => typeof token | undefined = () => token): HttpLeasedCaller {
+    return new HttpLeasedCaller({ lease }, new SystemClock(), timeLimit, 50);
+}
+
+function callTo(address: string): LeasedCall {
+    return { address, method: "POST", path: "/orders", content: ({ fencingNumber }) => jsonContent({ fencingNumber }) };
+}
+
+describe("HttpLeasedCaller", () => {
+    describe("call", () => {
+        const answers: readonly { title: string; listener: RequestListener; expected: unknown; }[] = [
+            {
+                title: "repeats body and status",
+                listener: (request, response) => {
+                    request.pipe(response.writeHead(201));
+                },
+                expected: { status: 201, retryAfter: undefined, body: token },
+            },
+            {
+                title: "reads how long to wait",
+                listener: (request, response) => {
+                    request.resume();
+                    response.writeHead(429, { "retry-after": "3" }).end();
+                },
+                expected: { status: 429, retryAfter: 3_000, body: undefined },
+            },
+        ];
+        for (const { title, listener, expected } of answers) {
+            it(title, async t => {
+                await using store = new DisposableStore();
+                const address = await listen(createServer(listener), store);
+                const answer = await caller().call(callTo(address), never);
+                t.deepEqual(answer.val, expected);
+            });
+        }
+
+        it("writes nothing when the lease ends while the connection is made", async t => {
+            await using store = new DisposableStore();
+            let bytes = 0;
+            const server = createSocketServer(socket => {
+                socket.on("data", chunk => (bytes += chunk.length)).on("error", () => undefined);
+            });
+            const address = await listen(server, store);
+            const closed = new Promise(resolve => server.once("connection", socket => socket.once("close", resolve)));
+            let held = true;
+            const answering = caller(2_000, () => held ? token : undefined).call(callTo(address), never);
+            held = false;
+            const answer = await answering;
+            await closed;
+            t.deepEqual([answer.err && answer.val.code, bytes], ["leaseLost", 0]);
+        });
+
+        it("resets the connection at the time limit and when it is given up", async t => {
+            await using store = new DisposableStore();
+            const ended = new AbortController();
+            const server = createSocketServer(socket => {
+                socket.on("error", () => undefined).once("data", () => {
+                    ended.abort();
+                });
+            });
+            const address = await listen(server, store);
+            const closed = new Promise(resolve => server.once("connection", socket => socket.once("close", resolve)));
+            const givenUp = await caller().call(callTo(address), ended.signal);
+            await closed;
+            const late = await caller(30).call(callTo(address), never);
+            t.deepEqual([givenUp.ok, late.err && late.val.code], [false, "callTimedOut"]);
+        });
+
+        it("gives a numbered error for any bytes", async t => {
+            await using store = new DisposableStore();
+            let reply = Buffer.alloc(0);
+            const server = createSocketServer(socket => {
+                socket.on("error", () => undefined).once("data", () => socket.end(reply));
+            });
+            const address = await listen(server, store);
+            const head = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n";
+            const property = fastCheck.asyncProperty(
+                fastCheck.uint8Array({ maxLength: 60 }),
+                fastCheck.boolean(),
+                async (noise, withHead) => {
+                    reply = Buffer.concat([Buffer.from(withHead ? head : ""), noise]);
+                    const answer = await caller(2_000).call(callTo(address), never);
+                    t.true(answer.ok || ["callFailed", "platformAnswerMalformed"].includes(answer.val.code));
+                },
+            );
+            await fastCheck.assert(property, { seed: 9, numRuns: 80 });
+        });
+    });
+});
--- /dev/null
+++ b/tests/process/platform/virtualClock.ts
@@ -0,0 +1,56 @@
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { Clock } from "../../../src/util/clock.js";
+import type { Milliseconds } from "../../../src/util/clock.js";
+
+interface Sleeper {
+    readonly until: Milliseconds;
+    readonly wake: () => void;
+}
+
+/** A clock whose time moves only when every task sleeps. */
+export class VirtualClock extends Clock {
+    private time = 0;
+    private sleepers: readonly Sleeper[] = [];
+
+    override now(): Milliseconds {
+        return this.time;
+    }
+
+    override unixNow(): number {
+        return this.time;
+    }
+
+    override sleep(duration: Milliseconds, signal?: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            if (signal?.aborted === true) {
+                resolve();
+                return;
+            }
+            const wake = (): void => {
+                signal?.removeEventListener("abort", wake);
+                resolve();
+            };
+            this.sleepers = [...this.sleepers, { until: this.time + duration, wake }];
+            signal?.addEventListener("abort", wake);
+        });
+    }
+
+    /** Lets tasks run until a point of time. */
+    async runUntil(end: Milliseconds): Promise<void> {
+        await nextTurn();
+        for (;;) {
+            const next = Math.min(...this.sleepers.map(sleeper => sleeper.until));
+            if (next > end) {
+                this.time = end;
+                return;
+            }
+            this.time = Math.max(this.time, next);
+            const due = this.sleepers.filter(sleeper => sleeper.until <= this.time);
+            this.sleepers = this.sleepers.filter(sleeper => sleeper.until > this.time);
+            due.forEach(sleeper => {
+                sleeper.wake();
+            });
+            await nextTurn();
+        }
+    }
+}
--- a/tests/process/usage/usageLedger.test.ts
+++ b/tests/process/usage/usageLedger.test.ts
@@ -6,26 +6,10 @@
 import { quantityNames } from "../../../src/process/usage/usageTotals.js";
 import type { UsageTotals } from "../../../src/process/usage/usageTotals.js";
 import { describe, it } from "../../describe.js";
+import { usageRecordAt } from "./usageRecordAt.js";
 
 const length = 1_000;
 
-function recordAt(finishedAt: number, fields: Partial<UsageRecord> = {}): UsageRecord {
-    return {
-        team: "derwent",
-        requestClass: "draft",
-        outcome: "complete",
-        finishedAt,
-        requests: 1,
-        promptTokens: 10,
-        cachedTokens: 4,
-        outputTokens: 7,
-        endpointTime: 20,
-        price: 100,
-        cut: 9,
-        ...fields,
-    };
-}
-
 function openLedger(incarnation = "entry-1/a"): UsageLedger {
     const ledger = new UsageLedger();
     ledger.apply({ kind: "setUsageWindow", length, at: 0 });
@@ -41,16 +25,16 @@
     describe("recordUsage", () => {
         it("counts only what is new of an overlapping delivery and refuses a gap", t => {
             const ledger = openLedger();
-            t.deepEqual(deliver(ledger, 1, [recordAt(1), recordAt(2)]), { kind: "recorded", through: 2 });
-            t.deepEqual(deliver(ledger, 2, [recordAt(2), recordAt(3)]), { kind: "recorded", through: 3 });
-            t.deepEqual(deliver(ledger, 1, [recordAt(1)]), { kind: "recorded", through: 3 });
-            t.deepEqual(deliver(ledger, 5, [recordAt(1)]), { kind: "gap", expected: 4 });
+            t.deepEqual(deliver(ledger, 1, [usageRecordAt(1), usageRecordAt(2)]), { kind: "recorded", through: 2 });
+            t.deepEqual(deliver(ledger, 2, [usageRecordAt(2), usageRecordAt(3)]), { kind: "recorded", through: 3 });
+            t.deepEqual(deliver(ledger, 1, [usageRecordAt(1)]), { kind: "recorded", through: 3 });
+            t.deepEqual(deliver(ledger, 5, [usageRecordAt(1)]), { kind: "gap", expected: 4 });
             t.is(ledger.openWindows()[0]?.lines[0]?.totals.requests, 3n);
         });
 
         it("refuses what is no count", t => {
             for (const fields of [{ price: -1 }, { requests: 0.5 }, { cachedTokens: 11 }, { cut: 101 }]) {
-                t.deepEqual(deliver(openLedger(), 1, [recordAt(1, fields)]), {
+                t.deepEqual(deliver(openLedger(), 1, [usageRecordAt(1, fields)]), {
                     kind: "refused",
                     reason: "malformedRecord",
                 });
@@ -59,12 +43,12 @@
 
         it("never counts an incarnation again after it was forgotten", t => {
             const ledger = openLedger();
-            deliver(ledger, 1, [recordAt(1)]);
+            deliver(ledger, 1, [usageRecordAt(1)]);
             ledger.apply({ kind: "endIncarnation", incarnation: "entry-1/a", at: 10 });
             const later = 10 + 8 * 24 * 3_600_000;
             const begin = { kind: "beginIncarnation", entry: "entry-1", at: later } as const;
             t.deepEqual(ledger.apply({ ...begin, incarnation: "entry-1/b", startedAt: later }), { kind: "accepted" });
-            t.deepEqual(deliver(ledger, 1, [recordAt(1)]), { kind: "incarnationUnknown" });
+            t.deepEqual(deliver(ledger, 1, [usageRecordAt(1)]), { kind: "incarnationUnknown" });
             const again = ledger.apply({ ...begin, incarnation: "entry-1/a", startedAt: 1 });
             t.deepEqual(again, { kind: "startTooOld", after: 1 });
         });
@@ -98,7 +82,11 @@
     describe("sealWindow", () => {
         it("fixes bytes whose sums and digest agree, and gives them again", t => {
             const ledger = openLedger();
-            deliver(ledger, 1, [recordAt(5), recordAt(6, { team: "\"\u2028x", outcome: "cut" }), recordAt(7)]);
+            deliver(ledger, 1, [
+                usageRecordAt(5),
+                usageRecordAt(6, { team: "\"\u2028x", outcome: "cut" }),
+                usageRecordAt(7),
+            ]);
             t.deepEqual(ledger.apply({ kind: "sealWindow", window: 0, at: 999 }), {
                 kind: "refused",
                 reason: "windowNotOver",
@@ -113,7 +101,7 @@
             }
             t.is(parsed.totals["requests"], 3);
             t.deepEqual(ledger.apply({ kind: "sealWindow", window: 0, at: 5_000 }), first);
-            deliver(ledger, 4, [recordAt(8)], 1_200);
+            deliver(ledger, 4, [usageRecordAt(8)], 1_200);
             t.is(ledger.nextUnreported()?.digest, sealed?.digest);
         });
 
@@ -121,7 +109,12 @@
             const ledger = openLedger();
             ledger.apply({ kind: "sealWindow", window: 0, at: 1_000 });
             ledger.apply({ kind: "sealWindow", window: 1_000, at: 2_000 });
-            deliver(ledger, 1, [recordAt(8), recordAt(1_500), recordAt(2_100), recordAt(99_999)], 2_500);
+            deliver(
+                ledger,
+                1,
+                [usageRecordAt(8), usageRecordAt(1_500), usageRecordAt(2_100), usageRecordAt(99_999)],
+                2_500,
+            );
             const lines = ledger.openWindows().flatMap(window =>
                 window.lines.map(line => [window.start, line.correctionOf])
             );
@@ -130,9 +123,9 @@
 
         it("changes the length of windows only after those in use", t => {
             const ledger = openLedger();
-            deliver(ledger, 1, [recordAt(400)]);
+            deliver(ledger, 1, [usageRecordAt(400)]);
             ledger.apply({ kind: "setUsageWindow", length: 300, at: 500 });
-            deliver(ledger, 2, [recordAt(900), recordAt(1_350)], 1_400);
+            deliver(ledger, 2, [usageRecordAt(900), usageRecordAt(1_350)], 1_400);
             t.deepEqual(ledger.openWindows().map(window => [window.start, window.end]), [[0, 1_000], [1_300, 1_600]]);
             ledger.apply({ kind: "sealWindow", window: 0, at: 1_400 });
             t.is(ledger.oldestOpenWindow()?.end, 1_300);
@@ -197,7 +190,7 @@
             case "make":
                 this.madePrice += BigInt(step.price);
                 this.madeRequests += 1n;
-                this.current().records.push(recordAt(this.now, { price: step.price, cut: 0 }));
+                this.current().records.push(usageRecordAt(this.now, { price: step.price, cut: 0 }));
                 break;
             case "send":
                 this.incarnations.forEach(incarnation => {
--- /dev/null
+++ b/tests/process/usage/usageRecordAt.ts
@@ -0,0 +1,19 @@
+import type { UsageRecord } from "../../../src/process/usage/usageCommand.js";
+
+/** A usage record of one request that ended at a time. */
+export function usageRecordAt(finishedAt: number, fields: Partial<UsageRecord> = {}): UsageRecord {
+    return {
+        team: "derwent",
+        requestClass: "draft",
+        outcome: "complete",
+        finishedAt,
+        requests: 1,
+        promptTokens: 10,
+        cachedTokens: 4,
+        outputTokens: 7,
+        endpointTime: 20,
+        price: 100,
+        cut: 9,
+        ...fields,
+    };
+}
