--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -5,6 +5,7 @@
 import { permitMilliseconds } from "../../process/control/entryTable.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { CommandLog } from "../../process/replicatedLog/commandLog.js";
+import type { ControlProposals } from "../../process/state/controlProposals.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { definitionOf } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -12,6 +13,8 @@
 import { entryProtocolVersion, entryToControlSchema } from "../entryMessages.js";
 import type { ControlToEntry, EntryToControl } from "../entryMessages.js";
 import { MessageConnection } from "../messageConnection.js";
+import type { ClaimMessage } from "./claimProposer.js";
+import { ClaimProposer, unconfirmed } from "./claimProposer.js";
 
 /** Bytes of an encoded snapshot in one message. */
 const snapshotPartBytes = 256 * 1024;
@@ -25,6 +28,7 @@
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 
 type Hello = Extract<EntryToControl, { kind: "hello"; }>;
+type UsageMessage = Extract<EntryToControl, { kind: "usage"; }>;
 type PermitRequest = Extract<EntryToControl, { kind: "permitRequest"; }>;
 
 /** What the connections of entries share within a control process. */
@@ -34,6 +38,7 @@
     readonly eventLog: EventLog;
     readonly state: ControlState;
     readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly proposals: ControlProposals;
     readonly entries: EntryTable;
     /** Woken after each applied command. */
     readonly applied: WakeUp;
@@ -45,6 +50,7 @@
 export class EntryConnection {
     private readonly connection: MessageConnection;
     private readonly closing = new AbortController();
+    private claimProposer: ClaimProposer | undefined;
     private sentVersion = 0;
     private sentListing = -1;
 
@@ -92,6 +98,7 @@
             return undefined;
         }
         this.sentVersion = hello.version;
+        this.claimProposer = new ClaimProposer(this.context, hello);
         void this.pushChanges();
         return hello;
     }
@@ -99,6 +106,11 @@
     private async handle(message: Exclude<EntryToControl, Hello>, hello: Hello): Promise<void> {
         await match(message)
             .with({ kind: "permitRequest" }, request => this.answerPermit(request, hello))
+            .with({ kind: "usage" }, usage => this.takeUsage(usage))
+            .with({ kind: "claimBatch" }, { kind: "claimResults" }, claims => {
+                // Claims wait for a commit; permits must not wait behind them.
+                void this.answerClaims(claims, hello);
+            })
             .exhaustive();
     }
 
@@ -106,11 +118,16 @@
     private async answerPermit(request: PermitRequest, hello: Hello): Promise<void> {
         const { clock, commandLog, entries, state } = this.context;
         const receivedAt = clock.now();
-        const confirmed = await commandLog.confirmPosition();
-        if (confirmed.err) {
+        const confirmed = await commandLog.confirmPosition(this.closing.signal);
+        const term = commandLog.leadingTerm();
+        if (confirmed.err || term === undefined || !await this.reached(confirmed.val)) {
             this.send({ kind: "redirect", leaderAddress: this.context.leaderEntryAddress() });
             return;
         }
+        if (!await this.register(hello)) {
+            return;
+        }
+        entries.enterTerm(term, clock.now());
         this.record(request, hello, receivedAt);
         const listing = entries.listingVersion;
         this.send({
@@ -121,6 +138,53 @@
             entries: listing === this.sentListing ? undefined : entries.listings(),
         });
         this.sentListing = listing;
+        if (!request.status.draining && entries.drainRequested(hello.entry, hello.incarnation)) {
+            this.send({ kind: "drain" });
+        }
+    }
+
+    /** Registers the entry's incarnation; false when it may not be used, after telling the entry. */
+    private async register(hello: Hello): Promise<boolean> {
+        const { proposals, state, clock } = this.context;
+        const { entry, incarnation, startedAt } = hello;
+        const known = state.usage.incarnations.find(incarnation);
+        if (known !== undefined) {
+            if (known.endedAt !== undefined) {
+                this.send({ kind: "incarnationEnded", incarnation });
+            }
+            return known.endedAt === undefined;
+        }
+        const begin = { kind: "beginIncarnation" as const, entry, incarnation, startedAt, at: clock.unixNow() };
+        const begun = await proposals.propose("usage", begin, this.closing.signal);
+        if (begun.ok && begun.val.kind === "startTooOld") {
+            this.send({ kind: "incarnationEnded", incarnation });
+        }
+        return begun.ok && begun.val.kind === "accepted";
+    }
+
+    private async takeUsage(message: UsageMessage): Promise<void> {
+        const { incarnation, firstSequence, records } = message;
+        const at = this.context.clock.unixNow();
+        const command = { kind: "recordUsage" as const, incarnation, firstSequence, records, at };
+        const taken = await this.context.proposals.propose("usage", command, this.closing.signal);
+        if (taken.ok) {
+            this.send({ kind: "usageTaken", incarnation, outcome: taken.val });
+        }
+    }
+
+    private reached(position: number): Promise<boolean> {
+        return this.context.commandLog.waitForPosition(position, this.closing.signal);
+    }
+
+    private async answerClaims(message: ClaimMessage, hello: Hello): Promise<void> {
+        if (!await this.register(hello)) {
+            this.send(unconfirmed(message));
+            return;
+        }
+        const answer = await this.claimProposer?.propose(message, this.closing.signal);
+        if (answer !== undefined) {
+            this.send(answer);
+        }
     }
 
     private record(request: PermitRequest, hello: Hello, receivedAt: Milliseconds): void {
@@ -129,6 +193,7 @@
             incarnation: hello.incarnation,
             failureDomain: hello.failureDomain,
             callerAddress: hello.callerAddress,
+            metricsAddress: hello.metricsAddress,
             version: request.version,
             status: request.status,
             permitEndsAt: receivedAt + permitMilliseconds,
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -1,4 +1,7 @@
 import { z } from "zod";
+import type { ClaimDecision } from "../process/claims/claimCommand.js";
+import type { UsageOutcomeOfCommand } from "../process/usage/usageCommand.js";
+import { bytesSchema } from "../util/bytesSchema.js";
 import type { ConfigurationSnapshot, VersionedChange } from "../version/configurationChange.js";
 
 /** Version of the protocol between entries and control processes. */
@@ -14,6 +17,42 @@
     waitingRequests: count,
 }).readonly();
 
+/** Usage records in one message at most. */
+const maximumUsageRecords = 1000;
+
+const usageRecordSchema = z.strictObject({
+    team: shortText,
+    requestClass: shortText,
+    outcome: z.enum(["complete", "cut", "failed"]),
+    finishedAt: count,
+    requests: count,
+    promptTokens: count,
+    cachedTokens: count,
+    outputTokens: count,
+    endpointTime: count,
+    price: count,
+    cut: count,
+}).readonly();
+
+/** Claims or results in one message at most. */
+export const claimsPerMessage = 256;
+
+const claimKey = { team: shortText, idempotencyKey: shortText, requestId: shortText };
+
+const claimRequestSchema = z.strictObject({ ...claimKey, requestDigest: shortText, timeoutAt: count }).readonly();
+
+const storedAnswerSchema = z.strictObject({ status: count, contentType: shortText, body: bytesSchema }).readonly();
+
+const claimResultSchema = z.strictObject({
+    ...claimKey,
+    result: z.discriminatedUnion("kind", [
+        z.strictObject({ kind: z.literal("answered"), answer: storedAnswerSchema }),
+        z.strictObject({ kind: z.literal("answeredUnkept"), status: count }),
+        z.strictObject({ kind: z.literal("notRun") }),
+        z.strictObject({ kind: z.literal("unknown") }),
+    ]),
+}).readonly();
+
 /** Messages from an entry to a control process. */
 export const entryToControlSchema = z.discriminatedUnion("kind", [
     z.strictObject({
@@ -23,8 +62,12 @@
         entry: shortText,
         /** Differs at each start of the entry's process. */
         incarnation: shortText,
+        /** Wall-clock time at which the incarnation began, in Unix milliseconds. */
+        startedAt: count,
         failureDomain: shortText,
         callerAddress: shortText,
+        /** Where operators reach its metrics and state. */
+        metricsAddress: shortText,
         /** Version of the configuration that the entry holds; 0 for none. */
         version: count,
     }),
@@ -35,6 +78,23 @@
         version: count,
         status: entryStatusSchema,
     }),
+    z.strictObject({
+        kind: z.literal("usage"),
+        incarnation: shortText,
+        /** Sequence number of the first record, from 1 within the incarnation. */
+        firstSequence: z.int().min(1),
+        records: z.array(usageRecordSchema).max(maximumUsageRecords).readonly(),
+    }),
+    z.strictObject({
+        kind: z.literal("claimBatch"),
+        number: count,
+        claims: z.array(claimRequestSchema).max(claimsPerMessage).readonly(),
+    }),
+    z.strictObject({
+        kind: z.literal("claimResults"),
+        number: count,
+        results: z.array(claimResultSchema).max(claimsPerMessage).readonly(),
+    }),
 ]);
 
 /** What an entry tells of itself with each permit request. */
@@ -61,6 +121,12 @@
     | { readonly kind: "redirect"; readonly leaderAddress: string | undefined; }
     /** Bytes of an encoded {@link ConfigurationSnapshot}; the last part completes it. */
     | { readonly kind: "snapshotPart"; readonly bytes: Uint8Array; readonly last: boolean; }
+    /** An operator asked this entry to stop gracefully. */
+    | { readonly kind: "drain"; }
+    /** The incarnation was declared over while it could not be reached; the entry goes on under a new one. */
+    | { readonly kind: "incarnationEnded"; readonly incarnation: string; }
+    /** What became of the usage records of a message. */
+    | { readonly kind: "usageTaken"; readonly incarnation: string; readonly outcome: UsageOutcomeOfCommand; }
     | { readonly kind: "changes"; readonly changes: readonly VersionedChange[]; }
     | {
         readonly kind: "permit";
@@ -71,7 +137,15 @@
         readonly validMilliseconds: number;
         /** Present when the list has changed since the last permit on this connection. */
         readonly entries: readonly EntryListing[] | undefined;
-    };
+    }
+    /** What a claim batch led to, in its order; undefined where this could not be confirmed. */
+    | {
+        readonly kind: "claimDecisions";
+        readonly number: number;
+        readonly decisions: readonly ClaimDecision[] | undefined;
+    }
+    /** Whether the results of claims were committed; those that were not must be sent again. */
+    | { readonly kind: "claimResultsTaken"; readonly number: number; readonly taken: boolean; };
 
 /** The decoded form of the parts of a snapshot. */
 export type TransferredSnapshot = ConfigurationSnapshot;
--- a/src/process/control/configurationService.ts
+++ b/src/process/control/configurationService.ts
@@ -5,13 +5,15 @@
 import type { Clock } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { describeDifference } from "../../version/describeDifference.js";
+import type { DescribedChange } from "../../version/describeDifference.js";
 import type { Key, Manifest } from "../../version/manifest.js";
 import { manifestDifference } from "../../version/manifestDifference.js";
 import { readManifest } from "../../version/readManifest.js";
 import { withoutKeys } from "../../version/withoutKeys.js";
-import type { CommandLog } from "../replicatedLog/commandLog.js";
 import type { ConfigurationCommand, ConfigurationOutcome } from "../state/configurationCommand.js";
-import type { ControlCommand, ControlOutcome, ControlState } from "../state/controlState.js";
+import type { ControlProposals } from "../state/controlProposals.js";
+import type { ControlState } from "../state/controlState.js";
 
 /** Attempts to place a manifest when other changes come between. */
 const maximumRebases = 50;
@@ -24,10 +26,19 @@
     readonly repeated: boolean;
 }
 
+/** What accepting a manifest would change. */
+export interface ManifestComparison {
+    /** Version that it is compared with. */
+    readonly version: number;
+    /** Whether this very manifest was accepted before. */
+    readonly repeated: boolean;
+    readonly changes: readonly DescribedChange[];
+}
+
 /** What the service uses. */
 export interface ConfigurationServiceOptions {
     readonly state: ControlState;
-    readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
+    readonly proposals: ControlProposals;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -53,10 +64,36 @@
         return accepted;
     }
 
+    /** Says what a manifest would change, or why it would be refused. */
+    compare(file: string, text: string): Result<ManifestComparison, readonly Failure[]> {
+        const manifest = readManifest(file, text);
+        if (manifest.err) {
+            return manifest;
+        }
+        const section = this.options.state.configuration;
+        const { version, manifest: before } = section.current;
+        const answer = section.answerFor(manifest.val.number, canonicalDigest(manifest.val));
+        const acceptance = answer === undefined ? Ok({ version, repeated: false }) : acceptanceOf(answer);
+        if (acceptance.err) {
+            return Err([acceptance.val]);
+        }
+        const { repeated } = acceptance.val;
+        const effective = withoutKeys(manifest.val, section.withdrawnDigests);
+        return Ok({ version, repeated, changes: repeated ? [] : describeDifference(before, effective) });
+    }
+
     /** Issues a key beside the manifest. */
     async issueKey(team: string, key: Key, operator: string): Promise<Result<Acceptance, Failure>> {
         const outcome = await this.propose({ kind: "issueKey", team, key, origin: this.originOf(operator) });
-        return outcome.err ? outcome : acceptanceOf(outcome.val);
+        if (outcome.err) {
+            return outcome;
+        }
+        const accepted = acceptanceOf(outcome.val);
+        if (accepted.ok) {
+            const fields = { team, keyName: key.name, digest: key.digest, operator, version: accepted.val.version };
+            this.options.eventLog.write("keyIssued", fields);
+        }
+        return accepted;
     }
 
     /** Withdraws a key for ever. */
@@ -102,9 +139,8 @@
         return { operator, receivedAt: this.options.clock.unixNow() };
     }
 
-    private async propose(command: ConfigurationCommand): Promise<Result<ConfigurationOutcome, Failure>> {
-        const committed = await this.options.commandLog.propose({ section: "configuration", command });
-        return committed.err ? committed : Ok(committed.val.outcome.outcome);
+    private propose(command: ConfigurationCommand): Promise<Result<ConfigurationOutcome, Failure>> {
+        return this.options.proposals.propose("configuration", command);
     }
 }
 
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -3,28 +3,35 @@
 import { EntryConnection } from "../../connection/control/entryConnection.js";
 import type { EntryConnectionContext } from "../../connection/control/entryConnection.js";
 import { OperatorServer } from "../../connection/control/operatorServer.js";
+import { MetricsServer } from "../../connection/metrics/metricsServer.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
+import { describeFailure } from "../../resultCode/resultCode.js";
 import type { ControlSettings } from "../../settings/controlSettings.js";
 import type { Clock } from "../../util/clock.js";
 import { DisposableStore } from "../../util/disposableStore.js";
 import { listen } from "../../util/socketAddress.js";
 import { WakeUp } from "../../util/wakeUp.js";
-import { VolatileCommandLog } from "../replicatedLog/volatileCommandLog.js";
+import type { CommandLog } from "../replicatedLog/commandLog.js";
+import type { ReplicatedLog } from "../replicatedLog/replicatedLog.js";
+import { ControlProposals } from "../state/controlProposals.js";
 import { ControlState } from "../state/controlState.js";
+import type { ControlCommand, ControlOutcome } from "../state/controlState.js";
 import { ConfigurationService } from "./configurationService.js";
+import { controlExposition } from "./controlExposition.js";
+import { openControlLog, ownAddresses } from "./controlLog.js";
+import type { ControlAddresses } from "./controlLog.js";
+import { controlStateReport } from "./controlStateReport.js";
 import { EntryTable } from "./entryTable.js";
-
-/** The addresses at which a control process serves. */
-export interface ControlAddresses {
-    readonly operatorAddress: string;
-    readonly entryAddress: string;
-}
+import { InForceWatch } from "./inForceWatch.js";
+import { runLeaderDuties } from "./leaderDuties.js";
+import type { LeaderDutyContext } from "./leaderDuties.js";
 
 /** A control process: holds the replicated state, answers operators and serves entries. */
 export class ControlProcess implements AsyncDisposable {
     private readonly store = new DisposableStore();
     private readonly applied = new WakeUp();
     private readonly entries = new EntryTable();
+    private readonly inForce = new InForceWatch(this.entries);
     private readonly state = new ControlState(() => {
         this.applied.wake();
     });
@@ -35,31 +42,97 @@
         private readonly eventLog: EventLog,
     ) {}
 
-    /** Starts to serve; resolves with the bound addresses. */
-    async start(): Promise<ControlAddresses> {
-        const { settings, clock, eventLog, state, entries, applied } = this;
-        const commandLog = new VolatileCommandLog(state);
-        const configuration = new ConfigurationService({ state, commandLog, clock, eventLog });
-        const operatorServer = new OperatorServer({ settings, clock, state, configuration, entries, applied });
-        const operatorAddress = await this.store.add(operatorServer).start();
-        const entryAddress = await this.listenForEntries({
+    /** Starts to serve; resolves with the addresses, rejects when the state cannot be opened. */
+    async start(): Promise<ControlAddresses & { readonly metricsAddress: string; }> {
+        const { settings, clock, eventLog, state, entries, store } = this;
+        const commandLog = await openControlLog({ settings, state, clock, eventLog, store });
+        if (commandLog.err) {
+            throw new Error(describeFailure(commandLog.val));
+        }
+        const addresses = ownAddresses(settings);
+        const proposals = new ControlProposals(commandLog.val);
+        await this.listenForOperators(commandLog.val, proposals, addresses.operatorAddress);
+        await this.listenForEntries(addresses.entryAddress, {
             cluster: settings.cluster,
             clock,
             eventLog,
             state,
-            commandLog,
+            commandLog: commandLog.val,
+            proposals,
             entries,
-            applied,
-            leaderEntryAddress: () => undefined,
+            applied: this.applied,
+            leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
-        return { operatorAddress, entryAddress };
+        const metricsAddress = await this.listenForMetrics(commandLog.val);
+        this.runDuties({ state, commandLog: commandLog.val, proposals, entries, clock });
+        return { ...addresses, metricsAddress };
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
         await this.store.dispose();
     }
 
-    private listenForEntries(context: EntryConnectionContext): Promise<string> {
+    private listenForMetrics(log: ReplicatedLog<ControlCommand, ControlOutcome>): Promise<string> {
+        const { settings, state, entries, clock, inForce } = this;
+        const sources = { control: settings.name, log, state, entries, inForce };
+        const server = new MetricsServer({
+            exposition: () => controlExposition(controlStateReport(sources, clock.now()), inForce.times),
+            state: () => controlStateReport(sources, clock.now()),
+        });
+        return this.store.add(server).start(settings.metricsAddress);
+    }
+
+    /** Runs the leader's recurring duties until the process stops. */
+    private runDuties(context: LeaderDutyContext): void {
+        const stopping = new AbortController();
+        const { state, commandLog, clock } = context;
+        const duties = Promise.all([
+            runLeaderDuties(context, stopping.signal),
+            this.inForce.run(
+                () => commandLog.leadingTerm(),
+                () => state.configuration.current.version,
+                clock,
+                stopping.signal,
+            ),
+        ]);
+        this.store.defer(async () => {
+            stopping.abort();
+            await duties;
+        });
+    }
+
+    private leaderEntryAddress(commandLog: CommandLog<ControlCommand, ControlOutcome>): string | undefined {
+        const leader = commandLog.leaderAddress();
+        return this.settings.controls.find(control => control.operatorAddress === leader)?.entryAddress;
+    }
+
+    private async listenForOperators(
+        commandLog: ReplicatedLog<ControlCommand, ControlOutcome>,
+        proposals: ControlProposals,
+        address: string,
+    ): Promise<void> {
+        const { settings, clock, state, entries, eventLog } = this;
+        const configuration = new ConfigurationService({
+            state,
+            proposals,
+            clock,
+            eventLog,
+        });
+        const server = new OperatorServer({
+            settings,
+            clock,
+            eventLog,
+            state,
+            configuration,
+            entries,
+            commandLog,
+            members: commandLog,
+            address,
+        });
+        await this.store.add(server).start();
+    }
+
+    private async listenForEntries(address: string, context: EntryConnectionContext): Promise<void> {
         const sockets = new Set<Socket>();
         const server = createServer(socket => {
             sockets.add(socket);
@@ -70,6 +143,6 @@
             server.close();
             sockets.forEach(socket => socket.destroy());
         });
-        return listen(server, this.settings.entryAddress);
+        await listen(server, address);
     }
 }
--- a/src/settings/commonSettings.ts
+++ b/src/settings/commonSettings.ts
@@ -13,7 +13,8 @@
 );
 
 /** How log lines are written. */
-export const logStyleSchema = z.enum(["json", "pretty", "hidden"]).default("json");
+export const logStyleSchema = z.enum(["json", "pretty", "hidden"]).default("json")
+    .describe("JSON objects for programs, text for a terminal, or no lines.");
 
 /** What the settings of every program contain. */
 export const commonSettings = {
