--- a/src/logEvent/platformEvents.ts
+++ b/src/logEvent/platformEvents.ts
@@ -68,12 +68,6 @@
         text: "The roll-out of a version failed and goes back.",
         fields: ["pool", "version", "previousVersion", "failures"],
     },
-    usageWindowSealed: {
-        number: 2340,
-        level: "info",
-        text: "A usage window was sealed.",
-        fields: ["window", "digest"],
-    },
     usageWindowReported: {
         number: 2341,
         level: "info",
--- a/src/process/platform/actExecutor.ts
+++ b/src/process/platform/actExecutor.ts
@@ -1,9 +1,10 @@
 import { match } from "ts-pattern";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import { describeFailure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { RandomSource } from "../../util/randomSource.js";
-import type { CommandLog } from "../replicatedLog/commandLog.js";
+import type { Result } from "../../util/result.js";
 import type { ActLedger, RecordedAct } from "./actLedger.js";
 import { callOf, pollOf, readProgress } from "./actProtocol.js";
 import type { ActProgress, PlatformAddresses } from "./actProtocol.js";
@@ -12,8 +13,10 @@
 import { retryPause } from "./platformSettings.js";
 import type { PlatformSettings } from "./platformSettings.js";
 
-/** Part of a replicated log that takes commands of a kind. */
-export type CommandSink<Command> = Pick<CommandLog<Command, unknown>, "propose">;
+/** Takes commands of one section of the replicated state; fails as `CommandLog.propose` does. */
+export interface CommandSink<Command> {
+    readonly propose: (command: Command, signal?: AbortSignal) => Promise<Result<unknown, Failure>>;
+}
 
 /** What the tasks that act towards the platform share. */
 export interface PlatformTools {
--- a/src/process/platform/platformSettings.ts
+++ b/src/process/platform/platformSettings.ts
@@ -10,8 +10,6 @@
     readonly pollInterval: Milliseconds;
     /** Pause between looks at the state for something to do. */
     readonly lookInterval: Milliseconds;
-    /** How long after its end a window is sealed, so that entries can deliver their last records. */
-    readonly sealDelay: Milliseconds;
 }
 
 /** The settings of a cluster. */
@@ -20,7 +18,6 @@
     longestRetry: 10_000,
     pollInterval: 1_000,
     lookInterval: 100,
-    sealDelay: 30_000,
 };
 
 /** The pause before attempt number `attempt` (from 1): doubling, bounded, with half of it at random. */
--- a/src/process/platform/usageReporter.ts
+++ b/src/process/platform/usageReporter.ts
@@ -7,7 +7,7 @@
 import { retryPause } from "./platformSettings.js";
 
 /**
- * Seals the usage windows that are over and reports them to the platform, oldest first, while this process leads.
+ * Reports sealed usage windows to the platform, oldest first, while this process leads.
  *
  * A report is the sealed bytes of the log; it is sent unchanged until the platform takes it.
  */
@@ -15,7 +15,7 @@
     private failures = 0;
 
     constructor(
-        private readonly ledger: Pick<UsageLedger, "oldestOpenWindow" | "nextUnreported">,
+        private readonly ledger: Pick<UsageLedger, "nextUnreported">,
         private readonly log: CommandSink<UsageCommand>,
         private readonly tools: PlatformTools,
     ) {}
@@ -23,10 +23,9 @@
     /** Runs until the signal is aborted, which must happen when this process stops leading. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            const sealed = await this.sealOldest(signal);
             const window = this.ledger.nextUnreported();
             const reported = window !== undefined && await this.report(window, signal);
-            if (!sealed && !reported) {
+            if (!reported) {
                 await this.tools.clock.sleep(this.pause(), signal);
             }
         }
@@ -37,16 +36,6 @@
         return this.failures === 0 ? settings.lookInterval : retryPause(this.failures, random.float(), settings);
     }
 
-    private async sealOldest(signal: AbortSignal): Promise<boolean> {
-        const oldest = this.ledger.oldestOpenWindow();
-        const at = this.tools.clock.unixNow();
-        if (oldest === undefined || at < oldest.end + this.tools.settings.sealDelay) {
-            return false;
-        }
-        const proposed = await this.log.propose({ kind: "sealWindow", window: oldest.start, at }, signal);
-        return proposed.ok;
-    }
-
     /** Sends one report; true when the log has recorded that the platform took it. */
     private async report(window: SealedWindow, signal: AbortSignal): Promise<boolean> {
         const refusal = await this.send(window, signal);
--- a/tests/process/platform/actExecutor.test.ts
+++ b/tests/process/platform/actExecutor.test.ts
@@ -77,7 +77,7 @@
             clock: this.clock,
             random: this.random,
             events: new EventLog("test", "hidden"),
-            settings: { ...defaultPlatformSettings, shortestRetry: 20, longestRetry: 100, sealDelay: 50 },
+            settings: { ...defaultPlatformSettings, shortestRetry: 20, longestRetry: 100 },
         };
         const ended = new AbortController();
         const sink = this.log.sinkOf(spell);
@@ -91,7 +91,7 @@
         await Promise.all(tasks);
     }
 
-    /** Intends what is missing of the wanted endpoints, as often as a proposal seems to have failed. */
+    /** Intends what is missing of the wanted endpoints, as often as a proposal seems to have failed, and seals. */
     private async decide(spell: Spell, signal: AbortSignal): Promise<void> {
         let number = 0;
         while (!signal.aborted) {
@@ -116,6 +116,11 @@
                 } as const;
                 await this.log.sinkOf(spell).propose(command, signal);
             }
+            const window = this.usage.oldestOpenWindow();
+            if (window !== undefined && this.clock.now() >= window.end + 50) {
+                const seal = { kind: "sealWindow", window: window.start, at: this.clock.now() } as const;
+                await this.log.sinkOf(spell).propose(seal, signal);
+            }
             await this.clock.sleep(25, signal);
         }
     }
