feat(limits): enforce limits of teams and keys across entries

Cause: requests a second, tokens a minute and concurrent requests are limited over all entries, and no entry sees what the others admit. Change: each entry applies its part of a limit by the generic cell rate algorithm; parts are divided anew by demand, with a tenth divided evenly; silence of control for 5 s brings even parts back; tokens are corrected when a request ends. Concurrent requests may exceed the limit for as long as requests run that began under a larger part.

--- /dev/null
+++ b/tests/process/limits/limitTable.test.ts
@@ -0,0 +1,159 @@
+import fastCheck from "fast-check";
+import assert from "node:assert/strict";
+import { burstSeconds } from "../../../src/process/limits/limitAccount.js";
+import { divideCount, divideLimit, evenShare } from "../../../src/process/limits/limitShares.js";
+import { LimitTable, partLifetime } from "../../../src/process/limits/limitTable.js";
+import { RandomSource } from "../../../src/util/randomSource.js";
+import { describe, it } from "../../describe.js";
+
+const entryCount = 8;
+const limit = 40;
+const divisionInterval = 2_000;
+const largestDelay = 300;
+
+interface Delivery {
+    readonly at: number;
+    readonly deliver: () => void;
+}
+
+/** Simulates entries whose demand moves about; returns the times at which requests were admitted. */
+function simulate(seed: number, duration: number, demandOf: (entry: number, now: number) => number): readonly number[] {
+    const random = new RandomSource(seed);
+    const tables = Array.from(
+        { length: entryCount },
+        () => new LimitTable(() => ({ requestsPerSecond: limit }), entryCount),
+    );
+    const admitted: number[] = [];
+    let deliveries: readonly Delivery[] = [];
+    for (let now = 0; now < duration; now += 10) {
+        deliveries.filter(each => each.at <= now).forEach(each => {
+            each.deliver();
+        });
+        deliveries = deliveries.filter(each => each.at > now);
+        if (now % divisionInterval === 0) {
+            deliveries = [...deliveries, ...divide(tables, now, random)];
+        }
+        tables.forEach((table, entry) => {
+            if (random.float() < demandOf(entry, now) / 100 && table.admit(["team"], 1, now) === undefined) {
+                table.finish(["team"], 1, 1, now);
+                admitted.push(now);
+            }
+        });
+    }
+    return admitted;
+}
+
+function divide(tables: readonly LimitTable[], now: number, random: RandomSource): readonly Delivery[] {
+    const demands = tables.map((table, entry) => {
+        return { entry: `${entry}`, demand: table.takeDemands(now).get("team")?.requests ?? 0 };
+    });
+    const parts = divideLimit(limit, demands);
+    return tables.map((table, entry) => {
+        const at = now + random.float() * largestDelay;
+        const requestsPerSecond = parts.get(`${entry}`) ?? 0;
+        return {
+            at,
+            deliver: () => {
+                table.takePart("team", { requestsPerSecond }, at);
+            },
+        };
+    });
+}
+
+describe("limits across entries", () => {
+    it("admit at most the stated error more than the limit over any window, wherever the demand moves", t => {
+        for (const seed of [1, 2, 3, 4, 5]) {
+            const mover = new RandomSource(seed + 100);
+            const places = [...Array(40).keys()].map(() => mover.integer(0, entryCount - 1));
+            const admitted = simulate(
+                seed,
+                80_000,
+                (entry, now) => places[Math.floor(now / divisionInterval)] === entry ? 95 : 20,
+            );
+            const overlap = largestDelay / divisionInterval;
+            for (const window of [2_000, 10_000, 60_000]) {
+                const bound = (limit * (1 + overlap) * window) / 1_000 + limit * burstSeconds + entryCount;
+                t.true(mostInWindow(admitted, window) <= bound, `${mostInWindow(admitted, window)} in ${window} ms`);
+            }
+        }
+    });
+
+    it("give one entry that has all the demand all but its part of the even share", t => {
+        for (const seed of [1, 2, 3]) {
+            const admitted = simulate(seed, 60_000, entry => entry === 3 ? 95 : 0);
+            const settled = admitted.filter(time => time >= 10_000).length / 50;
+            const least = limit * (1 - evenShare * (1 - 1 / entryCount));
+            t.true(settled >= least * 0.97 && settled <= limit, `${settled} a second`);
+        }
+    });
+
+    it("fall back to even parts when control is silent", t => {
+        const table = new LimitTable(() => ({ requestsPerSecond: limit }), entryCount);
+        table.takePart("team", { requestsPerSecond: limit }, 0);
+        const admitted = (now: number): number => {
+            return [...Array(200).keys()].filter(() => table.admit(["team"], 1, now) === undefined).length;
+        };
+        t.is(admitted(0), limit * burstSeconds);
+        table.sweep(partLifetime + 1);
+        t.is(admitted(partLifetime + 60_000), (limit / entryCount) * burstSeconds);
+    });
+
+    it("refuse by each limit with its own code, and count nothing for what is refused", t => {
+        const limits = { requestsPerSecond: 100, tokensPerMinute: 6_000, concurrentRequests: 2 };
+        const table = new LimitTable(owner => owner === "team" ? limits : { tokensPerMinute: 60_000 }, 1);
+        t.is(table.admit(["team", "team/key"], 150, 0), undefined);
+        t.deepEqual(table.admit(["team", "team/key"], 150, 0), { code: "tokenRateExceeded", retryAfter: 1_000 });
+        t.is(table.admit(["team", "team/key"], 50, 0), undefined);
+        t.is(table.admit(["team", "team/key"], 1, 10_000)?.code, "concurrencyExceeded");
+        table.finish(["team", "team/key"], 50, 50, 10_000);
+        t.is(table.admit(["team", "team/key"], 1, 10_000), undefined);
+    });
+
+    it("correct the tokens of a finished request", t => {
+        const table = new LimitTable(() => ({ tokensPerMinute: 6_000 }), 1);
+        t.is(table.admit(["team"], 100, 0), undefined);
+        table.finish(["team"], 100, 400, 0);
+        t.deepEqual(table.admit(["team"], 100, 0), { code: "tokenRateExceeded", retryAfter: 3_000 });
+    });
+
+    it("are forgotten once nothing matters any more", t => {
+        const table = new LimitTable(() => ({ tokensPerMinute: 6_000 }), 1);
+        table.admit(["team"], 100, 0);
+        table.finish(["team"], 100, 1_000, 0);
+        [1_000, 2_000, 9_000].forEach(now => table.takeDemands(now));
+        t.is(table.size, 1);
+        table.takeDemands(11_000);
+        t.is(table.size, 0);
+    });
+});
+
+describe("divideLimit and divideCount", () => {
+    it("give parts that add up to the limit", t => {
+        const demands = fastCheck.array(fastCheck.double({ min: 0, max: 1e6, noNaN: true }), {
+            minLength: 1,
+            maxLength: 700,
+        });
+        const property = fastCheck.property(demands, fastCheck.integer({ min: 1, max: 2_000 }), (values, whole) => {
+            const wanted = values.map((demand, index) => ({ entry: `${index}`, demand }));
+            const sumOf = (parts: ReadonlyMap<string, number>): number =>
+                [...parts.values()].reduce((one, two) => one + two, 0);
+            assert.ok(Math.abs(sumOf(divideLimit(whole, wanted)) - whole) < 1e-6 * whole);
+            assert.equal(sumOf(divideCount(whole, wanted)), whole);
+        });
+        t.notThrows(() => {
+            fastCheck.assert(property, { seed: 42 });
+        });
+    });
+});
+
+function mostInWindow(times: readonly number[], window: number): number {
+    let most = 0;
+    let first = 0;
+    times.forEach((time, last) => {
+        while (time - (times[first] ?? 0) >= window) {
+            first += 1;
+        }
+        most = Math.max(most, last - first + 1);
+    });
+    return most;
+}
