feat(experiment): compare admission policies under simulated rushes

Cause: the worth of admission decisions shows only under load, against plain baselines and an oracle. Change: a small event-driven model of engines, entries and callers; scenarios for an enrolment rush, a storm night and a team's flood; baselines and an oracle; npm run experiment. What the runs showed was mended in admission: a wait estimate that allows for arrivals above the tier, slots claimed by part instead of by all entries at once, a place inside full endpoints for urgent requests only where their tier fits the pool, slots reserved for tiers that cannot wait, retry-after by the rate at which the tier is served, floor requests that are never preempted, and a floor that reaches classes whose requests would all be refused early.

--- /dev/null
+++ b/src/experiment/experiments.ts
@@ -0,0 +1,12 @@
+import type { Experiment } from "./experiment.js";
+import { PolicyExperiment } from "./policy/policyExperiment.js";
+import { EnrolmentRush } from "./policy/workloads/enrolmentRush.js";
+import { StormNight } from "./policy/workloads/stormNight.js";
+import { TeamFlood } from "./policy/workloads/teamFlood.js";
+
+/** Every experiment of the tool. */
+export const experiments: readonly Experiment[] = [
+    new PolicyExperiment(new EnrolmentRush()),
+    new PolicyExperiment(new StormNight()),
+    new PolicyExperiment(new TeamFlood()),
+];
--- /dev/null
+++ b/src/experiment/policy/shortestPredictedQueue.ts
@@ -0,0 +1,82 @@
+import { QuantileOutputPredictor } from "../../request/admission/outputPredictor.js";
+import { boundRetryAfter, drainTime, longestWaitOf } from "../../request/admission/waitLimits.js";
+import { AdmissionQueue } from "../../request/admissionQueue.js";
+import type { ActualUse, PoolCapacityView, Preemption, Refusal } from "../../request/admissionQueue.js";
+import type { PendingRequest } from "../../request/pendingRequest.js";
+import type { Milliseconds } from "../../util/clock.js";
+import { IndexedHeap } from "../../util/indexedHeap.js";
+import type { HeapMember } from "../../util/indexedHeap.js";
+
+/** A baseline: the request with the fewest predicted output tokens goes next, whatever its tier, class or team. */
+export class ShortestPredictedQueue extends AdmissionQueue {
+    private readonly waiting = new IndexedHeap<PendingRequest>();
+    private readonly members = new Map<string, HeapMember<PendingRequest>>();
+    private readonly predictor = new QuantileOutputPredictor();
+
+    /** @param maximumLength Waiting requests that it holds at most. */
+    constructor(private readonly maximumLength: number) {
+        super();
+    }
+
+    override get length(): number {
+        return this.members.size;
+    }
+
+    override offer(request: PendingRequest, capacity: PoolCapacityView): readonly Refusal[] {
+        if (this.length >= this.maximumLength) {
+            const retryAfter = boundRetryAfter(drainTime(this.length, capacity.requestsPerSecond));
+            return [{ request, code: "queueFull", retryAfter }];
+        }
+        this.members.set(request.id, this.waiting.insert(request, this.predictor.expected(request)));
+        return [];
+    }
+
+    override take(capacity: PoolCapacityView): PendingRequest | undefined {
+        const request = capacity.freeSlots > 0 ? this.waiting.first?.value : undefined;
+        if (request !== undefined) {
+            this.remove(request);
+        }
+        return request;
+    }
+
+    override remove(request: PendingRequest): boolean {
+        const member = this.members.get(request.id);
+        if (member === undefined) {
+            return false;
+        }
+        this.members.delete(request.id);
+        this.waiting.delete(member);
+        return true;
+    }
+
+    override sweep(capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
+        const retryAfter = boundRetryAfter(drainTime(this.length, capacity.requestsPerSecond));
+        const expired = [...this.members.values()].map(member => member.value).filter(request => {
+            return now - request.arrivedAt >= longestWaitOf(request.requestClass);
+        });
+        return expired.map(request => {
+            this.remove(request);
+            return { request, code: "waitTooLong" as const, retryAfter };
+        });
+    }
+
+    override complete(request: PendingRequest, use: ActualUse): void {
+        this.predictor.learn(request, use.outputTokens);
+    }
+
+    override abandon(): void {
+        // Running requests are not tracked.
+    }
+
+    override requeue(request: PendingRequest): void {
+        this.members.set(request.id, this.waiting.insert(request, 0));
+    }
+
+    override withdrawKey(): readonly Refusal[] {
+        return [];
+    }
+
+    override choosePreemptions(): readonly Preemption[] {
+        return [];
+    }
+}
--- /dev/null
+++ b/src/experiment/policy/simulatedEndpoint.ts
@@ -0,0 +1,51 @@
+import { EndpointState } from "../../process/entry/endpointState.js";
+import { claimSlots } from "../../request/admission/slotClaim.js";
+import type { RandomSource } from "../../util/randomSource.js";
+import type { EngineModel } from "./engineModel.js";
+
+/** Urgent requests that an entry sends to an engine beyond its claim. */
+const urgentRequests = 1;
+
+/** An engine as one entry sees it: what it runs there itself, and its claim to what a lagging report shows as free. */
+export class SimulatedEndpoint extends EndpointState {
+    private allowed: number;
+    private reportedLoad = 0;
+
+    /**
+     * @param name Its name.
+     * @param failureDomain Its failure domain.
+     * @param engine The engine behind it.
+     * @param entries Entries that use it.
+     * @param random Rounds claims.
+     */
+    constructor(
+        name: string,
+        failureDomain: string,
+        readonly engine: EngineModel,
+        private readonly entries: number,
+        private readonly random: RandomSource,
+    ) {
+        super({ name, address: "127.0.0.1:1", failureDomain, cheap: false }, "pool", engine.speed.slots);
+        this.allowed = claimSlots(engine.speed.slots, entries, random);
+    }
+
+    override get freeSlots(): number {
+        return Math.max(0, Math.min(super.freeSlots, this.allowed - this.running));
+    }
+
+    /** Requests that may wait inside it beyond the free slots. */
+    get urgentSlots(): number {
+        return Math.max(0, urgentRequests - Math.max(0, this.running - this.allowed));
+    }
+
+    /** Requests that it had by the newest report. */
+    get load(): number {
+        return this.reportedLoad;
+    }
+
+    /** Takes in a report of the engine's load, and what this entry ran there when the report was made. */
+    takeReport(load: number, ownRunning: number): void {
+        this.reportedLoad = load;
+        this.allowed = ownRunning + claimSlots(this.capacity - load, this.entries, this.random);
+    }
+}
--- a/src/request/admission/classQueue.ts
+++ b/src/request/admission/classQueue.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { IndexedHeap } from "../../util/indexedHeap.js";
 import { LinkedList } from "../../util/linkedList.js";
+import type { RequestClass } from "../../version/manifest.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import { ServiceTimes } from "./serviceTimes.js";
 import { TeamShare } from "./teamShare.js";
@@ -35,6 +36,7 @@
     private readonly teams = new Map<string | undefined, TeamShare>();
     private readonly order = new IndexedHeap<TeamShare>();
     private readonly idleTeams = new Set<TeamShare>();
+    private latestClass: RequestClass | undefined;
     private virtualTime = 0;
 
     /**
@@ -67,6 +69,11 @@
         return this.teams.size;
     }
 
+    /** The longest wait with which the latest request of the class could be admitted. */
+    get shortestAdmissibleWait(): Milliseconds {
+        return this.latestClass === undefined ? Infinity : this.serviceTimes.admissibleWait(this.latestClass);
+    }
+
     /** The share of a request's team. */
     shareOf(request: PendingRequest): TeamShare {
         let share = this.teams.get(request.team);
@@ -81,6 +88,7 @@
     /** Adds a request that was not begun. */
     append(queued: QueuedRequest): void {
         const share = queued.share;
+        this.latestClass = queued.request.requestClass;
         queued.arrivalNode = this.arrivals.append(queued);
         queued.teamNode = share.punctual.append(queued);
         share.queuedCost += queued.cost;
--- a/src/request/admission/pressureGauge.ts
+++ b/src/request/admission/pressureGauge.ts
@@ -46,7 +46,7 @@
     private summarizeTier(tier: number, capacity: PoolCapacityView, now: Milliseconds): TierSummary {
         const queue = this.table.tierOf(tier);
         const oldest = queue.oldestArrival;
-        const short = this.table.shortfallOf(tier, capacity);
+        const short = this.table.shortfallOf(tier, capacity, now);
         return {
             queued: queue.size,
             preemptible: this.running.preemptibleOf(tier),
--- a/src/request/admission/retryAppointments.ts
+++ b/src/request/admission/retryAppointments.ts
@@ -1,30 +1,48 @@
 import type { Milliseconds } from "../../util/clock.js";
+import { DecayingRate } from "../../util/decayingRate.js";
 import { lowestTier } from "../../version/manifest.js";
 import { boundRetryAfter, drainTime, longestRetryAfter } from "./waitLimits.js";
 
+/** Time over which the service of a tier is averaged, in milliseconds. */
+const averagingTime: Milliseconds = 10_000;
+
+/** Fraction of the golden ratio: its multiples, taken modulo one, are spread evenly however many are drawn. */
+const goldenFraction = 0.618_033_988_749_895;
+
 /**
- * Tells refused callers when to come back, spread out at the rate at which the pool serves.
+ * Tells refused callers when to come back, spread out at the rate at which their tier is served.
  *
- * Each refusal of a tier books the next free appointment, so that callers refused together do not return together.
+ * Each refusal books the next free appointment of its tier, so that callers refused together do not return together.
+ * Where the tier is served too slowly for that, returns are spread over the later half of the longest retry-after.
  */
 export class RetryAppointments {
+    private readonly rates = Array.from({ length: lowestTier + 1 }, () => new DecayingRate(averagingTime));
     private readonly nextFree = new Array<Milliseconds>(lowestTier + 1).fill(-Infinity);
+    private overbooked = 0;
+
+    /** Notes that a request of a tier was started. */
+    noteStarted(tier: number, now: Milliseconds): void {
+        this.rates[tier]?.add(1, now);
+    }
 
     /**
      * Books an appointment.
      *
      * @param tier Tier of the refused request.
-     * @param wait Expected wait of the tier, in milliseconds.
-     * @param requestsPerSecond Requests a second that the pool serves for this entry.
+     * @param waiting Requests of the tier that wait.
      * @param now The present time.
      * @returns The time until the appointment, in milliseconds.
      */
-    book(tier: number, wait: Milliseconds, requestsPerSecond: number, now: Milliseconds): Milliseconds {
-        const earliest = now + Math.min(wait, longestRetryAfter);
+    book(tier: number, waiting: number, now: Milliseconds): Milliseconds {
+        const perSecond = this.rates[tier]?.perSecond(now) ?? 0;
+        const earliest = now + drainTime(waiting + 1, perSecond);
         const booked = Math.max(this.nextFree[tier] ?? -Infinity, earliest);
-        const latest = now + longestRetryAfter;
-        const spacing = Math.min(drainTime(1, requestsPerSecond), longestRetryAfter);
-        this.nextFree[tier] = booked >= latest ? earliest : booked + spacing;
+        if (booked > now + longestRetryAfter) {
+            this.overbooked += 1;
+            const part = (this.overbooked * goldenFraction) % 1;
+            return boundRetryAfter((longestRetryAfter * (1 + part)) / 2);
+        }
+        this.nextFree[tier] = booked + drainTime(1, perSecond);
         return boundRetryAfter(booked - now);
     }
 }
--- a/src/request/admission/runningRequests.ts
+++ b/src/request/admission/runningRequests.ts
@@ -1,17 +1,11 @@
-import type { Milliseconds } from "../../util/clock.js";
 import { LinkedList } from "../../util/linkedList.js";
 import type { ListNode } from "../../util/linkedList.js";
 import { lowestTier } from "../../version/manifest.js";
 import type { QueuedRequest } from "./teamShare.js";
 
-/** A request that was started by the floor is not preempted for this long, in milliseconds. */
-export const floorProtection: Milliseconds = 5_000;
-
 /** A request that was taken and has not ended. */
 export interface RunningRequest {
     readonly queued: QueuedRequest;
-    /** Until when it may not be preempted. */
-    readonly protectedUntil: Milliseconds;
     /** Place among the preemptible requests; undefined when it may not be preempted or is being preempted. */
     node: ListNode<RunningRequest> | undefined;
 }
@@ -20,6 +14,7 @@
 export class RunningRequests {
     private readonly byId = new Map<string, RunningRequest>();
     private readonly preemptible = Array.from({ length: lowestTier + 1 }, () => new LinkedList<RunningRequest>());
+    private readonly counts = new Array<number>(lowestTier + 1).fill(0);
     private readonly interrupting = new Set<RunningRequest>();
 
     /** Number of running requests. */
@@ -32,11 +27,17 @@
         return this.interrupting.size;
     }
 
-    /** Adds a request that was just taken. */
-    add(queued: QueuedRequest, protectedUntil: Milliseconds): void {
-        const running: RunningRequest = { queued, protectedUntil, node: undefined };
+    /**
+     * Adds a request that was just taken.
+     *
+     * @param byFloor Whether the floor against starvation started it; such a request is never preempted, so that what
+     * the floor gives is not taken away again.
+     */
+    add(queued: QueuedRequest, byFloor: boolean): void {
+        const running: RunningRequest = { queued, node: undefined };
         this.byId.set(queued.request.id, running);
-        if (queued.request.requestClass.preemptible) {
+        this.count(queued, 1);
+        if (queued.request.requestClass.preemptible && !byFloor) {
             running.node = this.preemptible[queued.request.requestClass.tier]?.append(running);
         }
     }
@@ -46,25 +47,31 @@
         const running = this.byId.get(id);
         if (running !== undefined) {
             this.byId.delete(id);
+            this.count(running.queued, -1);
             this.interrupting.delete(running);
             this.release(running);
         }
         return running;
     }
 
-    /** Number of preemptible requests of a tier, protected ones among them. */
+    /** Whether a request below a tier runs. */
+    hasBelow(tier: number): boolean {
+        return this.counts.some((count, lower) => lower > tier && count > 0);
+    }
+
+    /** Number of preemptible requests of a tier. */
     preemptibleOf(tier: number): number {
         return this.preemptible[tier]?.size ?? 0;
     }
 
     /** Whether a request of a tier below the given one may be preempted now. */
-    hasPreemptibleBelow(tier: number, now: Milliseconds): boolean {
-        return this.findVictim(tier, now) !== undefined;
+    hasPreemptibleBelow(tier: number): boolean {
+        return this.findVictim(tier) !== undefined;
     }
 
     /** Chooses the request to interrupt for a tier: of the lowest tier, the one that started last. */
-    chooseVictim(tier: number, now: Milliseconds): QueuedRequest | undefined {
-        const victim = this.findVictim(tier, now);
+    chooseVictim(tier: number): QueuedRequest | undefined {
+        const victim = this.findVictim(tier);
         if (victim !== undefined) {
             this.release(victim);
             this.interrupting.add(victim);
@@ -72,12 +79,16 @@
         return victim?.queued;
     }
 
-    private findVictim(tier: number, now: Milliseconds): RunningRequest | undefined {
+    private count(queued: QueuedRequest, change: number): void {
+        const { tier } = queued.request.requestClass;
+        this.counts[tier] = (this.counts[tier] ?? 0) + change;
+    }
+
+    private findVictim(tier: number): RunningRequest | undefined {
         for (let lower = lowestTier; lower > tier; lower -= 1) {
-            for (const running of this.preemptible[lower]?.reversed() ?? []) {
-                if (running.protectedUntil <= now) {
-                    return running;
-                }
+            const youngest = this.preemptible[lower]?.last;
+            if (youngest !== undefined) {
+                return youngest;
             }
         }
         return undefined;
--- a/src/request/admission/serviceFloor.ts
+++ b/src/request/admission/serviceFloor.ts
@@ -12,7 +12,7 @@
 
 interface FloorState {
     credit: number;
-    waitingSince: Milliseconds | undefined;
+    servedAt: Milliseconds;
 }
 
 /**
@@ -26,12 +26,8 @@
 
     /** Notes that a class has a waiting request. */
     noteWaiting(waiting: ClassQueue, now: Milliseconds): void {
-        const state = this.states.get(waiting);
-        if (state === undefined) {
-            this.states.set(waiting, { credit: 0, waitingSince: now });
-        }
-        else {
-            state.waitingSince ??= now;
+        if (!this.states.has(waiting)) {
+            this.states.set(waiting, { credit: 0, servedAt: now });
         }
     }
 
@@ -40,32 +36,29 @@
         const state = this.states.get(served);
         if (state !== undefined) {
             state.credit = Math.max(0, state.credit - tokens);
-            state.waitingSince = served.size === 0 ? undefined : now;
+            state.servedAt = now;
         }
         this.divide(tokens * floorShare);
     }
 
-    /** Notes that a class may have become empty without service. */
-    noteRemoved(emptied: ClassQueue): void {
-        const state = this.states.get(emptied);
-        if (state !== undefined && emptied.size === 0) {
-            state.waitingSince = undefined;
-        }
+    /** Whether a class's only waiting request of a cost will go next, however long the queues above it are. */
+    owes(waiting: ClassQueue, cost: number, now: Milliseconds): boolean {
+        const state = this.states.get(waiting);
+        return state !== undefined && waiting.size === 1 && (isOverdue(state, now) || state.credit >= cost);
     }
 
     /** The class that must go next; undefined when the tiers decide. */
     due(now: Milliseconds, costOfNext: (waiting: ClassQueue) => number): ClassQueue | undefined {
         let longest: ClassQueue | undefined;
-        let longestWait = longestTimeWithoutService;
+        let earliest = Infinity;
         let paid: ClassQueue | undefined;
         for (const [waiting, state] of this.states) {
-            if (state.waitingSince === undefined || waiting.size === 0) {
+            if (waiting.size === 0) {
                 continue;
             }
-            const wait = now - state.waitingSince;
-            if (wait >= longestWait) {
+            if (isOverdue(state, now) && state.servedAt < earliest) {
                 longest = waiting;
-                longestWait = wait;
+                earliest = state.servedAt;
             }
             if (paid === undefined && state.credit > 0 && state.credit >= costOfNext(waiting)) {
                 paid = waiting;
@@ -81,10 +74,13 @@
         }
         for (const [waiting, state] of this.states) {
             if (waiting.size === 0) {
-                state.credit = 0;
                 continue;
             }
             state.credit = Math.min(largestCredit, state.credit + (tokens * waiting.weight) / weights);
         }
     }
 }
+
+function isOverdue(state: FloorState, now: Milliseconds): boolean {
+    return now - state.servedAt >= longestTimeWithoutService;
+}
--- a/src/request/admission/serviceTimes.ts
+++ b/src/request/admission/serviceTimes.ts
@@ -5,6 +5,9 @@
 /** Quantile of the service time that a request must be able to fit before its target. */
 const cautiousQuantile = 0.9;
 
+/** Quantile of the service time that a request must still be able to fit to keep its place in the order. */
+const likelyQuantile = 0.85;
+
 /** Share of the total target that remains for waiting, however slow the pool is. */
 const smallestWaitingShare = 0.1;
 
@@ -14,12 +17,12 @@
 /** Learns how long the requests of a class run, and from it how long one may wait. */
 export class ServiceTimes {
     private readonly cautious = new RunningQuantile(cautiousQuantile);
-    private readonly typical = new RunningQuantile(0.5);
+    private readonly likely = new RunningQuantile(likelyQuantile);
 
     /** Learns from a completed request. */
     learn(serviceTime: Milliseconds): void {
         this.cautious.add(serviceTime);
-        this.typical.add(serviceTime);
+        this.likely.add(serviceTime);
     }
 
     /** Longest wait with which nine requests in ten still meet the target; what newcomers are admitted by. */
@@ -27,9 +30,9 @@
         return waitLeft(requestClass, this.cautious.value ?? 0);
     }
 
-    /** Longest wait with which a typical request still meets the target; what waiting requests are ordered by. */
+    /** Longest wait with which most requests still meet the target; what waiting requests are ordered by. */
     latestStart(requestClass: RequestClass): Milliseconds {
-        return waitLeft(requestClass, this.typical.value ?? 0);
+        return waitLeft(requestClass, this.likely.value ?? 0);
     }
 }
 
--- a/src/request/admission/tierTable.ts
+++ b/src/request/admission/tierTable.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "../../util/clock.js";
+import { DecayingRate } from "../../util/decayingRate.js";
 import { lowestTier } from "../../version/manifest.js";
 import type { RequestClass } from "../../version/manifest.js";
 import type { PoolCapacityView } from "../admissionQueue.js";
@@ -10,9 +11,32 @@
 /** Share of the admissible wait within which a tier's queue should drain; beyond it the tier is short of room. */
 const comfortableShare = 0.5;
 
+/** Smallest part of the pool's rate that a tier is assumed to get, however much arrives above it. */
+const smallestPart = 0.04;
+
+/** Time over which arrivals are averaged, in milliseconds. */
+const arrivalAveraging: Milliseconds = 3_000;
+
+/** Largest part of the pool's rate that a tier and those above it may ask for to be served without a queue. */
+const fittingPart = 0.9;
+
+/** A tier whose requests may wait no longer than this has slots kept free for it, in milliseconds. */
+const impatientWait: Milliseconds = 1_000;
+
+/** Slots are kept free for the arrivals of this span of time, in milliseconds. */
+const reservedTime: Milliseconds = 400;
+
+/** Some waiting requests and their predicted output tokens. */
+interface Work {
+    readonly requests: number;
+    readonly output: number;
+}
+
 /** The queues of all tiers, and what can be computed of them as a whole. */
 export class TierTable {
     readonly tiers: readonly TierQueue[] = Array.from({ length: lowestTier + 1 }, () => new TierQueue());
+    private readonly arrivingRequests = this.tiers.map(() => new DecayingRate(arrivalAveraging));
+    private readonly arrivingOutput = this.tiers.map(() => new DecayingRate(arrivalAveraging));
     private readonly classes = new Map<string, ClassQueue>();
 
     /** @param weights Weights of the teams. */
@@ -75,8 +99,37 @@
         return undefined;
     }
 
+    /** Notes that a request arrived. */
+    noteArrival(queued: QueuedRequest, now: Milliseconds): void {
+        const { tier } = queued.share.owner;
+        this.arrivingRequests[tier]?.add(1, now);
+        this.arrivingOutput[tier]?.add(queued.output, now);
+    }
+
+    /**
+     * Slots to keep free for tiers above one whose requests cannot wait, as many as arrive in {@link reservedTime}.
+     *
+     * Trunk reservation, as in circuit-switched networks (Akimaru and Kawashima, "Teletraffic", 1993).
+     */
+    reservedSlots(tier: number, now: Milliseconds): number {
+        let perSecond = 0;
+        for (let above = 0; above < tier; above += 1) {
+            const cannotWait = this.tierOf(above).members.some(each => each.shortestAdmissibleWait < impatientWait);
+            perSecond += cannotWait ? this.arrivingRequests[above]?.perSecond(now) ?? 0 : 0;
+        }
+        return Math.ceil((perSecond * reservedTime) / 1_000);
+    }
+
+    /** Whether the pool can serve everything that arrives down to a tier. */
+    fits(tier: number, capacity: PoolCapacityView, now: Milliseconds): boolean {
+        if (capacity.tokensPerSecond > 0) {
+            return sumAbove(this.arrivingOutput, tier + 1, now) <= capacity.tokensPerSecond * fittingPart;
+        }
+        return sumAbove(this.arrivingRequests, tier + 1, now) <= capacity.requestsPerSecond * fittingPart;
+    }
+
     /** Expected time until a waiting request starts, in milliseconds; 0 where the pool's rate is not known. */
-    expectedWait(queued: QueuedRequest, capacity: PoolCapacityView): Milliseconds {
+    expectedWait(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): Milliseconds {
         const own = queued.share.owner;
         const above = this.punctualUpTo(own.tier - 1);
         const tier = this.tierOf(own.tier);
@@ -84,31 +137,42 @@
             return 0;
         }
         const fair = Math.min(1, fairFraction(queued, tier));
-        const requests = above.requests + tier.punctualSize * fair;
-        const output = above.output + tier.punctualOutput * fair;
-        return serviceTime(Math.max(0, requests - 1), Math.max(0, output - queued.output), capacity);
-    }
-
-    /** Expected time until everything punctual down to a tier is served, in milliseconds. */
-    drainTimeOf(tier: number, capacity: PoolCapacityView): Milliseconds {
-        const { requests, output } = this.punctualUpTo(tier);
-        return serviceTime(requests, output, capacity);
+        const requests = Math.max(0, above.requests + tier.punctualSize * fair - 1);
+        const output = Math.max(0, above.output + tier.punctualOutput * fair - queued.output);
+        return this.serviceTime(own.tier, { requests, output }, capacity, now);
     }
 
     /** Waiting requests down to a tier that will not start in comfortable time at the present rate. */
-    shortfallOf(tier: number, capacity: PoolCapacityView): number {
+    shortfallOf(tier: number, capacity: PoolCapacityView, now: Milliseconds): number {
         const own = this.tierOf(tier);
         if (own.punctualSize === 0) {
             return 0;
         }
-        const { requests, output } = this.punctualUpTo(tier);
-        const waiting = requests - Math.max(0, capacity.freeSlots);
-        const drain = serviceTime(requests, output, capacity);
+        const work = this.punctualUpTo(tier);
+        const waiting = work.requests - Math.max(0, capacity.freeSlots);
+        const drain = this.serviceTime(tier, work, capacity, now);
         const allowed = comfortableShare * Math.min(...own.members.map(admissibleWaitOf));
         if (waiting <= 0 || drain <= allowed) {
             return 0;
         }
-        return Math.min(waiting, Math.ceil(requests * (1 - allowed / drain)));
+        return Math.min(waiting, Math.ceil(work.requests * (1 - allowed / drain)));
+    }
+
+    /**
+     * Time that the pool takes for some work of a tier, while more important requests go on arriving.
+     *
+     * Counted in output tokens where their rate is known, else in requests.
+     */
+    private serviceTime(tier: number, work: Work, capacity: PoolCapacityView, now: Milliseconds): Milliseconds {
+        if (work.output > 0 && capacity.tokensPerSecond > 0) {
+            const left = capacity.tokensPerSecond - sumAbove(this.arrivingOutput, tier, now);
+            return (work.output * 1_000) / Math.max(left, capacity.tokensPerSecond * smallestPart);
+        }
+        if (capacity.requestsPerSecond > 0) {
+            const left = capacity.requestsPerSecond - sumAbove(this.arrivingRequests, tier, now);
+            return (work.requests * 1_000) / Math.max(left, capacity.requestsPerSecond * smallestPart);
+        }
+        return 0;
     }
 
     private punctualUpTo(lowest: number): { readonly requests: number; readonly output: number; } {
@@ -122,12 +186,8 @@
     }
 }
 
-/** Time that a pool takes for some work, by its rate of tokens where that is known, else by its rate of requests. */
-function serviceTime(requests: number, output: number, capacity: PoolCapacityView): Milliseconds {
-    if (output > 0 && capacity.tokensPerSecond > 0) {
-        return (output / capacity.tokensPerSecond) * 1_000;
-    }
-    return capacity.requestsPerSecond > 0 ? (requests / capacity.requestsPerSecond) * 1_000 : 0;
+function sumAbove(rates: readonly DecayingRate[], tier: number, now: Milliseconds): number {
+    return rates.slice(0, tier).reduce((sum, rate) => sum + rate.perSecond(now), 0);
 }
 
 /** Part of a tier's work that fair sharing serves until a request of a team has gone; it may exceed one. */
--- a/src/request/admission/tieredQueue.ts
+++ b/src/request/admission/tieredQueue.ts
@@ -13,7 +13,7 @@
 import type { PoolSummary } from "./poolSummary.js";
 import { PressureGauge } from "./pressureGauge.js";
 import { RetryAppointments } from "./retryAppointments.js";
-import { floorProtection, RunningRequests } from "./runningRequests.js";
+import { RunningRequests } from "./runningRequests.js";
 import { ServiceFloor } from "./serviceFloor.js";
 import { HeaviestTeamVictim } from "./shedding.js";
 import type { VictimChoice } from "./shedding.js";
@@ -29,6 +29,18 @@
 /** Requests beyond the length that may wait for room elsewhere, as a share of the length. */
 const heldShare = 0.1;
 
+/**
+ * Share of the admissible wait up to which newcomers are admitted; the rest covers errors of the prediction. A queue that
+ * is no longer than that ends the rush with answers in time instead of late ones.
+ */
+const admittedShare = 0.3;
+
+/** Largest part of the running requests that is kept free for requests about to arrive. */
+const largestReservedPart = 0.05;
+
+/** Share of the admissible wait after which a request is urgent. */
+const urgentShare = 0.1;
+
 /** Largest part of the running requests that one decision preempts. */
 const preemptedPart = 0.1;
 
@@ -83,21 +95,21 @@
 
     override offer(request: PendingRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
         const queued = this.enqueue(request, now);
-        if (!this.mustShedFor(queued, capacity)) {
+        if (!this.mustShedFor(queued, capacity, now)) {
             return [];
         }
-        return this.shedFor(queued, capacity, now);
+        return this.shedFor(queued, now);
     }
 
     override take(capacity: PoolCapacityView, now: Milliseconds): PendingRequest | undefined {
+        const strict = this.table.next(this.neighbours.pressedTier(now) ?? lowestTier, now);
         if (capacity.freeSlots <= 0) {
-            return undefined;
+            return this.takeUrgent(strict, capacity, now);
         }
-        const strict = this.table.next(this.neighbours.pressedTier(now) ?? lowestTier, now);
         const due = this.floor.due(now, waiting => nextOfClass(waiting, now)?.cost ?? Infinity);
         const byFloor = due === undefined ? undefined : nextOfClass(due, now);
         const queued = byFloor ?? strict;
-        if (queued === undefined) {
+        if (queued === undefined || (byFloor === undefined && this.isReserved(queued, capacity, now))) {
             return undefined;
         }
         const strictTier = strict?.request.requestClass.tier ?? lowestTier + 1;
@@ -115,14 +127,13 @@
             queued.share.unfinished -= 1;
         }
         queued.share.owner.noteIdle(queued.share);
-        this.floor.noteRemoved(queued.share.owner);
         return true;
     }
 
     override sweep(capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
         const refusals: Refusal[] = [];
         for (const each of this.table.allClasses) {
-            this.refuseExpired(each, capacity, now, refusals);
+            this.refuseExpired(each, now, refusals);
             each.setAsideLate(now);
             each.forgetIdleTeams();
         }
@@ -174,7 +185,7 @@
         const chosen: Preemption[] = [];
         const most = Math.max(1, Math.floor(this.running.size * preemptedPart));
         this.tiersShortOfRoom(capacity, now).forEach(forTier => {
-            const victim = chosen.length < most ? this.running.chooseVictim(forTier, now) : undefined;
+            const victim = chosen.length < most ? this.running.chooseVictim(forTier) : undefined;
             if (victim !== undefined) {
                 chosen.push({ request: victim.request, forTier });
             }
@@ -187,6 +198,32 @@
         return this.gauge.summarize(pool, capacity, now);
     }
 
+    /** Whether the free slots are kept for more important requests that are about to arrive and cannot wait. */
+    private isReserved(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): boolean {
+        const reserved = this.table.reservedSlots(queued.share.owner.tier, now);
+        return capacity.freeSlots <= Math.min(reserved, Math.ceil(this.running.size * largestReservedPart));
+    }
+
+    /** Takes a request that an endpoint should run before what it has of lower tiers, though it has no slot free. */
+    private takeUrgent(
+        next: QueuedRequest | undefined,
+        capacity: PoolCapacityView,
+        now: Milliseconds,
+    ): PendingRequest | undefined {
+        if (next === undefined || (capacity.urgentSlots ?? 0) <= 0) {
+            return undefined;
+        }
+        const { request, share } = next;
+        const patience = share.owner.serviceTimes.admissibleWait(request.requestClass) * urgentShare;
+        const { tier } = request.requestClass;
+        const lowerRuns = this.running.hasBelow(tier) || this.neighbours.lowerTierElsewhere(tier, now);
+        if (now - request.arrivedAt < patience || !lowerRuns || !this.table.fits(tier, capacity, now)) {
+            return undefined;
+        }
+        this.start(next, false, now);
+        return request;
+    }
+
     private enqueue(request: PendingRequest, now: Milliseconds): QueuedRequest {
         const owner = this.table.classOf(request.requestClass);
         const output = this.predictor.expected(request);
@@ -202,6 +239,7 @@
         };
         this.table.tierOf(owner.tier).noteReturn(owner);
         owner.append(queued);
+        this.table.noteArrival(queued, now);
         this.attach(queued, now);
         return queued;
     }
@@ -231,7 +269,8 @@
             this.table.tierOf(owner.tier).noteServed(owner);
         }
         this.floor.noteServed(owner, queued.cost, now);
-        this.running.add(queued, byFloor ? now + floorProtection : now);
+        this.appointments.noteStarted(owner.tier, now);
+        this.running.add(queued, byFloor);
         if (!byFloor) {
             this.gauge.noteStarted(owner.tier);
         }
@@ -242,52 +281,58 @@
         queued.share.owner.noteIdle(queued.share);
     }
 
-    private mustShedFor(queued: QueuedRequest, capacity: PoolCapacityView): boolean {
-        return this.table.sheddable > this.maximumLength || this.waitsTooLong(queued, capacity);
+    private mustShedFor(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): boolean {
+        return this.overfull || this.waitsTooLong(queued, capacity, now);
     }
 
-    private waitsTooLong(queued: QueuedRequest, capacity: PoolCapacityView): boolean {
+    private waitsTooLong(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): boolean {
         const { requestClass } = queued.request;
+        if (this.floor.owes(queued.share.owner, queued.cost, now)) {
+            return false;
+        }
         const admissible = requestClass.maximumQueueMilliseconds
-            ?? queued.share.owner.serviceTimes.admissibleWait(requestClass);
-        return this.table.expectedWait(queued, capacity) > admissible;
+            ?? queued.share.owner.serviceTimes.admissibleWait(requestClass) * admittedShare;
+        return this.table.expectedWait(queued, capacity, now) > admissible;
     }
 
-    /** Makes room for a request that came in: below its tier where possible, here or elsewhere. */
-    private shedFor(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
-        const lowest = this.table.lowestSheddable() ?? queued.share.owner.tier;
-        if (this.mayHold(lowest, now)) {
+    /** Refuses a request that came in too late for its target, or makes room for it below its tier, here or elsewhere. */
+    private shedFor(queued: QueuedRequest, now: Milliseconds): readonly Refusal[] {
+        if (this.mayHold(this.lowestTouched(queued), now)) {
             this.held.set(queued, now + sheddingGrace);
             this.gauge.noteShed(queued.share.owner.tier);
             return [];
         }
-        return this.shedOne(queued, lowest, capacity, now);
+        return this.shedOne(queued, now);
+    }
+
+    /** The tier of the request that is refused next for the sake of another: of the lowest one where room is short. */
+    private lowestTouched(cause: QueuedRequest): number {
+        return this.overfull ? this.table.lowestSheddable() ?? cause.share.owner.tier : cause.share.owner.tier;
+    }
+
+    private get overfull(): boolean {
+        return this.table.sheddable > this.maximumLength;
     }
 
     /** Whether a request may wait beyond the length until room was made below a tier, here or elsewhere. */
     private mayHold(tier: number, now: Milliseconds): boolean {
-        if (this.running.hasPreemptibleBelow(tier, now) && this.held.size < this.gauge.preemptibleBelow(tier)) {
+        if (this.running.hasPreemptibleBelow(tier) && this.held.size < this.gauge.preemptibleBelow(tier)) {
             return true;
         }
         return this.held.size < this.maximumLength * heldShare && this.neighbours.lowerTierElsewhere(tier, now);
     }
 
-    private shedOne(
-        cause: QueuedRequest,
-        lowest: number,
-        capacity: PoolCapacityView,
-        now: Milliseconds,
-    ): readonly Refusal[] {
-        const overfull = this.table.sheddable > this.maximumLength;
-        const below = lowest > cause.request.requestClass.tier;
-        const victim = below || overfull ? this.victimChoice.choose(this.table.tierOf(lowest)) : cause;
+    private shedOne(cause: QueuedRequest, now: Milliseconds): readonly Refusal[] {
+        this.gauge.noteShed(cause.share.owner.tier);
+        if (!this.overfull) {
+            return [this.refuse(cause, "targetUnreachable", now)];
+        }
+        const victim = this.victimChoice.choose(this.table.tierOf(this.lowestTouched(cause)));
         if (victim === undefined) {
             return [];
         }
         this.passOnHold(victim, cause);
-        this.gauge.noteShed(cause.request.requestClass.tier);
-        const code = victim === cause && !overfull ? "targetUnreachable" : "shedUnderLoad";
-        return [this.refuse(victim, code, capacity, now)];
+        return [this.refuse(victim, "shedUnderLoad", now)];
     }
 
     /** Lets the room that is being made for a shed request serve the one for whose sake it is shed. */
@@ -302,45 +347,34 @@
     private shedHeld(capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
         const refusals: Refusal[] = [];
         for (const [queued, until] of this.held) {
-            const lowest = this.table.lowestSheddable() ?? queued.share.owner.tier;
-            if (!this.mustShedFor(queued, capacity)) {
+            if (!this.mustShedFor(queued, capacity, now)) {
                 this.held.delete(queued);
                 continue;
             }
+            const lowest = this.lowestTouched(queued);
             const asked = until > now && this.neighbours.lowerTierElsewhere(lowest, now);
-            if (asked || this.running.hasPreemptibleBelow(lowest, now)) {
+            if (asked || this.running.hasPreemptibleBelow(lowest)) {
                 continue;
             }
             this.held.delete(queued);
-            refusals.push(...this.shedOne(queued, lowest, capacity, now));
+            refusals.push(...this.shedOne(queued, now));
         }
         return refusals;
     }
 
-    private refuseExpired(
-        each: ClassQueue,
-        capacity: PoolCapacityView,
-        now: Milliseconds,
-        refusals: Refusal[],
-    ): void {
+    private refuseExpired(each: ClassQueue, now: Milliseconds, refusals: Refusal[]): void {
         for (const queued of each.arrivals) {
             if (now - queued.request.arrivedAt < longestWaitOf(queued.request.requestClass)) {
                 return;
             }
-            refusals.push(this.refuse(queued, "waitTooLong", capacity, now));
+            refusals.push(this.refuse(queued, "waitTooLong", now));
         }
     }
 
-    private refuse(
-        queued: QueuedRequest,
-        code: ResultCode,
-        capacity: PoolCapacityView,
-        now: Milliseconds,
-    ): Refusal {
+    private refuse(queued: QueuedRequest, code: ResultCode, now: Milliseconds): Refusal {
         this.remove(queued.request);
-        const tier = queued.request.requestClass.tier;
-        const wait = this.table.drainTimeOf(tier, capacity);
-        const retryAfter = this.appointments.book(tier, wait, capacity.requestsPerSecond, now);
+        const { tier } = queued.request.requestClass;
+        const retryAfter = this.appointments.book(tier, this.table.tierOf(tier).size, now);
         return { request: queued.request, code, retryAfter };
     }
 
@@ -351,7 +385,7 @@
         }
         const needs: number[] = [];
         for (let tier = 0; tier < lowestTier; tier += 1) {
-            const short = Math.max(this.table.shortfallOf(tier, capacity), this.heldOf(tier));
+            const short = Math.max(this.table.shortfallOf(tier, capacity, now), this.heldOf(tier));
             const missing = short - this.running.beingInterrupted - needs.length;
             for (let count = 0; count < missing; count += 1) {
                 needs.push(tier);
--- a/src/request/admissionQueue.ts
+++ b/src/request/admissionQueue.ts
@@ -6,6 +6,8 @@
 export interface PoolCapacityView {
     /** Requests that the pool's usable endpoints could start now, as seen by this entry. */
     readonly freeSlots: number;
+    /** Requests that endpoints without a free slot would let wait inside them, ordered by tier; none where absent. */
+    readonly urgentSlots?: number;
     /** Estimated output tokens a second that the pool still makes for this entry. */
     readonly tokensPerSecond: number;
     /** Estimated requests a second that the pool completes for this entry. */
@@ -44,7 +46,7 @@
     /** Takes a request in; returns the requests that must be refused for it, perhaps the request itself. */
     abstract offer(request: PendingRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[];
 
-    /** Removes and returns the request that goes next, or undefined when none waits or no slot is free. */
+    /** Removes and returns the request that goes next, or undefined when none waits or may start. */
     abstract take(capacity: PoolCapacityView, now: Milliseconds): PendingRequest | undefined;
 
     /** Removes a waiting request whose caller left or whose key was withdrawn; false when it does not wait. */
--- /dev/null
+++ b/tests/experiment/policy/engineModel.test.ts
@@ -0,0 +1,74 @@
+import { EngineModel } from "../../../src/experiment/policy/engineModel.js";
+import type { EngineJob } from "../../../src/experiment/policy/engineModel.js";
+import { EventQueue } from "../../../src/experiment/policy/eventQueue.js";
+import { describe, it } from "../../describe.js";
+
+const speed = { slots: 2, stepTime: 10, stepTimePerStream: 5, promptTokensPerStep: 10 };
+
+interface Seen {
+    readonly events: EventQueue;
+    readonly engine: EngineModel;
+    readonly log: string[];
+    readonly start: (id: string, tier: number, outputTokens: number) => void;
+}
+
+function createEngine(): Seen {
+    const events = new EventQueue();
+    const engine = new EngineModel(events, speed);
+    const log: string[] = [];
+    const start = (id: string, tier: number, outputTokens: number): void => {
+        const job: EngineJob = {
+            id,
+            tier,
+            contextTokens: 20,
+            outputTokens,
+            onFirstToken: () => undefined,
+            onEnd: () => {
+                log.push(`${id}@${Math.round(events.now)}`);
+            },
+        };
+        engine.start(job);
+    };
+    return { events, engine, log, start };
+}
+
+describe("EngineModel", () => {
+    it("makes a token a step after the prompt", t => {
+        const { events, log, start } = createEngine();
+        start("alone", 0, 8);
+        events.runUntil(1_000);
+        t.deepEqual(log, ["alone@150"]);
+    });
+
+    it("slows every stream down as its batch grows, and lets the most important job in first", t => {
+        const { events, log, start } = createEngine();
+        start("one", 3, 8);
+        start("two", 3, 18);
+        start("low", 5, 8);
+        start("high", 0, 8);
+        events.runUntil(2_000);
+        t.deepEqual(log, ["one@200", "two@400", "high@400", "low@550"]);
+    });
+
+    it("gives the tokens made when a job is stopped, and fills its slot", t => {
+        const { events, engine, log, start } = createEngine();
+        start("stopped", 0, 50);
+        events.runUntil(150);
+        t.is(engine.stop("stopped"), 8);
+        start("next", 0, 8);
+        events.runUntil(1_000);
+        t.deepEqual(log, ["next@300"]);
+        t.is(engine.load, 0);
+    });
+
+    it("makes nothing while it stands still", t => {
+        const { events, engine, log, start } = createEngine();
+        start("stuck", 0, 8);
+        events.runUntil(75);
+        engine.slowDown(Infinity);
+        events.runUntil(10_000);
+        engine.slowDown(1);
+        events.runUntil(20_000);
+        t.deepEqual(log, ["stuck@10075"]);
+    });
+});
