--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -4,7 +4,8 @@
 import { match } from "ts-pattern";
 import type { EntryConfiguration } from "../../process/entry/entryConfiguration.js";
 import type { ServingPermit } from "../../process/entry/servingPermit.js";
-import type { Clock, Milliseconds } from "../../util/clock.js";
+import type { UsageRecorder } from "../../process/entry/usageRecorder.js";
+import type { Clock, Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import type { ConfigurationSnapshot } from "../../version/configurationChange.js";
 import { entryProtocolVersion } from "../entryMessages.js";
@@ -15,7 +16,7 @@
 const permitInterval: Milliseconds = 400;
 
 /** Longest wait for a connection or for an answer, in milliseconds. */
-const answerTimeout: Milliseconds = 1500;
+const answerTimeout: Milliseconds = 1000;
 
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
@@ -24,13 +25,20 @@
     readonly cluster: string;
     readonly entry: string;
     readonly incarnation: string;
+    /** Wall-clock time at which the incarnation began, in Unix milliseconds. */
+    readonly startedAt: UnixMilliseconds;
     readonly failureDomain: string;
     readonly callerAddress: string;
+    readonly metricsAddress: string;
 }
 
 /** What a connection to a control process works on. */
 export interface ControlConnectionContext {
-    readonly identity: EntryIdentity;
+    /** The identity at present; its incarnation changes when control has declared the last one over. */
+    readonly identity: () => EntryIdentity;
+    /** Begins a new incarnation if the given one is the present one. */
+    readonly renewIncarnation: (ended: string) => void;
+    readonly usage: UsageRecorder;
     readonly clock: Clock;
     readonly configuration: EntryConfiguration;
     readonly permit: ServingPermit;
@@ -42,6 +50,8 @@
 export interface ControlConnectionEnd {
     /** Address of the leader's port for entries, when the other side named it. */
     readonly leaderAddress: string | undefined;
+    /** Whether the other side stayed silent for too long. */
+    readonly silent: boolean;
 }
 
 /** One connection of an entry to a control process: follows the configuration and renews the permit. */
@@ -52,7 +62,9 @@
     private readonly sentAt = new Map<number, Milliseconds>();
     private readonly parts: Uint8Array[] = [];
     private nextNumber = 1;
+    private awaitingUsage = false;
     private leaderAddress: string | undefined;
+    private silent = false;
 
     constructor(
         address: string,
@@ -69,7 +81,10 @@
             this.socket.destroy();
         };
         this.stop.addEventListener("abort", close, { once: true });
-        this.socket.setTimeout(answerTimeout, close);
+        this.socket.setTimeout(answerTimeout, () => {
+            this.silent = true;
+            close();
+        });
         this.greet();
         const renewing = this.renew();
         try {
@@ -85,7 +100,7 @@
             close();
         }
         await renewing;
-        return { leaderAddress: this.leaderAddress };
+        return { leaderAddress: this.leaderAddress, silent: this.silent };
     }
 
     private send(message: EntryToControl): void {
@@ -94,7 +109,7 @@
 
     private greet(): void {
         const version = this.context.configuration.current.version;
-        this.send({ kind: "hello", protocol: entryProtocolVersion, ...this.context.identity, version });
+        this.send({ kind: "hello", protocol: entryProtocolVersion, ...this.context.identity(), version });
     }
 
     private async renew(): Promise<void> {
@@ -103,10 +118,20 @@
             const number = this.nextNumber++;
             this.sentAt.set(number, clock.now());
             this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
+            this.deliverUsage();
             await clock.sleep(permitInterval, this.ended.signal);
         }
     }
 
+    /** Sends usage records, one message at a time. */
+    private deliverUsage(): void {
+        const delivery = this.awaitingUsage ? undefined : this.context.usage.nextDelivery();
+        if (delivery !== undefined) {
+            this.awaitingUsage = true;
+            this.send({ kind: "usage", ...delivery });
+        }
+    }
+
     /** @returns Whether the connection is still of use. */
     private handle(message: ControlToEntry): boolean {
         return match(message)
@@ -115,6 +140,15 @@
                 this.leaderAddress = leaderAddress;
                 return false;
             })
+            .with({ kind: "incarnationEnded" }, ({ incarnation }) => {
+                this.context.renewIncarnation(incarnation);
+                return false;
+            })
+            .with({ kind: "usageTaken" }, ({ incarnation, outcome }) => {
+                this.context.usage.confirm(incarnation, outcome);
+                this.awaitingUsage = false;
+                return true;
+            })
             .with({ kind: "snapshotPart" }, part => {
                 this.takePart(part.bytes, part.last);
                 return true;
