feat(request): count what other entries yield, and judge a heavy team by its own rate

Change: capacity for a tier includes what others would hold back below it; a team above its part is judged by its own rate of service; the tight bound on waits applies to the total target alone, not to the first token; the experiment tool gains the loss of a failure domain and a rush whose top tier comes to two entries of eight.

--- a/src/experiment/policy/caller.ts
+++ b/src/experiment/policy/caller.ts
@@ -3,6 +3,7 @@
 import type { Attempt } from "./attempt.js";
 import type { EventQueue } from "./eventQueue.js";
 import type { FigureRecorder } from "./figureRecorder.js";
+import type { Scenario } from "./scenario.js";
 import type { SimulatedEntry } from "./simulatedEntry.js";
 import type { Demand } from "./workload.js";
 
@@ -23,6 +24,7 @@
      * @param recorder Gathers what they see.
      * @param random Chooses entries and jitter.
      * @param seesTeams Whether requests carry the team.
+     * @param scenario Says which entry a caller uses.
      */
     constructor(
         private readonly entries: readonly SimulatedEntry[],
@@ -30,6 +32,7 @@
         private readonly recorder: FigureRecorder,
         private readonly random: RandomSource,
         private readonly seesTeams: boolean,
+        private readonly scenario: Scenario,
     ) {}
 
     /** Starts the first attempt of a demand. */
@@ -39,7 +42,9 @@
     }
 
     private attempt(demand: Demand, number: number): void {
-        const entry = this.entries[this.random.integer(0, this.entries.length - 1)];
+        const choices = this.scenario.entriesOf(demand.requestClass.tier);
+        const choice = choices[this.random.integer(0, choices.length - 1)] ?? 0;
+        const entry = this.entries[choice % this.entries.length];
         if (entry === undefined) {
             return;
         }
--- a/src/experiment/policy/engineModel.ts
+++ b/src/experiment/policy/engineModel.ts
@@ -27,6 +27,8 @@
     readonly onFirstToken: () => void;
     /** Called when the last token was made. */
     readonly onEnd: () => void;
+    /** Called when the engine is lost, with the output tokens that it made. */
+    readonly onLost: (madeTokens: number) => void;
 }
 
 interface Stream {
@@ -49,6 +51,7 @@
     private advancedAt: Milliseconds = 0;
     private nextEnd: PlannedAction | undefined;
     private slowness = 1;
+    private gone = false;
 
     /**
      * @param events The simulated time.
@@ -68,8 +71,28 @@
         this.planNextEnd();
     }
 
+    /** Whether it was lost. */
+    get lost(): boolean {
+        return this.gone;
+    }
+
+    /** Ends it: every job is lost, and so is each that comes later. */
+    lose(): void {
+        this.gone = true;
+        const jobs = [...[...this.streams.values()].map(stream => stream.job), ...this.waitingJobs];
+        jobs.forEach(job => {
+            job.onLost(this.stop(job.id));
+        });
+    }
+
     /** Takes a job. */
     start(job: EngineJob): void {
+        if (this.gone) {
+            this.events.after(0, () => {
+                job.onLost(0);
+            });
+            return;
+        }
         if (this.streams.size >= this.speed.slots) {
             this.waitingMembers.set(job.id, this.waiting.insert(job, job.tier));
             return;
@@ -99,6 +122,10 @@
         return Math.min(stream.job.outputTokens, Math.max(0, made));
     }
 
+    private get waitingJobs(): readonly EngineJob[] {
+        return [...this.waitingMembers.values()].map(member => member.value);
+    }
+
     /** Time of one step with the present batch, in milliseconds. */
     private get presentStepTime(): Milliseconds {
         return (this.speed.stepTime + this.speed.stepTimePerStream * this.streams.size) * this.slowness;
--- a/src/experiment/policy/poolSimulation.ts
+++ b/src/experiment/policy/poolSimulation.ts
@@ -53,7 +53,7 @@
         const admission = policy.createAdmission(context);
         return new SimulatedEntry(admission, endpoints, createChooser(random), entryCount, events, recorder);
     });
-    const callers = new Callers(entries, events, recorder, new RandomSource(seed + 1_000), policy.seesTeams);
+    const callers = new Callers(entries, events, recorder, new RandomSource(seed + 1_000), policy.seesTeams, scenario);
     demands.forEach(demand =>
         events.after(demand.at, () => {
             callers.begin(demand);
@@ -61,11 +61,23 @@
     );
     planReports(events, entries);
     planSummaries(events, entries);
-    scenario.planFaults(events, engines);
+    planFaults(events, scenario, engines);
     events.runUntil(scenario.duration + overtime);
     return recorder.figures(scenario, events.now);
 }
 
+function planFaults(events: EventQueue, scenario: Scenario, engines: readonly EngineModel[]): void {
+    for (const { at, strikes, strike } of scenario.faults) {
+        events.after(at, () => {
+            [...engines.entries()].forEach(([index, engine]) => {
+                if (strikes(index)) {
+                    strike(engine);
+                }
+            });
+        });
+    }
+}
+
 function planReports(events: EventQueue, entries: readonly SimulatedEntry[]): void {
     entries.forEach(entry => {
         events.every(sweepInterval, () => {
--- a/src/experiment/policy/simulatedEndpoint.ts
+++ b/src/experiment/policy/simulatedEndpoint.ts
@@ -35,7 +35,7 @@
 
     /** Requests that may wait inside it beyond the free slots. */
     get urgentSlots(): number {
-        return Math.max(0, urgentRequests - Math.max(0, this.running - this.allowed));
+        return this.leaving ? 0 : Math.max(0, urgentRequests - Math.max(0, this.running - this.allowed));
     }
 
     /** Requests that it had by the newest report. */
@@ -43,6 +43,11 @@
         return this.reportedLoad;
     }
 
+    /** Notes that it is gone; it gets nothing more. */
+    noteLost(): void {
+        this.leaving = true;
+    }
+
     /** Takes in a report of the engine's load, and what this entry ran there when the report was made. */
     takeReport(load: number, ownRunning: number): void {
         this.reportedLoad = load;
--- a/src/experiment/policy/simulatedEntry.ts
+++ b/src/experiment/policy/simulatedEntry.ts
@@ -79,7 +79,7 @@
         for (const endpoint of this.endpoints) {
             running += endpoint.running;
             free += endpoint.freeSlots;
-            total += endpoint.capacity;
+            total += endpoint.leaving ? 0 : endpoint.capacity;
             urgentSlots += endpoint.urgentSlots;
         }
         return { ...this.estimator.view({ running, free, total, entries: this.entries }), urgentSlots };
@@ -129,6 +129,9 @@
             onEnd: () => {
                 this.end(attempt, place);
             },
+            onLost: madeTokens => {
+                this.resume(attempt, place, madeTokens);
+            },
         });
     }
 
@@ -145,6 +148,15 @@
         this.work();
     }
 
+    /** Brings a request whose engine was lost back to the queue, to be resumed elsewhere. */
+    private resume(attempt: Attempt, place: SimulatedEndpoint, madeTokens: number): void {
+        place.noteLost();
+        attempt.madeTokens += madeTokens;
+        this.release(attempt, place);
+        this.giveBack(attempt, place);
+        this.work();
+    }
+
     private preempt(id: string): void {
         const attempt = this.attempts.get(id);
         const place = this.places.get(id);
@@ -152,6 +164,10 @@
             return;
         }
         this.stop(attempt, place);
+        this.giveBack(attempt, place);
+    }
+
+    private giveBack(attempt: Attempt, place: SimulatedEndpoint): void {
         const context = attempt.request.promptTokens + attempt.madeTokens;
         const again = context / place.engine.speed.promptTokensPerStep;
         this.recorder.notePreempted(attempt.request.requestClass, again, this.events.now);
--- a/src/experiment/policy/workloads/enrolmentRush.ts
+++ b/src/experiment/policy/workloads/enrolmentRush.ts
@@ -4,8 +4,9 @@
 
 /** A morning rush of 90 s at three times the capacity, at Derwent's sizes. */
 export class EnrolmentRush extends MixedScenario {
-    override readonly name = "enrolment-rush";
-    override readonly description = "Morning enrolment rush at Derwent's sizes: three times the capacity for 90 s.";
+    override readonly name: string = "enrolment-rush";
+    override readonly description: string =
+        "Morning enrolment rush at Derwent's sizes: three times the capacity for 90 s.";
     override readonly entries = 8;
     override readonly engines = 12;
     override readonly parts = [
--- a/src/experiment/policy/workloads/mixedScenario.ts
+++ b/src/experiment/policy/workloads/mixedScenario.ts
@@ -41,10 +41,6 @@
         return this.parts.flatMap(part => this.demandsOf(part, random));
     }
 
-    override planFaults(): void {
-        // Every engine stays well.
-    }
-
     private demandsOf(part: MixPart, random: RandomSource): readonly Demand[] {
         const { outputMedian, outputSigma, promptTokens, requestClass } = part;
         const perShare = this.capacity / this.tokensOf(part);
--- a/src/experiment/policy/workloads/teamFlood.ts
+++ b/src/experiment/policy/workloads/teamFlood.ts
@@ -28,10 +28,6 @@
 
     private readonly requestClass = buildClass("draft", 1, 12_000);
 
-    override planFaults(): void {
-        // Every engine stays well.
-    }
-
     override demands(random: RandomSource): readonly Demand[] {
         const perShare = this.capacity / (meanOf(outputMedian, outputSigma) + 500 / ordinaryEngine.promptTokensPerStep);
         const common = { requestClass: this.requestClass, outputMedian, outputSigma, promptTokens: 500 };
--- a/src/request/admission/neighbourPressure.ts
+++ b/src/request/admission/neighbourPressure.ts
@@ -19,6 +19,13 @@
     /** Whether others may still start requests below a tier or run preemptible ones. */
     abstract lowerTierElsewhere(tier: number, now: Milliseconds): boolean;
 
+    /**
+     * Tokens a second that this entry gains for a tier when others hold back what they start below it.
+     *
+     * @param queued Requests of the tier that wait here; others that wait elsewhere gain their part.
+     */
+    abstract yieldedTokens(tier: number, queued: number, now: Milliseconds): number;
+
     /**
      * Requests that this entry should preempt for the sake of others, for one summary at most once.
      *
@@ -37,6 +44,10 @@
         return false;
     }
 
+    override yieldedTokens(): number {
+        return 0;
+    }
+
     override owedPreemptions(): number {
         return 0;
     }
@@ -78,6 +89,16 @@
         return others.tiers.slice(tier + 1).some(each => each.started > 0 || each.preemptible > 0);
     }
 
+    override yieldedTokens(tier: number, queued: number, now: Milliseconds): number {
+        const tiers = this.usable(now)?.tiers;
+        if (tiers === undefined || queued === 0) {
+            return 0;
+        }
+        const startedBelow = tiers.slice(tier + 1).reduce((sum, each) => sum + each.started, 0);
+        const queuedElsewhere = (tiers[tier] ?? emptyTier).queued;
+        return (startedBelow * 1_000 * queued) / summaryInterval / (queued + queuedElsewhere);
+    }
+
     override owedPreemptions(ownPreemptibleBelow: (tier: number) => number, now: Milliseconds): number {
         const others = this.usable(now);
         const pressed = this.pressedTier(now);
--- a/src/request/admission/poolSummary.ts
+++ b/src/request/admission/poolSummary.ts
@@ -7,7 +7,7 @@
     readonly queued: number;
     /** Running requests that may be preempted. */
     readonly preemptible: number;
-    /** Requests started since the summary before, other than by the floor against starvation. */
+    /** Predicted tokens of requests started since the summary before, other than by the floor against starvation. */
     readonly started: number;
     /** Longest wait so far, in milliseconds; the longest of all where summaries are added. */
     readonly oldestWait: Milliseconds;
@@ -69,7 +69,7 @@
 }
 
 function tierToRow(tier: TierSummary): readonly number[] {
-    return [tier.queued, tier.preemptible, tier.started, Math.ceil(tier.oldestWait), tier.shortfall];
+    return [tier.queued, tier.preemptible, Math.ceil(tier.started), Math.ceil(tier.oldestWait), tier.shortfall];
 }
 
 function tierFromRow(numbers: readonly number[], start: number): TierSummary {
--- a/src/request/admission/pressureGauge.ts
+++ b/src/request/admission/pressureGauge.ts
@@ -14,11 +14,14 @@
      * @param table The waiting requests.
      * @param running The running requests.
      */
-    constructor(private readonly table: TierTable, private readonly running: RunningRequests) {}
+    constructor(
+        private readonly table: TierTable,
+        private readonly running: RunningRequests,
+    ) {}
 
-    /** Notes that a request started in the order of the tiers. */
-    noteStarted(tier: number): void {
-        this.started[tier] = (this.started[tier] ?? 0) + 1;
+    /** Notes that a request of some predicted tokens started in the order of the tiers. */
+    noteStarted(tier: number, tokens: number): void {
+        this.started[tier] = (this.started[tier] ?? 0) + Math.max(1, tokens);
     }
 
     /** Notes that something was shed, or that room is awaited elsewhere, for the sake of a tier. */
@@ -50,7 +53,7 @@
         return {
             queued: queue.size,
             preemptible: this.running.preemptibleOf(tier),
-            started: this.started[tier] ?? 0,
+            started: Math.ceil(this.started[tier] ?? 0),
             oldestWait: oldest === undefined ? 0 : now - oldest,
             shortfall: Math.max(short, this.turnedAway[tier] ?? 0),
         };
--- a/src/request/admission/serviceTimes.ts
+++ b/src/request/admission/serviceTimes.ts
@@ -11,6 +11,13 @@
 /** Share of the total target that remains for waiting, however slow the pool is. */
 const smallestWaitingShare = 0.1;
 
+/**
+ * Part of the time before the total target that newcomers may expect to wait while more arrives than the pool serves.
+ *
+ * Lengths are not known in advance: the shorter the wait, the more of the long answers still meet the target.
+ */
+const crowdedPart = 0.3;
+
 /** Share of the first-token target that may be spent in the queue. */
 const firstTokenWaitingShare = 0.5;
 
@@ -25,19 +32,24 @@
         this.likely.add(serviceTime);
     }
 
-    /** Longest wait with which nine requests in ten still meet the target; what newcomers are admitted by. */
+    /** Longest wait with which nine requests in ten still meet the target. */
     admissibleWait(requestClass: RequestClass): Milliseconds {
-        return waitLeft(requestClass, this.cautious.value ?? 0);
+        return waitLeft(requestClass, this.cautious.value ?? 0, 1);
+    }
+
+    /** Longest wait that newcomers are admitted with while more arrives than the pool serves. */
+    crowdedWait(requestClass: RequestClass): Milliseconds {
+        return waitLeft(requestClass, this.cautious.value ?? 0, crowdedPart);
     }
 
     /** Longest wait with which most requests still meet the target; what waiting requests are ordered by. */
     latestStart(requestClass: RequestClass): Milliseconds {
-        return waitLeft(requestClass, this.likely.value ?? 0);
+        return waitLeft(requestClass, this.likely.value ?? 0, 1);
     }
 }
 
-function waitLeft(requestClass: RequestClass, serviceTime: Milliseconds): Milliseconds {
+function waitLeft(requestClass: RequestClass, serviceTime: Milliseconds, part: number): Milliseconds {
     const { totalMilliseconds, firstTokenMilliseconds } = requestClass.target;
     const beforeTotal = Math.max(totalMilliseconds * smallestWaitingShare, totalMilliseconds - serviceTime);
-    return Math.min(beforeTotal, (firstTokenMilliseconds ?? Infinity) * firstTokenWaitingShare);
+    return Math.min(beforeTotal * part, (firstTokenMilliseconds ?? Infinity) * firstTokenWaitingShare);
 }
--- a/src/request/admission/teamShare.ts
+++ b/src/request/admission/teamShare.ts
@@ -1,9 +1,14 @@
+import type { Milliseconds } from "../../util/clock.js";
+import { DecayingRate } from "../../util/decayingRate.js";
 import type { HeapMember } from "../../util/indexedHeap.js";
 import { LinkedList } from "../../util/linkedList.js";
 import type { ListNode } from "../../util/linkedList.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { ClassQueue } from "./classQueue.js";
 
+/** Time over which the service of a team is averaged, in milliseconds. */
+const servedAveraging: Milliseconds = 5_000;
+
 /** A waiting request and its places in the lists that hold it. */
 export interface QueuedRequest {
     readonly request: PendingRequest;
@@ -25,6 +30,8 @@
     readonly punctual = new LinkedList<QueuedRequest>();
     /** Requests that can no longer meet their target, oldest first. */
     readonly late = new LinkedList<QueuedRequest>();
+    /** Predicted output tokens a second that were started. */
+    readonly served = new DecayingRate(servedAveraging);
     /** Tokens served so far, divided by the weight: the team's virtual token counter. */
     counter = 0;
     /** Predicted tokens of all waiting requests that were not begun. */
--- a/src/request/admission/tierTable.ts
+++ b/src/request/admission/tierTable.ts
@@ -136,10 +136,39 @@
         if (above.requests + tier.punctualSize <= capacity.freeSlots) {
             return 0;
         }
-        const fair = Math.min(1, fairFraction(queued, tier));
-        const requests = Math.max(0, above.requests + tier.punctualSize * fair - 1);
-        const output = Math.max(0, above.output + tier.punctualOutput * fair - queued.output);
-        return this.serviceTime(own.tier, { requests, output }, capacity, now);
+        const fair = fairFraction(queued, tier);
+        const part = Math.min(1, fair);
+        const requests = Math.max(0, above.requests + tier.punctualSize * part - 1);
+        const output = Math.max(0, above.output + tier.punctualOutput * part - queued.output);
+        const wait = this.serviceTime(own.tier, { requests, output }, capacity, now);
+        return fair <= 1 ? wait : Math.max(wait, this.waitBehindOwnTeam(queued, fair, capacity, now));
+    }
+
+    /**
+     * Expected wait of a request whose team asks for more than its part: others, who ask for less, go on passing it.
+     *
+     * The team's own rate of service shows how much they leave to it; its part by weight is the least.
+     */
+    private waitBehindOwnTeam(
+        queued: QueuedRequest,
+        fair: number,
+        capacity: PoolCapacityView,
+        now: Milliseconds,
+    ): Milliseconds {
+        const { share } = queued;
+        const ahead = (share.punctual.size - 1) * queued.output;
+        const tier = this.tierOf(share.owner.tier);
+        const byWeight = this.serviceTime(
+            share.owner.tier,
+            {
+                requests: tier.punctualSize * fair,
+                output: tier.punctualOutput * fair,
+            },
+            capacity,
+            now,
+        );
+        const served = share.served.perSecond(now);
+        return served > 0 ? Math.min(byWeight, (ahead * 1_000) / served) : byWeight;
     }
 
     /** Waiting requests down to a tier that will not start in comfortable time at the present rate. */
--- a/src/request/admission/tieredQueue.ts
+++ b/src/request/admission/tieredQueue.ts
@@ -20,6 +20,7 @@
 import type { QueuedRequest } from "./teamShare.js";
 import { ListedTeamWeights } from "./teamWeights.js";
 import type { TeamWeights } from "./teamWeights.js";
+import { capacityForTier } from "./tierCapacity.js";
 import { TierTable } from "./tierTable.js";
 import { longestWaitOf } from "./waitLimits.js";
 
@@ -29,12 +30,6 @@
 /** Requests beyond the length that may wait for room elsewhere, as a share of the length. */
 const heldShare = 0.1;
 
-/**
- * Share of the admissible wait up to which newcomers are admitted; the rest covers errors of the prediction. A queue that
- * is no longer than that ends the rush with answers in time instead of late ones.
- */
-const admittedShare = 0.3;
-
 /** Largest part of the running requests that is kept free for requests about to arrive. */
 const largestReservedPart = 0.05;
 
@@ -217,7 +212,10 @@
         const patience = share.owner.serviceTimes.admissibleWait(request.requestClass) * urgentShare;
         const { tier } = request.requestClass;
         const lowerRuns = this.running.hasBelow(tier) || this.neighbours.lowerTierElsewhere(tier, now);
-        if (now - request.arrivedAt < patience || !lowerRuns || !this.table.fits(tier, capacity, now)) {
+        if (
+            now - request.arrivedAt < patience || !lowerRuns
+            || !this.table.fits(tier, this.capacityFor(tier, capacity, now), now)
+        ) {
             return undefined;
         }
         this.start(next, false, now);
@@ -265,6 +263,7 @@
         this.detach(queued);
         if (!queued.resumed) {
             owner.charge(queued);
+            queued.share.served.add(queued.output, now);
             queued.share.unfinished += 1;
             this.table.tierOf(owner.tier).noteServed(owner);
         }
@@ -272,7 +271,7 @@
         this.appointments.noteStarted(owner.tier, now);
         this.running.add(queued, byFloor);
         if (!byFloor) {
-            this.gauge.noteStarted(owner.tier);
+            this.gauge.noteStarted(owner.tier, queued.output);
         }
     }
 
@@ -290,9 +289,17 @@
         if (this.floor.owes(queued.share.owner, queued.cost, now)) {
             return false;
         }
-        const admissible = requestClass.maximumQueueMilliseconds
-            ?? queued.share.owner.serviceTimes.admissibleWait(requestClass) * admittedShare;
-        return this.table.expectedWait(queued, capacity, now) > admissible;
+        const available = this.capacityFor(requestClass.tier, capacity, now);
+        const { serviceTimes } = queued.share.owner;
+        const byTarget = this.table.fits(requestClass.tier, available, now)
+            ? serviceTimes.admissibleWait(requestClass)
+            : serviceTimes.crowdedWait(requestClass);
+        const admissible = requestClass.maximumQueueMilliseconds ?? byTarget;
+        return this.table.expectedWait(queued, available, now) > admissible;
+    }
+
+    private capacityFor(tier: number, capacity: PoolCapacityView, now: Milliseconds): PoolCapacityView {
+        return capacityForTier(capacity, this.neighbours, tier, this.table.tierOf(tier).size, now);
     }
 
     /** Refuses a request that came in too late for its target, or makes room for it below its tier, here or elsewhere. */
@@ -385,7 +392,10 @@
         }
         const needs: number[] = [];
         for (let tier = 0; tier < lowestTier; tier += 1) {
-            const short = Math.max(this.table.shortfallOf(tier, capacity, now), this.heldOf(tier));
+            const short = Math.max(
+                this.table.shortfallOf(tier, capacity, now),
+                this.heldOf(tier),
+            );
             const missing = short - this.running.beingInterrupted - needs.length;
             for (let count = 0; count < missing; count += 1) {
                 needs.push(tier);
--- a/tests/experiment/policy/engineModel.test.ts
+++ b/tests/experiment/policy/engineModel.test.ts
@@ -26,6 +26,9 @@
             onEnd: () => {
                 log.push(`${id}@${Math.round(events.now)}`);
             },
+            onLost: madeTokens => {
+                log.push(`${id} lost after ${madeTokens}`);
+            },
         };
         engine.start(job);
     };
@@ -61,6 +64,18 @@
         t.is(engine.load, 0);
     });
 
+    it("loses running, waiting and later jobs when it is lost", t => {
+        const { events, engine, log, start } = createEngine();
+        ["one", "two", "three"].forEach(id => {
+            start(id, 0, 50);
+        });
+        events.runUntil(200);
+        engine.lose();
+        start("four", 0, 8);
+        events.runUntil(1_000);
+        t.deepEqual(log, ["one lost after 8", "two lost after 8", "three lost after 0", "four lost after 0"]);
+    });
+
     it("makes nothing while it stands still", t => {
         const { events, engine, log, start } = createEngine();
         start("stuck", 0, 8);
--- a/tests/failure/leaderLoss.test.ts
+++ b/tests/failure/leaderLoss.test.ts
@@ -1,7 +1,16 @@
 import { Cluster } from "../../src/quickstart/cluster.js";
 import { keyDigest } from "../../src/util/keyDigest.js";
 import { describe, it } from "../describe.js";
-import { chatStatus, leader, manifestText, operate, startTestedCluster, submit, until, waitInForce } from "./clusterCalls.js";
+import {
+    chatStatus,
+    leader,
+    manifestText,
+    operate,
+    startTestedCluster,
+    submit,
+    until,
+    waitInForce,
+} from "./clusterCalls.js";
 import type { OperatorAnswer, TestedCluster } from "./clusterCalls.js";
 
 /** One submission of a history of concurrent operators. */
