--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -15,6 +15,9 @@
 /** Longest time until the other entries no longer name a draining one, in milliseconds. */
 const listingDelay: Milliseconds = 1_000;
 
+/** Longest wait of a stopping entry for the confirmation of its usage records, in milliseconds. */
+const usageDeliveryTimeout: Milliseconds = 10_000;
+
 /** The addresses at which an entry serves. */
 export interface EntryAddresses {
     readonly callerAddress: string;
@@ -46,6 +49,7 @@
             this.stopping.abort();
             await Promise.all(tasks);
         });
+        this.store.defer(() => this.deliverUsage());
         this.store.add(callerServer);
         return { callerAddress, metricsAddress };
     }
@@ -57,6 +61,17 @@
         await this.store.dispose();
     }
 
+    /** Waits, after the last request has ended, until control has confirmed what is to be billed. */
+    private async deliverUsage(): Promise<void> {
+        const end = this.clock.now() + usageDeliveryTimeout;
+        while (!this.state.usage.delivered && this.clock.now() < end) {
+            await this.clock.sleep(sweepInterval);
+        }
+        if (!this.state.usage.delivered) {
+            this.state.eventLog.write("usageUndelivered", {});
+        }
+    }
+
     private followControl(addresses: EntryAddresses): Promise<void> {
         const { cluster, name, failureDomain, controlAddresses } = this.settings;
         const { state, clock } = this;
