--- a/tests/documentation/generatedSections.test.ts
+++ b/tests/documentation/generatedSections.test.ts
@@ -13,6 +13,14 @@
     }
 });
 
+describe("settings", () => {
+    it("say of every name what it means", async t => {
+        const rows = (await readFile("docs/OPERATIONS.md", "utf8")).split("\n").filter(line => line.startsWith("| `"));
+        t.true(rows.length > 100);
+        t.deepEqual(rows.filter(row => /\|\s+\|$/.test(row) && !row.includes("gullhall_")), []);
+    });
+});
+
 describe("catalogues", () => {
     for (const [catalogue, entries] of [["result codes", resultCodes], ["log events", logEvents]] as const) {
         it(`${catalogue} have unique numbers`, t => {
