fix(settings): list all faults at once, and in time

Cause: references were checked only where the form was right; a name that stood twice in one object was taken silently; faults inside unions were called 'Invalid input', and unknown names there had no nearest name; the line of each fault was counted from the start of the text. Change: references are checked on an outline of any document; GH1005 for a repeated name; faults of the alternative that comes closest; lines by binary search. Figures: the manifest with 50 faults lists 50; 6 more faulty manifests list what they must. Conclusion: one submission shows every fault.

--- a/src/resultCode/settingsCodes.ts
+++ b/src/resultCode/settingsCodes.ts
@@ -26,6 +26,12 @@
         text: "{file}:{line}: {path}: unknown name; nearest known name: {nearest}.",
         advice: "Correct or remove the name.",
     },
+    settingsDuplicateName: {
+        number: 1005,
+        httpStatus: 400,
+        text: "{file}:{line}: {path}: the name stands twice in one object.",
+        advice: "Keep one of the two.",
+    },
     startFailed: {
         number: 1004,
         httpStatus: 500,
--- a/src/settings/jsonDocument.ts
+++ b/src/settings/jsonDocument.ts
@@ -1,40 +1,54 @@
 import { findNodeAtLocation, getLocation, parse, parseTree, printParseErrorCode } from "jsonc-parser";
 import type { JSONPath, Node, ParseError } from "jsonc-parser";
+import { match } from "ts-pattern";
 import type { z } from "zod";
 import type { Failure } from "../resultCode/resultCode.js";
 import { failure } from "../resultCode/resultCode.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
-import { nearestName } from "./nearestName.js";
+import { LineTable } from "./lineTable.js";
+import { schemaFaults } from "./schemaFaults.js";
+import type { SchemaFault } from "./schemaFaults.js";
 
 /** Largest accepted document, in characters. */
 export const maximumDocumentCharacters = 64 * 1024 * 1024;
 
+/** Where a value stands. */
+export interface DocumentPlace {
+    readonly file: string;
+    /** Counted from 1. */
+    readonly line: number;
+    /** In the notation `pools[2].model`. */
+    readonly path: string;
+}
+
 /** A JSON-with-comments text whose syntax is known to be right, and the lines of its values. */
 export class JsonDocument {
     private constructor(
         /** Name shown in failures: a path, or the origin of the text. */
         readonly file: string,
-        private readonly text: string,
+        private readonly lines: LineTable,
         private readonly tree: Node | undefined,
-        private readonly value: unknown,
+        /** The value of the text; it may have any form. */
+        readonly value: unknown,
     ) {}
 
     /** Parses a text; lists every syntax error with its line. */
     static parse(file: string, text: string): Result<JsonDocument, readonly Failure[]> {
         const errors: ParseError[] = [];
+        const lines = new LineTable(text);
         const options = { allowTrailingComma: true, allowEmptyContent: false };
         const value: unknown = parse(text, errors, options);
         if (errors.length > 0) {
             return Err(errors.map(error =>
                 failure("settingsSyntax", {
                     file,
-                    line: lineAt(text, error.offset),
+                    line: lines.lineAt(error.offset),
                     reason: `${printParseErrorCode(error.error)} at ${pathAt(text, error.offset)}`,
                 })
             ));
         }
-        return Ok(new JsonDocument(file, text, parseTree(text, [], options), value));
+        return Ok(new JsonDocument(file, lines, parseTree(text, [], options), value));
     }
 
     /** Line of the value at a path, or of the nearest enclosing value; counted from 1. */
@@ -42,31 +56,55 @@
         for (let length = path.length; length >= 0 && this.tree !== undefined; length--) {
             const node = findNodeAtLocation(this.tree, path.slice(0, length));
             if (node !== undefined) {
-                return lineAt(this.text, node.offset);
+                return this.lines.lineAt(node.offset);
             }
         }
         return 1;
     }
 
+    /** The file, line and path of a value, as failures show them. */
+    placeOf(path: JSONPath): DocumentPlace {
+        return { file: this.file, line: this.lineOf(path), path: formatPath(path) };
+    }
+
     /** Checks the whole value against a schema; lists every fault with path, line and code. */
     validate<Schema extends z.ZodType>(schema: Schema): Result<z.output<Schema>, readonly Failure[]> {
         const outcome = schema.safeParse(this.value);
-        if (outcome.success) {
+        const duplicates = this.duplicateNames(this.tree, []);
+        if (outcome.success && duplicates.length === 0) {
             return Ok(outcome.data);
         }
-        return Err(outcome.error.issues.flatMap(issue => this.failuresOf(issue, schema)));
+        const faults = outcome.error === undefined ? [] : schemaFaults(outcome.error.issues, schema);
+        return Err([...duplicates, ...faults.map(fault => this.failureOf(fault))]);
+    }
+
+    private failureOf(fault: SchemaFault): Failure {
+        return match(fault)
+            .with({ kind: "value" }, ({ path, reason }) => failure("settingsValue", { ...this.placeOf(path), reason }))
+            .with(
+                { kind: "unknownName" },
+                ({ path, nearest }) => failure("settingsUnknownName", { ...this.placeOf(path), nearest }),
+            )
+            .exhaustive();
     }
 
-    private failuresOf(issue: z.core.$ZodIssue, schema: z.ZodType): readonly Failure[] {
-        const path = issue.path.map(part => typeof part === "symbol" ? String(part) : part);
-        if (issue.code !== "unrecognized_keys") {
-            const place = { file: this.file, line: this.lineOf(path), path: formatPath(path) };
-            return [failure("settingsValue", { ...place, reason: issue.message })];
+    /** Names that stand twice in one object: the parser would keep the last value and drop the others. */
+    private duplicateNames(node: Node | undefined, path: JSONPath): readonly Failure[] {
+        const children = node?.children ?? [];
+        if (node?.type === "array") {
+            return children.flatMap((child, index) => this.duplicateNames(child, [...path, index]));
         }
-        return issue.keys.map(key => {
-            const keyPath = [...path, key];
-            const place = { file: this.file, line: this.lineOf(keyPath), path: formatPath(keyPath) };
-            return failure("settingsUnknownName", { ...place, nearest: nearestName(key, schema, path) });
+        const seen = new Set<string>();
+        return children.flatMap(property => {
+            const [key, value] = property.children ?? [];
+            const name = String(key?.value);
+            const inner = this.duplicateNames(value, [...path, name]);
+            if (!seen.has(name)) {
+                seen.add(name);
+                return inner;
+            }
+            const place = { file: this.file, line: this.lines.lineAt(property.offset) };
+            return [failure("settingsDuplicateName", { ...place, path: formatPath([...path, name]) }), ...inner];
         });
     }
 }
@@ -77,14 +115,6 @@
     return text === "" ? "(the whole file)" : text;
 }
 
-function lineAt(text: string, offset: number): number {
-    let line = 1;
-    for (let index = text.indexOf("\n"); index !== -1 && index < offset; index = text.indexOf("\n", index + 1)) {
-        line++;
-    }
-    return line;
-}
-
 function pathAt(text: string, offset: number): string {
     return formatPath(getLocation(text, offset).path.filter(part => part !== ""));
 }
--- a/src/settings/nearestName.ts
+++ b/src/settings/nearestName.ts
@@ -10,31 +10,30 @@
 }
 
 function knownNames(schema: z.ZodType, path: JSONPath): readonly string[] {
-    let current: z.core.$ZodType | undefined = schema;
+    let current = alternatives(schema);
     for (const part of path) {
-        current = childOf(current, part);
+        current = current.flatMap(outer => childrenOf(outer, part));
     }
-    const found = unwrap(current);
-    return found instanceof z.ZodObject ? Object.keys(found.shape) : [];
+    return current.flatMap(found => found instanceof z.ZodObject ? Object.keys(found.shape) : []);
 }
 
-function childOf(schema: z.core.$ZodType | undefined, part: string | number): z.core.$ZodType | undefined {
-    const outer = unwrap(schema);
+function childrenOf(outer: z.core.$ZodType, part: string | number): readonly z.core.$ZodType[] {
     if (outer instanceof z.ZodObject) {
-        return (outer.shape as Readonly<Record<string, z.core.$ZodType>>)[part];
+        const child = (outer.shape as Readonly<Record<string, z.core.$ZodType | undefined>>)[part];
+        return child === undefined ? [] : alternatives(child);
     }
     if (outer instanceof z.ZodArray) {
-        return outer.element;
+        return alternatives(outer.element);
     }
-    return outer instanceof z.ZodRecord ? outer.valueType : undefined;
+    return outer instanceof z.ZodRecord ? alternatives(outer.valueType) : [];
 }
 
-function unwrap(schema: z.core.$ZodType | undefined): z.core.$ZodType | undefined {
-    let current = schema;
-    while (current instanceof z.ZodOptional || current instanceof z.ZodDefault || current instanceof z.ZodReadonly) {
-        current = current.def.innerType;
+/** The schemas that a schema stands for, without wrappers; several for a union. */
+function alternatives(schema: z.core.$ZodType): readonly z.core.$ZodType[] {
+    if (schema instanceof z.ZodOptional || schema instanceof z.ZodDefault || schema instanceof z.ZodReadonly) {
+        return alternatives(schema.def.innerType);
     }
-    return current;
+    return schema instanceof z.ZodUnion ? schema.options.flatMap(alternatives) : [schema];
 }
 
 /** Levenshtein distance (V. I. Levenshtein, 1966), one row at a time. */
--- a/src/version/manifestReferences.ts
+++ b/src/version/manifestReferences.ts
@@ -1,121 +1,124 @@
 import type { JSONPath } from "jsonc-parser";
-import type { Failure } from "../resultCode/resultCode.js";
 import { failure } from "../resultCode/resultCode.js";
+import type { Failure } from "../resultCode/resultCode.js";
 import type { JsonDocument } from "../settings/jsonDocument.js";
-import { formatPath } from "../settings/jsonDocument.js";
-import type { Manifest } from "./manifest.js";
+import { manifestOutline } from "./manifestOutline.js";
+import type { ManifestOutline } from "./manifestOutline.js";
 
-/** Checks that every name in a manifest is defined once and that every name it refers to is defined. */
-export function manifestReferences(document: JsonDocument, manifest: Manifest): readonly Failure[] {
-    return new ReferenceCheck(document, manifest).run();
+/**
+ * Checks that every name in a manifest is defined once and that every name it refers to is defined.
+ *
+ * Works on documents that violate the schema as well, so that all faults are listed at once.
+ */
+export function manifestReferences(document: JsonDocument): readonly Failure[] {
+    return new ReferenceCheck(document, manifestOutline(document.value)).run();
+}
+
+/** A name and where it stands. */
+interface PlacedName {
+    readonly name: string | undefined;
+    readonly path: JSONPath;
 }
 
 class ReferenceCheck {
     private readonly failures: Failure[] = [];
-    private readonly teams: ReadonlySet<string>;
-    private readonly classes: ReadonlySet<string>;
-    private readonly pools: ReadonlyMap<string, Manifest["pools"][number]>;
+    private readonly teams: ReadonlySet<string | undefined>;
+    private readonly classes: ReadonlySet<string | undefined>;
+    private readonly pools: ReadonlyMap<string | undefined, ManifestOutline["pools"][number]>;
 
-    constructor(private readonly document: JsonDocument, private readonly manifest: Manifest) {
-        this.teams = new Set(manifest.teams.map(team => team.name));
-        this.classes = new Set(manifest.classes.map(requestClass => requestClass.name));
-        this.pools = new Map(manifest.pools.map(pool => [pool.name, pool]));
+    constructor(private readonly document: JsonDocument, private readonly outline: ManifestOutline) {
+        this.teams = new Set(outline.teams.map(team => team.name));
+        this.classes = new Set(outline.classes.map(requestClass => requestClass.name));
+        this.pools = new Map(outline.pools.map(pool => [pool.name, pool]));
     }
 
     run(): readonly Failure[] {
         this.checkNames();
-        this.checkRoutes();
+        this.outline.routes.forEach((route, index) => {
+            this.checkRoute(route, ["routes", index]);
+        });
         this.checkCapacity();
-        this.manifest.billing.prices.forEach((price, index) => {
-            this.refer(this.classes.has(price.requestClass), price.requestClass, [
-                "billing",
-                "prices",
-                index,
-                "requestClass",
-            ]);
+        this.outline.billing.prices.forEach(({ requestClass }, index) => {
+            this.referToClass(requestClass, ["billing", "prices", index, "requestClass"]);
         });
         return this.failures;
     }
 
     private checkNames(): void {
+        const { teams, pools } = this.outline;
         for (const collection of ["teams", "classes", "routes", "pools"] as const) {
-            const names = this.manifest[collection].map(item => item.name);
-            this.checkUnique(names, index => [collection, index, "name"]);
+            const items: readonly { readonly name?: string | undefined; }[] = this.outline[collection];
+            this.checkUnique(items.map(({ name }, index) => ({ name, path: [collection, index, "name"] })));
         }
-        const keys = this.manifest.teams.flatMap((team, teamIndex) =>
-            team.keys.map((key, keyIndex) => ({ key, path: ["teams", teamIndex, "keys", keyIndex] }))
+        const keys = teams.map((team, teamIndex) =>
+            team.keys.map((key, index) => ({ ...key, path: ["teams", teamIndex, "keys", index] }))
         );
-        this.checkUnique(keys.map(({ key }) => key.digest), index => [...(keys[index]?.path ?? []), "digest"]);
-        this.manifest.teams.forEach((team, teamIndex) => {
-            this.checkUnique(team.keys.map(key => key.name), index => ["teams", teamIndex, "keys", index, "name"]);
+        this.checkUnique(keys.flat().map(({ digest, path }) => ({ name: digest, path: [...path, "digest"] })));
+        keys.forEach(ofTeam => {
+            this.checkUnique(ofTeam.map(({ name, path }) => ({ name, path: [...path, "name"] })));
         });
-        const endpoints = this.manifest.pools.flatMap((pool, poolIndex) =>
-            pool.endpoints.map((endpoint, index) => ({ endpoint, path: ["pools", poolIndex, "endpoints", index] }))
+        this.checkUnique(
+            pools.flatMap((pool, poolIndex) =>
+                pool.endpoints.map(({ name }, index) => ({
+                    name,
+                    path: ["pools", poolIndex, "endpoints", index, "name"],
+                }))
+            ),
         );
-        this.checkUnique(endpoints.map(({ endpoint }) => endpoint.name), index => [
-            ...(endpoints[index]?.path ?? []),
-            "name",
-        ]);
     }
 
-    private checkUnique(names: readonly string[], pathOf: (index: number) => JSONPath): void {
+    private checkUnique(names: readonly PlacedName[]): void {
         const seen = new Set<string>();
-        names.forEach((name, index) => {
-            if (seen.has(name)) {
-                this.report("manifestDuplicate", name, pathOf(index));
+        for (const { name, path } of names) {
+            if (name !== undefined && seen.has(name)) {
+                this.failures.push(failure("manifestDuplicate", { ...this.document.placeOf(path), name }));
             }
-            seen.add(name);
-        });
+            seen.add(name ?? "");
+        }
     }
 
-    private checkRoutes(): void {
-        this.manifest.routes.forEach((route, index) => {
-            const path = ["routes", index];
-            const pool = this.pools.get(route.pool);
-            this.refer(pool !== undefined, route.pool, [...path, "pool"]);
-            this.refer(this.classes.has(route.requestClass), route.requestClass, [...path, "requestClass"]);
-            route.classes.forEach((name, position) => {
-                this.refer(this.classes.has(name), name, [...path, "classes", position]);
-            });
-            if (route.teams !== "all") {
-                route.teams.forEach((name, position) => {
-                    this.refer(this.teams.has(name), name, [...path, "teams", position]);
-                });
-            }
-            if (pool !== undefined && pool.kind !== route.kind) {
-                this.invalid([...path, "kind"], `must be the kind of pool ${pool.name}, which is ${pool.kind}`);
-            }
-            if (route.kind === "service" && route.pathPrefix === undefined) {
-                this.invalid(path, "a service route needs pathPrefix");
-            }
-            if (route.kind === "model" && route.model === undefined) {
-                this.invalid(path, "a model route needs model");
-            }
+    private checkRoute(route: ManifestOutline["routes"][number], path: JSONPath): void {
+        const pool = this.pools.get(route.pool);
+        this.refer(pool !== undefined, route.pool, [...path, "pool"]);
+        this.referToClass(route.requestClass, [...path, "requestClass"]);
+        route.classes.forEach((name, position) => {
+            this.referToClass(name, [...path, "classes", position]);
         });
+        route.teams.forEach((name, position) => {
+            this.refer(this.teams.has(name), name, [...path, "teams", position]);
+        });
+        if (pool?.kind !== undefined && route.kind !== undefined && pool.kind !== route.kind) {
+            this.invalid([...path, "kind"], `must be the kind of pool ${pool.name ?? "?"}, which is ${pool.kind}`);
+        }
+        if (route.kind === "service" && route.pathPrefix === undefined) {
+            this.invalid(path, "a service route needs pathPrefix");
+        }
+        if (route.kind === "model" && route.model === undefined) {
+            this.invalid(path, "a model route needs model");
+        }
     }
 
     private checkCapacity(): void {
-        this.manifest.pools.forEach((pool, index) => {
-            const capacity = pool.capacity;
-            if (capacity !== undefined && capacity.minimumReplicas > capacity.maximumReplicas) {
+        this.outline.pools.forEach(({ capacity }, index) => {
+            const { minimumReplicas = 0, maximumReplicas = Infinity } = capacity;
+            if (minimumReplicas > maximumReplicas) {
                 this.invalid(["pools", index, "capacity", "minimumReplicas"], "must not exceed maximumReplicas");
             }
         });
     }
 
-    private refer(defined: boolean, name: string, path: JSONPath): void {
-        if (!defined) {
-            this.report("manifestReference", name, path);
-        }
+    private referToClass(name: string | undefined, path: JSONPath): void {
+        this.refer(this.classes.has(name), name, path);
     }
 
-    private report(code: "manifestReference" | "manifestDuplicate", name: string, path: JSONPath): void {
-        const place = { file: this.document.file, line: this.document.lineOf(path), path: formatPath(path) };
-        this.failures.push(failure(code, { ...place, name }));
+    /** A name of another form than text is the schema's matter. */
+    private refer(defined: boolean, name: string | undefined, path: JSONPath): void {
+        if (!defined && name !== undefined) {
+            this.failures.push(failure("manifestReference", { ...this.document.placeOf(path), name }));
+        }
     }
 
     private invalid(path: JSONPath, reason: string): void {
-        const place = { file: this.document.file, line: this.document.lineOf(path), path: formatPath(path) };
-        this.failures.push(failure("settingsValue", { ...place, reason }));
+        this.failures.push(failure("settingsValue", { ...this.document.placeOf(path), reason }));
     }
 }
--- a/src/version/readManifest.ts
+++ b/src/version/readManifest.ts
@@ -18,9 +18,9 @@
         return document;
     }
     const manifest = document.val.validate(manifestSchema);
+    const references = manifestReferences(document.val);
     if (manifest.err) {
-        return manifest;
+        return Err([...manifest.val, ...references]);
     }
-    const failures = manifestReferences(document.val, manifest.val);
-    return failures.length > 0 ? Err(failures) : Ok(manifest.val);
+    return references.length > 0 ? Err(references) : Ok(manifest.val);
 }
--- a/tests/version/readManifest.test.ts
+++ b/tests/version/readManifest.test.ts
@@ -1,3 +1,4 @@
+import { readFile } from "node:fs/promises";
 import { describeFailure } from "../../src/resultCode/resultCode.js";
 import { readManifest } from "../../src/version/readManifest.js";
 import { describe, it } from "../describe.js";
@@ -6,19 +7,76 @@
 
 /** Each faulty team takes five lines and has five faults: an unknown name and four bad values. */
 function faultyManifest(): string {
-    const teams = Array.from({ length: faultyTeams }, () =>
+    const teams = [...Array(faultyTeams).keys()].map(team =>
         [
-            "{ \"name\": \"Not Allowed\",",
+            `{ "name": "Not Allowed ${team}",`,
             "  \"wieght\": 2,",
             "  \"keys\": \"none\",",
             "  \"weight\": -1,",
             "  \"limits\": { \"requestsPerSecond\": 0 } }",
-        ].join("\n"));
+        ].join("\n")
+    );
     const rest = "\"number\": 1, \"classes\": [], \"routes\": [], \"pools\": [],"
         + " \"billing\": { \"currency\": \"AUD\", \"cutPerMillion\": 0 }";
     return `{ "teams": [\n${teams.join(",\n")}\n], ${rest} }`;
 }
 
+interface FaultyChange {
+    readonly title: string;
+    /** What is replaced in the example, and by what. */
+    readonly change: readonly [RegExp, string];
+    /** The faults, in order. */
+    readonly expected: readonly RegExp[];
+}
+
+const brokenTexts = [
+    { title: "broken syntax", text: "{\n\"number\": 1,,\n}", expected: /^GH1001 m:2: / },
+    { title: "an empty text", text: "", expected: /^GH1001 m:1: / },
+    { title: "a list in place of an object", text: "[]", expected: /^GH1002 m:1: \(the whole file\): / },
+] as const;
+
+const faultyChanges: readonly FaultyChange[] = [
+    {
+        title: "a name that stands twice",
+        change: [/"number": 1/, "\"number\": 1, \"number\": 2"],
+        expected: [/^GH1005 m:\d+: number: /],
+    },
+    {
+        title: "a missing name",
+        change: [/"currency": "AUD",/, ""],
+        expected: [/^GH1002 .*billing\.currency: is missing; expected string/],
+    },
+    {
+        title: "a wrong item of a list that may be a word",
+        change: [/"teams": "all"/, "\"teams\": [3]"],
+        expected: [/^GH1002 .*routes\[0\]\.teams\[0\]: Invalid input: expected string/],
+    },
+    {
+        title: "a wrong word where a list may stand",
+        change: [/"teams": "all"/, "\"teams\": \"al\""],
+        expected: [/^GH1002 .*routes\[0\]\.teams: .*expected "all" or .*expected array/],
+    },
+    {
+        title: "faults of form and of reference at once",
+        change: [/"requestClass": "drafts",/, "\"requestClass\": \"draft\", \"x\": 1,"],
+        expected: [/^GH1003 .*routes\[0\]\.x: unknown name/, /^GH1101 .*routes\[0\]\.requestClass: names draft, /],
+    },
+    {
+        title: "a class that is defined twice",
+        change: [/"name": "availability", "tier"/, "\"name\": \"drafts\", \"tier\""],
+        expected: [
+            /^GH1102 .*classes\[2\]\.name: drafts is defined twice/,
+            /^GH1101 .*routes\[1\]\.requestClass: names availability/,
+            /^GH1101 .*prices\[4\]\.requestClass: names availability/,
+        ],
+    },
+];
+
+function faultsOf(text: string): readonly string[] {
+    const read = readManifest("m", text);
+    return read.err ? read.val.map(describeFailure) : [];
+}
+
 describe("readManifest", () => {
     it("lists all of 50 faults, each with number, file, line and path", t => {
         const read = readManifest("faulty.jsonc", faultyManifest());
@@ -50,16 +108,20 @@
         );
     });
 
-    for (
-        const [title, text, expected] of [
-            ["broken syntax", "{\n\"number\": 1,,\n}", /^GH1001 m:2: /],
-            ["an empty text", "", /^GH1001 m:1: /],
-            ["a list in place of an object", "[]", /^GH1002 m:1: \(the whole file\): /],
-        ] as const
-    ) {
+    for (const { title, text, expected } of brokenTexts) {
         it(`refuses ${title}`, t => {
-            const read = readManifest("m", text);
-            t.regex(read.err ? read.val.map(describeFailure).join("\n") : "", expected);
+            t.regex(faultsOf(text).join("\n"), expected);
+        });
+    }
+
+    for (const { title, change, expected } of faultyChanges) {
+        it(`refuses ${title}`, async t => {
+            const example = await readFile("examples/tas-south/manifest.jsonc", "utf8");
+            const lines = faultsOf(example.replace(...change));
+            t.is(lines.length, expected.length, lines.join("\n"));
+            expected.forEach((form, index) => {
+                t.regex(lines[index] ?? "", form);
+            });
         });
     }
 });
