perf(settings): parse a document once

Cause: control read each manifest twice and named every syntax error of any garbage. Change: value and tree come from one pass; at most 100 syntax errors are listed. Conclusion: large manifests should be checked off the event loop; not done here.

--- a/src/settings/jsonDocument.ts
+++ b/src/settings/jsonDocument.ts
@@ -1,4 +1,4 @@
-import { findNodeAtLocation, getLocation, parse, parseTree, printParseErrorCode } from "jsonc-parser";
+import { findNodeAtLocation, getLocation, getNodeValue, parseTree, printParseErrorCode } from "jsonc-parser";
 import type { JSONPath, Node, ParseError } from "jsonc-parser";
 import { match } from "ts-pattern";
 import type { z } from "zod";
@@ -13,6 +13,9 @@
 /** Largest accepted document, in characters. */
 export const maximumDocumentCharacters = 64 * 1024 * 1024;
 
+/** Syntax errors that are listed at most; most of them follow from the first ones. */
+const maximumSyntaxErrors = 100;
+
 /** Where a value stands. */
 export interface DocumentPlace {
     readonly file: string;
@@ -28,7 +31,7 @@
         /** Name shown in failures: a path, or the origin of the text. */
         readonly file: string,
         private readonly lines: LineTable,
-        private readonly tree: Node | undefined,
+        private readonly tree: Node,
         /** The value of the text; it may have any form. */
         readonly value: unknown,
     ) {}
@@ -38,22 +41,24 @@
         const errors: ParseError[] = [];
         const lines = new LineTable(text);
         const options = { allowTrailingComma: true, allowEmptyContent: false };
-        const value: unknown = parse(text, errors, options);
-        if (errors.length > 0) {
-            return Err(errors.map(error =>
-                failure("settingsSyntax", {
-                    file,
-                    line: lines.lineAt(error.offset),
-                    reason: `${printParseErrorCode(error.error)} at ${pathAt(text, error.offset)}`,
-                })
-            ));
+        const tree = parseTree(text, errors, options);
+        if (tree === undefined || errors.length > 0) {
+            return Err(
+                errors.slice(0, maximumSyntaxErrors).map(error =>
+                    failure("settingsSyntax", {
+                        file,
+                        line: lines.lineAt(error.offset),
+                        reason: `${printParseErrorCode(error.error)} at ${pathAt(text, error.offset)}`,
+                    })
+                ),
+            );
         }
-        return Ok(new JsonDocument(file, lines, parseTree(text, [], options), value));
+        return Ok(new JsonDocument(file, lines, tree, getNodeValue(tree)));
     }
 
     /** Line of the value at a path, or of the nearest enclosing value; counted from 1. */
     lineOf(path: JSONPath): number {
-        for (let length = path.length; length >= 0 && this.tree !== undefined; length--) {
+        for (let length = path.length; length >= 0; length--) {
             const node = findNodeAtLocation(this.tree, path.slice(0, length));
             if (node !== undefined) {
                 return this.lines.lineAt(node.offset);
--- a/src/version/manifestOutline.ts
+++ b/src/version/manifestOutline.ts
@@ -44,5 +44,5 @@
 }
 
 function asObject(value: unknown): unknown {
-    return value instanceof Object && !Array.isArray(value) ? value : {};
+    return Object(value) === value && !Array.isArray(value) ? value : {};
 }
