--- a/src/bin/gullhallStandIn.ts
+++ b/src/bin/gullhallStandIn.ts
@@ -10,15 +10,14 @@
 import yargs from "yargs";
 import type { Options } from "yargs";
 import { hideBin } from "yargs/helpers";
-import { describeFailure, failure } from "../resultCode/resultCode.js";
 import { ModelEngine } from "../standIn/modelEngine/modelEngine.js";
 import { PlainService } from "../standIn/plainService/plainService.js";
 import { engineKindsSchema, KindStarter } from "../standIn/platform/kindStarter.js";
 import { Platform } from "../standIn/platform/platform.js";
 import { runStandIn } from "../standIn/runStandIn.js";
 import { SystemClock } from "../util/clock.js";
-import { exitUsage } from "../util/exitCode.js";
 import { packageVersion } from "../util/packageVersion.js";
+import { usageFaultHandler } from "./usageFault.js";
 
 const clock = new SystemClock();
 
@@ -55,11 +54,6 @@
     .demandCommand(1, 1, "name a role: engine, service or platform")
     .strict()
     .version(packageVersion())
-    .fail((message, error) => {
-        const reason = message || String(error);
-        const reported = failure("commandLineInvalid", { reason, program: "gullhall-stand-in" });
-        process.stderr.write(`${describeFailure(reported)}\n`);
-        process.exit(exitUsage);
-    });
+    .fail(usageFaultHandler("gullhall-stand-in"));
 
 await commandLine.parseAsync();
