perf(control): check large manifests aside

Cause: a check of 18,000 teams held control's event loop for longer than the lease of 0.6 s lasts, so that a large submission could cost the leader its lead. Change: texts above 256 KiB are read and checked in a thread that ends with its answer.

--- a/src/connection/control/manifestCalls.ts
+++ b/src/connection/control/manifestCalls.ts
@@ -76,7 +76,7 @@
             return;
         }
         const text = body.val.toString("utf8");
-        const compared = this.options.configuration.compare(fileName(request.headers), text);
+        const compared = await this.options.configuration.compare(fileName(request.headers), text);
         if (compared.err) {
             this.answerFaults({ response }, compared.val);
             return;
--- a/src/process/control/configurationService.ts
+++ b/src/process/control/configurationService.ts
@@ -1,7 +1,6 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
-import { canonicalDigest } from "../../util/canonicalDigest.js";
 import type { Clock } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
@@ -9,11 +8,11 @@
 import type { DescribedChange } from "../../version/describeDifference.js";
 import type { Key, Manifest } from "../../version/manifest.js";
 import { manifestDifference } from "../../version/manifestDifference.js";
-import { readManifest } from "../../version/readManifest.js";
 import { withoutKeys } from "../../version/withoutKeys.js";
 import type { ConfigurationCommand, ConfigurationOutcome } from "../state/configurationCommand.js";
 import type { ControlProposals } from "../state/controlProposals.js";
 import type { ControlState } from "../state/controlState.js";
+import { readAside } from "./manifestReader.js";
 
 /** Attempts to place a manifest when other changes come between. */
 const maximumRebases = 50;
@@ -49,36 +48,37 @@
 
     /** Checks a manifest as a whole and has it accepted, or lists every fault. */
     async submit(file: string, text: string, operator: string): Promise<Result<Acceptance, readonly Failure[]>> {
-        const manifest = readManifest(file, text);
-        if (manifest.err) {
-            return manifest;
+        const checked = await readAside({ file, text });
+        if (checked.err) {
+            return checked;
         }
-        const digest = canonicalDigest(manifest.val);
-        const accepted = await this.place(manifest.val, digest, operator);
+        const { manifest, digest } = checked.val;
+        const accepted = await this.place(manifest, digest, operator);
         if (accepted.err) {
             return Err([accepted.val]);
         }
         const { version } = accepted.val;
-        const fields = { manifestNumber: manifest.val.number, digest, operator, version };
+        const fields = { manifestNumber: manifest.number, digest, operator, version };
         this.options.eventLog.write("manifestAccepted", fields);
         return accepted;
     }
 
     /** Says what a manifest would change, or why it would be refused. */
-    compare(file: string, text: string): Result<ManifestComparison, readonly Failure[]> {
-        const manifest = readManifest(file, text);
-        if (manifest.err) {
-            return manifest;
+    async compare(file: string, text: string): Promise<Result<ManifestComparison, readonly Failure[]>> {
+        const checked = await readAside({ file, text });
+        if (checked.err) {
+            return checked;
         }
+        const { manifest, digest } = checked.val;
         const section = this.options.state.configuration;
         const { version, manifest: before } = section.current;
-        const answer = section.answerFor(manifest.val.number, canonicalDigest(manifest.val));
+        const answer = section.answerFor(manifest.number, digest);
         const acceptance = answer === undefined ? Ok({ version, repeated: false }) : acceptanceOf(answer);
         if (acceptance.err) {
             return Err([acceptance.val]);
         }
         const { repeated } = acceptance.val;
-        const effective = withoutKeys(manifest.val, section.withdrawnDigests);
+        const effective = withoutKeys(manifest, section.withdrawnDigests);
         return Ok({ version, repeated, changes: repeated ? [] : describeDifference(before, effective) });
     }
 
