--- a/tests/process/replicatedLog/faultSchedules.test.ts
+++ b/tests/process/replicatedLog/faultSchedules.test.ts
@@ -10,7 +10,7 @@
 const slot = fastCheck.nat(4);
 
 const fault = fastCheck.oneof(
-    { weight: 8, arbitrary: fastCheck.record({ kind: fastCheck.constant("propose"), count: fastCheck.nat(8) }) },
+    { weight: 8, arbitrary: fastCheck.record({ kind: fastCheck.constant("propose"), count: fastCheck.nat(16) }) },
     { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant("confirm"), slot }) },
     { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant("crash"), slot }) },
     { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant("crashLeader") }) },
--- a/tests/process/replicatedLog/virtualCluster.ts
+++ b/tests/process/replicatedLog/virtualCluster.ts
@@ -296,8 +296,8 @@
             clock: member.clock,
             random: new RandomSource(this.random.integer(0, 1_000_000)),
             events,
-            snapshotInterval: 12,
-            retainedEntries: 4,
+            snapshotInterval: 5,
+            retainedEntries: 1,
         });
         if (opened.err && opened.val.code === "storageFull") {
             this.crash(slot);
