fix(control): replace a peer connection whose answers stay out

Cause: after a long partition the system's own retransmissions of a connection may wait for up to two minutes, and the members would stay apart that long. Change: a connection that owes an answer and was silent for 2 s is closed; the next request opens a new one.

--- a/src/connection/peerClientConnection.ts
+++ b/src/connection/peerClientConnection.ts
@@ -5,10 +5,17 @@
 import type { HostAndPort } from "../util/socketAddress.js";
 import { MessageConnection } from "./messageConnection.js";
 import type { PeerIntroduction } from "./peerHello.js";
-import { checkHello, helloFrame, helloTimeout, readPeerFrame } from "./peerHello.js";
+import { checkHello, helloFrame, readPeerFrame } from "./peerHello.js";
 import type { PeerRequest, PeerResponse } from "./peerMessage.js";
 import type { PeerSecurity } from "./peerSecurity.js";
 
+/**
+ * Longest silence of a peer that owes an answer, in milliseconds.
+ *
+ * After a partition the system's own retransmissions may wait for minutes; a new connection gets through at once.
+ */
+const longestSilence = 2000;
+
 /** What a connection to a peer needs. */
 export interface PeerClientParts {
     readonly introduction: PeerIntroduction;
@@ -22,6 +29,7 @@
     private readonly connection: MessageConnection;
     private readonly ready: Promise<boolean>;
     private nextId = 1;
+    private heardAt: Milliseconds = performance.now();
 
     /** Begins to connect. */
     constructor(private readonly parts: PeerClientParts, private readonly address: HostAndPort) {
@@ -49,7 +57,10 @@
                 this.pending.delete(id);
                 resolve(response);
             };
-            const timer = setTimeout(settle, timeout, undefined);
+            const timer = setTimeout(() => {
+                settle(undefined);
+                this.closeIfSilent(performance.now());
+            }, timeout);
             this.pending.set(id, settle);
             void this.ready.then(ready => {
                 if (!ready) {
@@ -66,10 +77,16 @@
         this.connection[Symbol.dispose]();
     }
 
+    private closeIfSilent(now: Milliseconds): void {
+        if (now - this.heardAt > longestSilence) {
+            this.connection[Symbol.dispose]();
+        }
+    }
+
     private async run(onReady: (ready: boolean) => void): Promise<void> {
         const patience = setTimeout(() => {
             this.connection[Symbol.dispose]();
-        }, helloTimeout);
+        }, longestSilence);
         const fault = await this.read(() => {
             clearTimeout(patience);
             onReady(true);
@@ -89,6 +106,7 @@
     private async read(onIntroduced: () => void): Promise<Failure | undefined> {
         let introduced = false;
         for await (const message of this.connection.messages()) {
+            this.heardAt = performance.now();
             if (!introduced) {
                 const hello = checkHello(this.parts.introduction, message);
                 if (hello.err) {
--- a/tests/connection/tcpPeerNetwork.test.ts
+++ b/tests/connection/tcpPeerNetwork.test.ts
@@ -1,12 +1,13 @@
 import type { ExecutionContext } from "ava";
-import { once } from "node:events";
-import { connect } from "node:net";
+import { on, once } from "node:events";
+import { connect, createServer } from "node:net";
 import { encodeFrame } from "../../src/connection/frameCodec.js";
 import { helloFrame } from "../../src/connection/peerHello.js";
 import type { PeerRequest, PeerResponse } from "../../src/connection/peerMessage.js";
 import { PeerRequestHandler } from "../../src/connection/peerNetwork.js";
 import type { PeerSecuritySettings } from "../../src/connection/peerSecurity.js";
 import { TcpPeerNetwork } from "../../src/connection/tcpPeerNetwork.js";
+import { listen as listenOn } from "../../src/util/socketAddress.js";
 import { describe, it } from "../describe.js";
 import { RecordingEventLog } from "./recordingEventLog.js";
 
@@ -101,6 +102,26 @@
         });
     });
 
+    describe("connection", () => {
+        it("is replaced when the peer owes answers for too long", async t => {
+            const silent = createServer(socket => {
+                socket.on("error", () => undefined);
+                socket.write(encodeFrame(helloFrame({ cluster: "test", memberId: "silent" })));
+            });
+            const address = await listenOn(silent, "127.0.0.1:0");
+            const asking = await listen(new RecordingEventLog());
+            const accepted = on(silent, "connection");
+            const asker = setInterval(() => {
+                void asking.request(address, request, 100);
+            }, 50);
+            await accepted.next();
+            t.false((await accepted.next()).done);
+            clearInterval(asker);
+            await asking.close();
+            silent.close();
+        });
+    });
+
     describe("listen", () => {
         it("refuses a plain address beyond loopback unless the settings allow it by name", async t => {
             const identity = { cluster: "test", memberId: "server" };
