--- a/src/bin/runProgram.ts
+++ b/src/bin/runProgram.ts
@@ -1,6 +1,6 @@
 import { EventLog } from "../logEvent/eventLog.js";
 import type { LogStyle } from "../logEvent/eventLog.js";
-import { describeFailure } from "../resultCode/resultCode.js";
+import { describeFailure, failure } from "../resultCode/resultCode.js";
 import type { Failure } from "../resultCode/resultCode.js";
 import { SystemClock } from "../util/clock.js";
 import type { Clock } from "../util/clock.js";
@@ -57,7 +57,9 @@
         eventLog.write("processStarted", { role: program.role, address, failureDomain, version: program.version });
     }
     catch (error) {
-        eventLog.write("taskFailed", { task: "start", reason: String(error) });
+        const reason = error instanceof Error ? error.message : String(error);
+        eventLog.write("taskFailed", { task: "start", reason });
+        process.stderr.write(`${describeFailure(failure("startFailed", { reason }))}\n`);
         await serving[Symbol.asyncDispose]();
         process.exitCode = exitFailure;
         return;
--- a/src/connection/control/statusCalls.ts
+++ b/src/connection/control/statusCalls.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { CommandLog, FencingToken } from "../../process/replicatedLog/commandLog.js";
-import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLog.js";
+import type { ReplicaStatus } from "../../process/replicatedLog/replicatedLogOptions.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -21,6 +21,7 @@
 export class ClusterMember implements AsyncDisposable {
     private running: StartedProgram | undefined;
     private lastCallerAddress = "";
+    private ended: number | undefined;
 
     constructor(
         readonly name: string,
@@ -30,6 +31,11 @@
         readonly dataFolder: string,
     ) {}
 
+    /** Exit code of its last graceful stop; undefined while it runs, and when a signal ended it. */
+    get exitCode(): number | undefined {
+        return this.ended;
+    }
+
     /** The running program; throws while it does not run. */
     get started(): StartedProgram {
         if (this.running === undefined) {
@@ -64,6 +70,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.running?.resume();
         await this.running?.[Symbol.asyncDispose]();
+        this.ended = this.running?.exitCode ?? this.ended;
         this.running = undefined;
     }
 }
@@ -77,6 +84,10 @@
     private addresses: readonly ControlAddressSettings[] = [];
     private controlMembers: readonly ClusterMember[] = [];
     private entryMembers: readonly ClusterMember[] = [];
+    private readonly standIns: StartedProgram[] = [];
+
+    /** @param entryCount Number of entries, spread over the failure domains. */
+    constructor(private readonly entryCount: number = failureDomains.length) {}
 
     /** The control processes. */
     get controls(): readonly ClusterMember[] {
@@ -98,13 +109,24 @@
         return this.addresses.map(address => address.operatorAddress);
     }
 
-    /** Starts control processes and one entry in each failure domain. */
+    /** Exit codes of all programs after the cluster was stopped; undefined for those that a signal ended. */
+    get exitCodes(): readonly (number | undefined)[] {
+        return [...this.entryMembers, ...this.controlMembers, ...this.standIns].map(program => program.exitCode);
+    }
+
+    /** Addresses at which the control processes accept entries. */
+    get controlEntryAddresses(): readonly string[] {
+        return this.addresses.map(address => address.entryAddress);
+    }
+
+    /** Starts a control process in each failure domain, and the entries. */
     async start(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "gullhall-"));
         this.store.defer(() => rm(this.folder, { recursive: true, force: true }));
         this.addresses = await takeControlAddresses();
         this.controlMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareControl(index)));
-        this.entryMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareEntry(index)));
+        const entryIndexes = [...Array(this.entryCount).keys()];
+        this.entryMembers = await Promise.all(entryIndexes.map(index => this.prepareEntry(index)));
         this.controlMembers.forEach(member => this.store.add(member));
         await Promise.all([...this.controlMembers, ...this.entryMembers].map(member => member.start()));
     }
@@ -113,6 +135,7 @@
     async startStandIn(role: "engine" | "service" | "platform", name: string, options: object): Promise<string> {
         const flags = [role, "--name", name, "--options", JSON.stringify(options)];
         const program = this.store.add(await StartedProgram.start("gullhallStandIn", flags));
+        this.standIns.push(program);
         return program.shown["address"] ?? "";
     }
 
@@ -155,7 +178,7 @@
         const settings = await this.writeFile(`${name}.json`, {
             cluster: "quickstart",
             name,
-            failureDomain: failureDomains[index],
+            failureDomain: failureDomains[index % failureDomains.length],
             logStyle: "hidden",
             callerAddress: "127.0.0.1:0",
             controlAddresses: this.addresses.map(address => address.entryAddress),
--- a/tests/operator/commandLine.test.ts
+++ b/tests/operator/commandLine.test.ts
@@ -10,9 +10,8 @@
 import { describe, it, itSerially } from "../describe.js";
 
 const cluster = new Cluster();
-let engineAddress = "";
 
-function manifest(number: number, keys: readonly [string, string]): Record<string, unknown> {
+function manifest(number: number, engineAddress: string): Record<string, unknown> {
     const addresses = { engineAddresses: [engineAddress], serviceAddress: "127.0.0.1:9" };
     return { ...quickstartManifest({ number, keys, ...addresses }) };
 }
@@ -22,13 +21,12 @@
 
 test.before(async () => {
     await cluster.start();
-    // Without a running engine the entries would set its endpoint aside.
-    engineAddress = await cluster.startStandIn("engine", "engine-1", { models: ["drafting"] });
-    const first = manifest(1, keys);
+    const engineAddress = await cluster.startStandIn("engine", "engine-1", { models: ["drafting"] });
+    const first = manifest(1, engineAddress);
     files = {
         first: await cluster.writeFile("first.json", first),
-        conflict: await cluster.writeFile("conflict.json", { ...manifest(1, keys), routes: [] }),
-        second: await cluster.writeFile("second.json", { ...manifest(2, keys), routes: [] }),
+        conflict: await cluster.writeFile("conflict.json", { ...first, routes: [] }),
+        second: await cluster.writeFile("second.json", { ...first, number: 2, routes: [] }),
         invalid: await cluster.writeFile("invalid.json", { ...first, pools: [], extra: 1 }),
         token: await cluster.writeFile("token", 0),
     };
