feat(control): tell acknowledged positions only when they changed

Cause: an idle group repeated the table of acknowledged positions ten times a second to every follower. Change: it is sent when it changed, and once a second.

--- a/src/process/replicatedLog/followerLink.ts
+++ b/src/process/replicatedLog/followerLink.ts
@@ -14,6 +14,9 @@
 /** Bytes of a snapshot in one message. */
 const snapshotChunkBytes = 256 * 1024;
 
+/** Every so many heartbeats the acknowledged positions are told even though they are the same. */
+const retellBeats = 10;
+
 /** What the links of one leadership share. */
 export interface FollowerLinkParts {
     readonly replica: Replica;
@@ -87,17 +90,21 @@
     private async beat(): Promise<void> {
         const { replica, clock, term } = this.parts;
         const { heartbeatInterval } = replica.timing;
-        while (!this.over) {
+        let told = "";
+        for (let beats = 0; !this.over; beats += 1) {
             const sentAt = clock.now();
+            const acknowledged = this.parts.acknowledged();
+            const telling = JSON.stringify(acknowledged);
             const response = await this.parts.network.request(this.member.address, {
                 kind: "heartbeat",
                 ...replica.envelope(this.member.memberId),
                 term,
                 commitPosition: replica.commitPosition,
                 commitTerm: replica.log.termAt(replica.commitPosition) ?? 0,
-                acknowledged: this.parts.acknowledged(),
+                acknowledged: telling === told && beats % retellBeats !== 0 ? {} : acknowledged,
             }, 2 * heartbeatInterval);
             this.noteResponse(response, sentAt);
+            told = response?.kind === "heartbeat" && response.accepted ? telling : "";
             if (this.heartbeatWantedAt <= sentAt || response === undefined) {
                 const pause = sentAt + heartbeatInterval - clock.now();
                 await this.heartbeatWanted.waitFor(clock, Math.max(pause, 0), this.ended.signal);
