feat(experiment): compare processor time of entry and bare proxy

Cause: on a shared machine the rates of the overhead bench spread by a factor of two, so that a change of the entry could not be told from a change of its neighbours.

--- a/src/experiment/overhead/benchRequest.ts
+++ b/src/experiment/overhead/benchRequest.ts
@@ -12,6 +12,8 @@
     readonly name: "direct" | "proxy" | "entry";
     /** Addresses that take requests in turn. */
     readonly addresses: readonly string[];
+    /** The process on the way; undefined where there is none. */
+    readonly processId: number | undefined;
 }
 
 /** Sends streamed chat requests along one path over kept connections. */
@@ -19,7 +21,7 @@
     private readonly agent = new Agent({ keepAlive: true });
     private sent = 0;
 
-    constructor(private readonly path: BenchPath, private readonly key: string) {}
+    constructor(readonly path: BenchPath, private readonly key: string) {}
 
     /**
      * Sends one request of a number of answer tokens.
--- a/src/experiment/overhead/benchSetup.ts
+++ b/src/experiment/overhead/benchSetup.ts
@@ -42,9 +42,13 @@
         const manifest = await this.cluster.writeFile("manifest.json", benchManifest(this.key, engines));
         await this.cluster.operate("apply", manifest, "--wait");
         return [
-            { name: "direct", addresses: engines },
-            { name: "proxy", addresses: [proxy.shown["address"] ?? ""] },
-            { name: "entry", addresses: this.cluster.entryAddresses.slice(0, 1) },
+            { name: "direct", addresses: engines, processId: undefined },
+            { name: "proxy", addresses: [proxy.shown["address"] ?? ""], processId: proxy.processId },
+            {
+                name: "entry",
+                addresses: this.cluster.entryAddresses.slice(0, 1),
+                processId: this.cluster.entries[0]?.started.processId,
+            },
         ];
     }
 
--- a/src/experiment/overhead/main.ts
+++ b/src/experiment/overhead/main.ts
@@ -27,18 +27,18 @@
 /** Rounds of the stream part, which takes longest. */
 const streamRounds = 3;
 
-type Figures = Readonly<Record<BenchPath["name"], readonly number[]>>;
+type Rounds<Figure> = Readonly<Record<BenchPath["name"], readonly Figure[]>>;
 
 const clock = new SystemClock();
 
 /** Takes one figure along each path in each round. */
-async function inRounds(
+async function inRounds<Figure>(
     count: number,
     paths: readonly BenchPath[],
     key: string,
-    measure: (client: BenchClient) => Promise<number>,
-): Promise<Figures> {
-    const figures = { direct: [] as number[], proxy: [] as number[], entry: [] as number[] };
+    measure: (client: BenchClient) => Promise<Figure>,
+): Promise<Rounds<Figure>> {
+    const figures = { direct: [] as Figure[], proxy: [] as Figure[], entry: [] as Figure[] };
     for (let round = 0; round < count; round++) {
         for (const path of paths) {
             using client = new BenchClient(path, key);
@@ -48,6 +48,11 @@
     return figures;
 }
 
+function pick<Figure>(figures: Rounds<Figure>, choose: (figure: Figure) => number): Rounds<number> {
+    const { direct, proxy, entry } = figures;
+    return { direct: direct.map(choose), proxy: proxy.map(choose), entry: entry.map(choose) };
+}
+
 async function measureCalls(): Promise<object> {
     await using setup = new BenchSetup();
     const paths = await setup.start(quickStep);
@@ -57,12 +62,14 @@
         setup.key,
         client => measureThroughput(client, clock, { ...throughputLoad, duration: warmUp }),
     );
-    const throughput = await inRounds(
+    const closedLoops = await inRounds(
         rounds,
         paths,
         setup.key,
         client => measureThroughput(client, clock, throughputLoad),
     );
+    const throughput = pick(closedLoops, loop => loop.requestsPerSecond);
+    const processor = pick(closedLoops, loop => loop.processorTimePerRequest);
     const requestsPerSecond = median(throughput.entry) / 2;
     const { answerTokens } = throughputLoad;
     const load = { requestsPerSecond, answerTokens, duration: latencyDuration };
@@ -79,6 +86,12 @@
             entryOverProxy: median(throughput.entry) / median(throughput.proxy),
             target: 0.6,
         },
+        processor: {
+            unit: "ms of processor time for each request",
+            proxy: median(processor.proxy),
+            entry: median(processor.entry),
+            proxyOverEntry: median(processor.proxy) / median(processor.entry),
+        },
         halfLoad: {
             unit: "ms at the 99th percentile",
             requestsPerSecond,
--- a/src/experiment/overhead/measurements.ts
+++ b/src/experiment/overhead/measurements.ts
@@ -2,16 +2,26 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { RandomSource } from "../../util/randomSource.js";
 import type { BenchClient } from "./benchRequest.js";
+import { processorTime } from "./processorTime.js";
 
 /** Seed of the arrival times. */
 const seed = 7;
 
-/** Answered requests a second when a number of callers each send the next request at the end of the last. */
+/** What a closed loop of callers saw. */
+export interface Throughput {
+    readonly requestsPerSecond: number;
+    /** Processor time of the process on the way, in milliseconds; 0 where there is none. */
+    readonly processorTimePerRequest: Milliseconds;
+}
+
+/** Measures a path when a number of callers each send the next request at the end of the last. */
 export async function measureThroughput(
     client: BenchClient,
     clock: Clock,
     load: { readonly callers: number; readonly answerTokens: number; readonly duration: Milliseconds; },
-): Promise<number> {
+): Promise<Throughput> {
+    const { processId } = client.path;
+    const usedBefore = processId === undefined ? 0 : await processorTime(processId);
     const startedAt = clock.now();
     let answered = 0;
     const call = async (): Promise<void> => {
@@ -21,7 +31,9 @@
         }
     };
     await Promise.all(Array.from({ length: load.callers }, call));
-    return (answered * 1000) / (clock.now() - startedAt);
+    const requestsPerSecond = (answered * 1000) / (clock.now() - startedAt);
+    const used = processId === undefined ? 0 : await processorTime(processId) - usedBefore;
+    return { requestsPerSecond, processorTimePerRequest: used / answered };
 }
 
 /** Times of whole requests that arrive at a rate, whether or not earlier ones were answered. */
--- a/tests/experiment/overhead/benchRequest.test.ts
+++ b/tests/experiment/overhead/benchRequest.test.ts
@@ -15,7 +15,10 @@
         await using first = await startEngine();
         await using second = await startEngine();
         using proxy = new PassThroughProxy([first.address, second.address]);
-        using client = new BenchClient({ name: "proxy", addresses: [await proxy.start()] }, "key");
+        using client = new BenchClient(
+            { name: "proxy", addresses: [await proxy.start()], processId: undefined },
+            "key",
+        );
         let tokens = 0;
         for (let request = 0; request < 2; request++) {
             await client.send(20, count => {
@@ -28,7 +31,7 @@
 
     it("rejects an answer that is cut or lacks a token", async t => {
         await using engine = await startEngine();
-        using client = new BenchClient({ name: "direct", addresses: [engine.address] }, "key");
+        using client = new BenchClient({ name: "direct", addresses: [engine.address], processId: undefined }, "key");
         engine.faults.set({ kind: "skipToken", tokenNumber: 3, times: 1 });
         await t.throwsAsync(client.send(20));
         engine.faults.set({ kind: "breakStreams", afterTokens: 3, times: 1 });
