--- a/src/request/admission/tieredQueue.ts
+++ b/src/request/admission/tieredQueue.ts
@@ -6,14 +6,16 @@
 import type { PendingRequest } from "../pendingRequest.js";
 import type { ClassQueue } from "./classQueue.js";
 import { KeyIndex } from "./keyIndex.js";
-import { NoNeighbours, sheddingGrace } from "./neighbourPressure.js";
+import { LoadGuard } from "./loadGuard.js";
+import { NoNeighbours } from "./neighbourPressure.js";
 import type { NeighbourPressure } from "./neighbourPressure.js";
 import { QuantileOutputPredictor } from "./outputPredictor.js";
 import type { OutputPredictor } from "./outputPredictor.js";
 import type { PoolSummary } from "./poolSummary.js";
+import { PreemptionChoice } from "./preemptionChoice.js";
 import { PressureGauge } from "./pressureGauge.js";
 import { RetryAppointments } from "./retryAppointments.js";
-import { floorProtection, RunningRequests } from "./runningRequests.js";
+import { RunningRequests } from "./runningRequests.js";
 import { ServiceFloor } from "./serviceFloor.js";
 import { HeaviestTeamVictim } from "./shedding.js";
 import type { VictimChoice } from "./shedding.js";
@@ -26,11 +28,11 @@
 /** Waiting requests that a {@link TieredQueue} holds, unless told otherwise. */
 export const defaultTieredLength = 2_000;
 
-/** Requests beyond the length that may wait for room elsewhere, as a share of the length. */
-const heldShare = 0.1;
+/** Largest part of the running requests that is kept free for requests about to arrive. */
+const largestReservedPart = 0.1;
 
-/** Largest part of the running requests that one decision preempts. */
-const preemptedPart = 0.1;
+/** Share of the admissible wait after which a request is urgent. */
+const urgentShare = 0.1;
 
 /** The parts of a {@link TieredQueue} that vary; each has a default. */
 export interface TieredQueueOptions {
@@ -51,15 +53,14 @@
     private readonly table: TierTable;
     private readonly predictor: OutputPredictor;
     private readonly neighbours: NeighbourPressure;
-    private readonly victimChoice: VictimChoice;
-    private readonly maximumLength: number;
     private readonly waiting = new Map<string, QueuedRequest>();
-    private readonly held = new Map<QueuedRequest, Milliseconds>();
     private readonly keys = new KeyIndex();
     private readonly running = new RunningRequests();
     private readonly floor = new ServiceFloor();
     private readonly appointments = new RetryAppointments();
     private readonly gauge: PressureGauge;
+    private readonly guard: LoadGuard;
+    private readonly preemption: PreemptionChoice;
 
     /** @param options Parts that replace the defaults. */
     constructor(options: TieredQueueOptions = {}) {
@@ -67,9 +68,12 @@
         this.table = new TierTable(options.weights ?? new ListedTeamWeights());
         this.predictor = options.predictor ?? new QuantileOutputPredictor();
         this.neighbours = options.neighbours ?? new NoNeighbours();
-        this.victimChoice = options.victimChoice ?? new HeaviestTeamVictim();
-        this.maximumLength = options.maximumLength ?? defaultTieredLength;
         this.gauge = new PressureGauge(this.table, this.running);
+        const { table, running, floor, gauge, neighbours } = this;
+        const victimChoice = options.victimChoice ?? new HeaviestTeamVictim();
+        const maximumLength = options.maximumLength ?? defaultTieredLength;
+        this.guard = new LoadGuard({ table, running, floor, gauge, neighbours, victimChoice, maximumLength });
+        this.preemption = new PreemptionChoice({ table, running, guard: this.guard, gauge, neighbours });
     }
 
     override get length(): number {
@@ -78,26 +82,24 @@
 
     /** Number of waiting requests that would have been shed if no room could be made below them. */
     get heldLength(): number {
-        return this.held.size;
+        return this.guard.heldLength;
     }
 
     override offer(request: PendingRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
         const queued = this.enqueue(request, now);
-        if (!this.mustShedFor(queued, capacity)) {
-            return [];
-        }
-        return this.shedFor(queued, capacity, now);
+        const decision = this.guard.judge(queued, capacity, now);
+        return decision === undefined ? [] : [this.refuse(decision.queued, decision.code, now)];
     }
 
     override take(capacity: PoolCapacityView, now: Milliseconds): PendingRequest | undefined {
+        const strict = this.table.next(this.neighbours.pressedTier(now) ?? lowestTier, now);
         if (capacity.freeSlots <= 0) {
-            return undefined;
+            return this.takeUrgent(strict, capacity, now);
         }
-        const strict = this.table.next(this.neighbours.pressedTier(now) ?? lowestTier, now);
         const due = this.floor.due(now, waiting => nextOfClass(waiting, now)?.cost ?? Infinity);
         const byFloor = due === undefined ? undefined : nextOfClass(due, now);
         const queued = byFloor ?? strict;
-        if (queued === undefined) {
+        if (queued === undefined || (byFloor === undefined && this.isReserved(queued, capacity, now))) {
             return undefined;
         }
         const strictTier = strict?.request.requestClass.tier ?? lowestTier + 1;
@@ -115,18 +117,19 @@
             queued.share.unfinished -= 1;
         }
         queued.share.owner.noteIdle(queued.share);
-        this.floor.noteRemoved(queued.share.owner);
         return true;
     }
 
     override sweep(capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
         const refusals: Refusal[] = [];
         for (const each of this.table.allClasses) {
-            this.refuseExpired(each, capacity, now, refusals);
+            this.refuseExpired(each, now, refusals);
             each.setAsideLate(now);
             each.forgetIdleTeams();
         }
-        refusals.push(...this.shedHeld(capacity, now));
+        for (const { queued, code } of this.guard.judgeHeld(capacity, now)) {
+            refusals.push(this.refuse(queued, code, now));
+        }
         return refusals;
     }
 
@@ -171,15 +174,7 @@
     }
 
     override choosePreemptions(capacity: PoolCapacityView, now: Milliseconds): readonly Preemption[] {
-        const chosen: Preemption[] = [];
-        const most = Math.max(1, Math.floor(this.running.size * preemptedPart));
-        this.tiersShortOfRoom(capacity, now).forEach(forTier => {
-            const victim = chosen.length < most ? this.running.chooseVictim(forTier, now) : undefined;
-            if (victim !== undefined) {
-                chosen.push({ request: victim.request, forTier });
-            }
-        });
-        return chosen;
+        return this.preemption.choose(capacity, now);
     }
 
     /** What other entries should know of this one; call it once for each message. */
@@ -187,6 +182,32 @@
         return this.gauge.summarize(pool, capacity, now);
     }
 
+    /** Whether the free slots are kept for more important requests that are about to arrive and cannot wait. */
+    private isReserved(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): boolean {
+        const reserved = this.table.reservedSlots(queued.share.owner.tier, now);
+        return capacity.freeSlots <= Math.min(reserved, Math.ceil(this.running.size * largestReservedPart));
+    }
+
+    /** Takes a request that an endpoint should run before what it has of lower tiers, though it has no slot free. */
+    private takeUrgent(
+        next: QueuedRequest | undefined,
+        capacity: PoolCapacityView,
+        now: Milliseconds,
+    ): PendingRequest | undefined {
+        if (next === undefined || (capacity.urgentSlots ?? 0) <= 0) {
+            return undefined;
+        }
+        const { request, share } = next;
+        const patience = share.owner.serviceTimes.admissibleWait(request.requestClass) * urgentShare;
+        const { tier } = request.requestClass;
+        const lowerRuns = this.running.hasBelow(tier) || this.neighbours.lowerTierElsewhere(tier, now);
+        if (now - request.arrivedAt < patience || !lowerRuns || !this.guard.fits(tier, capacity, now)) {
+            return undefined;
+        }
+        this.start(next, false, now);
+        return request;
+    }
+
     private enqueue(request: PendingRequest, now: Milliseconds): QueuedRequest {
         const owner = this.table.classOf(request.requestClass);
         const output = this.predictor.expected(request);
@@ -202,6 +223,7 @@
         };
         this.table.tierOf(owner.tier).noteReturn(owner);
         owner.append(queued);
+        this.table.noteArrival(queued, now);
         this.attach(queued, now);
         return queued;
     }
@@ -217,7 +239,7 @@
         const owner = queued.share.owner;
         owner.delete(queued);
         this.waiting.delete(queued.request.id);
-        this.held.delete(queued);
+        this.guard.forget(queued);
         this.keys.delete(queued);
         this.table.tierOf(owner.tier).updateVictim(queued.share);
     }
@@ -227,13 +249,15 @@
         this.detach(queued);
         if (!queued.resumed) {
             owner.charge(queued);
+            queued.share.served.add(queued.output, now);
             queued.share.unfinished += 1;
             this.table.tierOf(owner.tier).noteServed(owner);
         }
         this.floor.noteServed(owner, queued.cost, now);
-        this.running.add(queued, byFloor ? now + floorProtection : now);
+        this.appointments.noteStarted(owner.tier, now);
+        this.running.add(queued, byFloor);
         if (!byFloor) {
-            this.gauge.noteStarted(owner.tier);
+            this.gauge.noteStarted(owner.tier, queued.output);
         }
     }
 
@@ -242,136 +266,21 @@
         queued.share.owner.noteIdle(queued.share);
     }
 
-    private mustShedFor(queued: QueuedRequest, capacity: PoolCapacityView): boolean {
-        return this.table.sheddable > this.maximumLength || this.waitsTooLong(queued, capacity);
-    }
-
-    private waitsTooLong(queued: QueuedRequest, capacity: PoolCapacityView): boolean {
-        const { requestClass } = queued.request;
-        const admissible = requestClass.maximumQueueMilliseconds
-            ?? queued.share.owner.serviceTimes.admissibleWait(requestClass);
-        return this.table.expectedWait(queued, capacity) > admissible;
-    }
-
-    /** Makes room for a request that came in: below its tier where possible, here or elsewhere. */
-    private shedFor(queued: QueuedRequest, capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
-        const lowest = this.table.lowestSheddable() ?? queued.share.owner.tier;
-        if (this.mayHold(lowest, now)) {
-            this.held.set(queued, now + sheddingGrace);
-            this.gauge.noteShed(queued.share.owner.tier);
-            return [];
-        }
-        return this.shedOne(queued, lowest, capacity, now);
-    }
-
-    /** Whether a request may wait beyond the length until room was made below a tier, here or elsewhere. */
-    private mayHold(tier: number, now: Milliseconds): boolean {
-        if (this.running.hasPreemptibleBelow(tier, now) && this.held.size < this.gauge.preemptibleBelow(tier)) {
-            return true;
-        }
-        return this.held.size < this.maximumLength * heldShare && this.neighbours.lowerTierElsewhere(tier, now);
-    }
-
-    private shedOne(
-        cause: QueuedRequest,
-        lowest: number,
-        capacity: PoolCapacityView,
-        now: Milliseconds,
-    ): readonly Refusal[] {
-        const overfull = this.table.sheddable > this.maximumLength;
-        const below = lowest > cause.request.requestClass.tier;
-        const victim = below || overfull ? this.victimChoice.choose(this.table.tierOf(lowest)) : cause;
-        if (victim === undefined) {
-            return [];
-        }
-        this.passOnHold(victim, cause);
-        this.gauge.noteShed(cause.request.requestClass.tier);
-        const code = victim === cause && !overfull ? "targetUnreachable" : "shedUnderLoad";
-        return [this.refuse(victim, code, capacity, now)];
-    }
-
-    /** Lets the room that is being made for a shed request serve the one for whose sake it is shed. */
-    private passOnHold(victim: QueuedRequest, cause: QueuedRequest): void {
-        const until = this.held.get(victim);
-        if (until !== undefined && victim !== cause) {
-            this.held.set(cause, until);
-        }
-    }
-
-    /** Sheds for the held requests whose time is over or for which no room can be made any more. */
-    private shedHeld(capacity: PoolCapacityView, now: Milliseconds): readonly Refusal[] {
-        const refusals: Refusal[] = [];
-        for (const [queued, until] of this.held) {
-            const lowest = this.table.lowestSheddable() ?? queued.share.owner.tier;
-            if (!this.mustShedFor(queued, capacity)) {
-                this.held.delete(queued);
-                continue;
-            }
-            const asked = until > now && this.neighbours.lowerTierElsewhere(lowest, now);
-            if (asked || this.running.hasPreemptibleBelow(lowest, now)) {
-                continue;
-            }
-            this.held.delete(queued);
-            refusals.push(...this.shedOne(queued, lowest, capacity, now));
-        }
-        return refusals;
-    }
-
-    private refuseExpired(
-        each: ClassQueue,
-        capacity: PoolCapacityView,
-        now: Milliseconds,
-        refusals: Refusal[],
-    ): void {
+    private refuseExpired(each: ClassQueue, now: Milliseconds, refusals: Refusal[]): void {
         for (const queued of each.arrivals) {
             if (now - queued.request.arrivedAt < longestWaitOf(queued.request.requestClass)) {
                 return;
             }
-            refusals.push(this.refuse(queued, "waitTooLong", capacity, now));
+            refusals.push(this.refuse(queued, "waitTooLong", now));
         }
     }
 
-    private refuse(
-        queued: QueuedRequest,
-        code: ResultCode,
-        capacity: PoolCapacityView,
-        now: Milliseconds,
-    ): Refusal {
+    private refuse(queued: QueuedRequest, code: ResultCode, now: Milliseconds): Refusal {
         this.remove(queued.request);
-        const tier = queued.request.requestClass.tier;
-        const wait = this.table.drainTimeOf(tier, capacity);
-        const retryAfter = this.appointments.book(tier, wait, capacity.requestsPerSecond, now);
+        const { tier } = queued.request.requestClass;
+        const retryAfter = this.appointments.book(tier, this.table.tierOf(tier).size, now);
         return { request: queued.request, code, retryAfter };
     }
-
-    /** One element for each request that needs room: the tier for whose sake another is preempted. */
-    private tiersShortOfRoom(capacity: PoolCapacityView, now: Milliseconds): readonly number[] {
-        if (capacity.freeSlots > 0) {
-            return [];
-        }
-        const needs: number[] = [];
-        for (let tier = 0; tier < lowestTier; tier += 1) {
-            const short = Math.max(this.table.shortfallOf(tier, capacity), this.heldOf(tier));
-            const missing = short - this.running.beingInterrupted - needs.length;
-            for (let count = 0; count < missing; count += 1) {
-                needs.push(tier);
-            }
-        }
-        const pressed = this.neighbours.pressedTier(now);
-        const owed = this.neighbours.owedPreemptions(tier => this.gauge.preemptibleBelow(tier), now);
-        for (let count = 0; pressed !== undefined && count < owed; count += 1) {
-            needs.push(pressed);
-        }
-        return needs;
-    }
-
-    private heldOf(tier: number): number {
-        let count = 0;
-        for (const queued of this.held.keys()) {
-            count += queued.share.owner.tier === tier ? 1 : 0;
-        }
-        return count;
-    }
 }
 
 function nextOfClass(waiting: ClassQueue, now: Milliseconds): QueuedRequest | undefined {
--- a/src/request/service/serviceAttempt.ts
+++ b/src/request/service/serviceAttempt.ts
@@ -81,7 +81,7 @@
         }
         const answerId = message.headers["x-request-id"];
         if (answerId !== undefined && answerId !== pending.id) {
-            context.metrics.count("foreignAnswers");
+            context.metrics.counters.count("foreignAnswers");
             context.eventLog.write("foreignAnswerDropped", {
                 requestId: pending.id,
                 endpoint: endpoint.name,
@@ -106,7 +106,7 @@
         const { clock, dispatcher, metrics } = this.context;
         const stalled = this.stalled.signal.aborted;
         if (stalled) {
-            metrics.count("stalledAnswers");
+            metrics.counters.count("stalledAnswers");
         }
         const fault = stalled ? "stalled" : mayHaveArrived ? "brokenAnswer" : "unreachable";
         dispatcher.table.noteFault(this.placement.endpoint, fault, clock.now());
