--- a/src/experiment/overhead/measurements.ts
+++ b/src/experiment/overhead/measurements.ts
@@ -1,8 +1,8 @@
 import { TimeHistogram } from "../../process/metrics/timeHistogram.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { RandomSource } from "../../util/randomSource.js";
+import { readProcessUsage } from "../processUsage.js";
 import type { BenchClient } from "./benchRequest.js";
-import { processorTime } from "./processorTime.js";
 
 /** Seed of the arrival times. */
 const seed = 7;
@@ -21,7 +21,7 @@
     load: { readonly callers: number; readonly answerTokens: number; readonly duration: Milliseconds; },
 ): Promise<Throughput> {
     const { processId } = client.path;
-    const usedBefore = processId === undefined ? 0 : await processorTime(processId);
+    const usedBefore = await processorTime(processId);
     const startedAt = clock.now();
     let answered = 0;
     const call = async (): Promise<void> => {
@@ -32,7 +32,7 @@
     };
     await Promise.all(Array.from({ length: load.callers }, call));
     const requestsPerSecond = (answered * 1000) / (clock.now() - startedAt);
-    const used = processId === undefined ? 0 : await processorTime(processId) - usedBefore;
+    const used = await processorTime(processId) - usedBefore;
     return { requestsPerSecond, processorTimePerRequest: used / answered };
 }
 
@@ -86,3 +86,7 @@
     await Promise.all([...Array(load.streams).keys()].map(stream));
     return histogram;
 }
+
+async function processorTime(processId: number | undefined): Promise<Milliseconds> {
+    return processId === undefined ? 0 : (await readProcessUsage(processId)).processorTime;
+}
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -42,11 +42,6 @@
         return new StartedProgram(started, JSON.parse(line[0]) as Readonly<Record<string, string>>, closed);
     }
 
-    /** Identifier of the process; undefined where it could not be started. */
-    get processId(): number | undefined {
-        return this.child.pid;
-    }
-
     /** Exit code of the program; undefined while it runs, and when a signal ended it. */
     get exitCode(): number | undefined {
         return this.child.exitCode ?? undefined;
