test(platform): run the leader's duties against the stand-in platform

Cause: executor, reporter and watcher had met the platform's interface only through fakes.

Change: tests over HTTP with a change of leader, rate-limited weight loads, a report, a strange endpoint, and the reclaim of two failure domains. A leaving endpoint that is listed no longer counts as gone at once; before, it was paid for in the plan's eyes for up to a minute.

Conclusion: the duties work against the interface as documented.

--- a/src/process/platform/vmReconciliation.ts
+++ b/src/process/platform/vmReconciliation.ts
@@ -71,7 +71,7 @@
     if (vm?.state === "leaving" && endpoint.state !== "leaving") {
         return { kind: "leaving", endpoint, leavesAt: vm.leavesAt };
     }
-    const shouldBeListed = list.listedAt > endpoint.grantedAt + longestListLag;
+    const shouldBeListed = endpoint.state === "leaving" || list.listedAt > endpoint.grantedAt + longestListLag;
     if (vm === undefined && shouldBeListed && !view.reachedByEntries.has(endpoint.endpoint)) {
         return { kind: "gone", endpoint };
     }
--- /dev/null
+++ b/tests/process/platform/platformDuties.test.ts
@@ -0,0 +1,193 @@
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import { planFor } from "../../../src/process/capacity/allocation.js";
+import { CapacityDuty, PoolKnowledge } from "../../../src/process/capacity/capacityDuty.js";
+import { CapacityPlanner } from "../../../src/process/capacity/capacityPlanner.js";
+import type { PoolPlan, PoolView } from "../../../src/process/capacity/capacityPlanner.js";
+import { FixedFleetPlanner } from "../../../src/process/capacity/fixedFleetPlanner.js";
+import type { PoolMeasurement } from "../../../src/process/capacity/poolViewBuilder.js";
+import { ActExecutor } from "../../../src/process/platform/actExecutor.js";
+import type { PlatformTools } from "../../../src/process/platform/actExecutor.js";
+import { ActLedger } from "../../../src/process/platform/actLedger.js";
+import type { OrderedEndpoint } from "../../../src/process/platform/fleet.js";
+import { HttpLeasedCaller } from "../../../src/process/platform/httpLeasedCaller.js";
+import type { PlatformCommand } from "../../../src/process/platform/platformCommand.js";
+import { runPlatformDuties } from "../../../src/process/platform/platformDuties.js";
+import type { PlatformDuties } from "../../../src/process/platform/platformDuties.js";
+import { defaultPlatformSettings } from "../../../src/process/platform/platformSettings.js";
+import { UsageReporter } from "../../../src/process/platform/usageReporter.js";
+import { EndpointKnowledge, VmWatcher } from "../../../src/process/platform/vmWatcher.js";
+import type { UsageCommand } from "../../../src/process/usage/usageCommand.js";
+import { UsageLedger } from "../../../src/process/usage/usageLedger.js";
+import { EngineStarter } from "../../../src/standIn/platform/engineStarter.js";
+import { Platform } from "../../../src/standIn/platform/platform.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { RandomSource } from "../../../src/util/randomSource.js";
+import { Ok } from "../../../src/util/result.js";
+import type { Pool } from "../../../src/version/manifest.js";
+import { describe, it } from "../../describe.js";
+
+const clock = new SystemClock();
+const events = new EventLog("test", "hidden");
+const failureDomains = ["hobart-a", "hobart-b"];
+const pool: Pool = {
+    name: "drafting",
+    kind: "model",
+    checksFencing: false,
+    concurrentRequestsPerEndpoint: 64,
+    endpoints: [],
+    capacity: {
+        minimumReplicas: 0,
+        maximumReplicas: 9,
+        engineKind: "small",
+        steadyPricePerHour: 40,
+        cheapPricePerHour: 14,
+        cheapFailureDomains: failureDomains,
+        failureDomains,
+    },
+};
+
+/** Endpoints are ready at once and never idle; the manifest lists none. */
+class PlainPoolKnowledge extends PoolKnowledge {
+    override pools(): readonly Pool[] {
+        return [pool];
+    }
+
+    override measure(): PoolMeasurement {
+        return { serviceRate: 100, loadTime: 1_000, demand: [100, 100], protectedTiers: 1 };
+    }
+
+    override isReady(): boolean {
+        return true;
+    }
+
+    override isIdle(): boolean {
+        return false;
+    }
+}
+
+/** Wants four endpoints, cheap ones wherever they are offered. */
+class CheapFleetPlanner extends CapacityPlanner {
+    override plan(view: PoolView): PoolPlan {
+        return planFor({ endpoints: 4, protectedEndpoints: 0 }, view, []);
+    }
+}
+
+class NoEndpointKnowledge extends EndpointKnowledge {
+    override configured(): ReadonlySet<string> {
+        return new Set();
+    }
+
+    override reachedSince(): ReadonlySet<string> {
+        return new Set();
+    }
+}
+
+/** Leaders of one replicated state that follow each other at once. */
+class DutiesRun {
+    readonly ledger = new ActLedger();
+    readonly usage = new UsageLedger();
+    readonly watchers: VmWatcher[] = [];
+    term = 1;
+
+    constructor(private readonly platform: Platform, private readonly planner: CapacityPlanner) {}
+
+    run(signal: AbortSignal): Promise<void> {
+        return runPlatformDuties({ leadingTerm: () => this.term }, clock, term => this.dutiesOf(term), signal);
+    }
+
+    private dutiesOf(term: number): PlatformDuties {
+        const lease = (): { fencingNumber: number; } | undefined =>
+            term === this.term ? { fencingNumber: term } : undefined;
+        const { address } = this.platform;
+        const tools: PlatformTools = {
+            caller: new HttpLeasedCaller({ lease }, clock, 2_000, 100),
+            addresses: { ordersOf: () => address, common: address },
+            clock,
+            random: new RandomSource(term),
+            events,
+            settings: { ...defaultPlatformSettings, pollInterval: 20, lookInterval: 5 },
+        };
+        const acts = { propose: (command: PlatformCommand) => Promise.resolve(Ok(this.ledger.apply(command))) };
+        const bills = { propose: (command: UsageCommand) => Promise.resolve(Ok(this.usage.apply(command))) };
+        const watcher = new VmWatcher(this.ledger, acts, new NoEndpointKnowledge(), tools);
+        this.watchers.push(watcher);
+        return {
+            executor: new ActExecutor(this.ledger, acts, tools),
+            reporter: new UsageReporter(this.usage, bills, tools),
+            watcher,
+            capacity: new CapacityDuty(this.ledger, acts, this.planner, new PlainPoolKnowledge(), events),
+        };
+    }
+}
+
+async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await clock.sleep(5);
+    }
+}
+
+describe("runPlatformDuties", () => {
+    it("orders, loads weights, reports and finds what nobody ordered, over a change of leader", async t => {
+        const domains = failureDomains.map(name => ({ name, steadyCapacity: 4, cheapCapacity: 4 }));
+        const strange = { endpoint: "stranger", address: "127.0.0.1:9", failureDomain: "hobart-a", pool: "drafting" };
+        await using platform = new Platform(
+            {
+                failureDomains: domains,
+                vms: [{ ...strange, cheap: true, state: "live" }],
+                listLagMilliseconds: 0,
+                weightLoadsPerSecond: 20,
+                weightLoadBurst: 1,
+            },
+            clock,
+            new EngineStarter(clock),
+        );
+        await platform.start();
+        const run = new DutiesRun(platform, new FixedFleetPlanner(4));
+        run.usage.apply({ kind: "setUsageWindow", length: 1_000, at: 0 });
+        run.usage.apply({ kind: "sealWindow", window: 0, at: 1_000 });
+        const stop = new AbortController();
+        const running = run.run(stop.signal);
+        await until(() => run.ledger.fleet.list().length === 4 && run.usage.nextUnreported() === undefined);
+        const endpoints = run.ledger.fleet.list().map(({ endpoint }) => endpoint);
+        const loads = endpoints.slice(0, 3).map((endpoint, urgency) => ({
+            actId: `load-${urgency}`,
+            act: { kind: "loadWeights", endpoint, model: "m", version: "2", urgency } as const,
+        }));
+        run.ledger.apply({ kind: "intendActs", acts: loads, basedOn: run.ledger.revision, at: clock.unixNow() });
+        run.term = 2;
+        await until(() => loads.every(({ actId }) => run.ledger.find(actId)?.answer !== undefined));
+        await until(() => run.watchers.some(({ notOrdered }) => notOrdered.length > 0));
+        stop.abort();
+        await running;
+        t.deepEqual(platform.acts.outOfOrder(), []);
+        t.deepEqual(loads.map(({ actId }) => run.ledger.find(actId)?.answer?.kind), ["done", "done", "done"]);
+        t.is(run.usage.sealedWindows()[0]?.bytes, undefined);
+        t.is(platform.fleet.stops.length, 0);
+        t.is(run.ledger.fleet.list().length, 4);
+        t.true(run.watchers.every(({ notOrdered }) => notOrdered.every(({ endpoint }) => endpoint === "stranger")));
+    });
+
+    it("orders elsewhere when a failure domain is reclaimed, and again when the next one is", async t => {
+        const domains = failureDomains.map(name => ({ name, steadyCapacity: 4, cheapCapacity: 4 }));
+        const options = { failureDomains: domains, listLagMilliseconds: 0 };
+        await using platform = new Platform(options, clock, new EngineStarter(clock));
+        await platform.start();
+        const run = new DutiesRun(platform, new CheapFleetPlanner());
+        const stop = new AbortController();
+        const running = run.run(stop.signal);
+        const usable = (): readonly OrderedEndpoint[] =>
+            run.ledger.fleet.list().filter(({ state }) => state === "live" || state === "starting");
+        await until(() => usable().length === 4);
+        const reclaimed = new Set(usable().map(({ endpoint }) => endpoint));
+        const reclaims = failureDomains.map(failureDomain => {
+            platform.offer(failureDomain, { cheapCapacity: 0 });
+            return platform.fleet.reclaim(failureDomain, 2_000);
+        });
+        await until(() => usable().length === 4 && usable().every(({ endpoint }) => !reclaimed.has(endpoint)));
+        await Promise.all(reclaims);
+        stop.abort();
+        await running;
+        t.true(usable().every(({ cheap }) => !cheap));
+        t.deepEqual(platform.acts.outOfOrder(), []);
+    });
+});
--- /dev/null
+++ b/tests/process/platform/vmReconciliation.test.ts
@@ -0,0 +1,53 @@
+import type { OrderedEndpoint } from "../../../src/process/platform/fleet.js";
+import { reconcileVms } from "../../../src/process/platform/vmReconciliation.js";
+import type { ListedVm, ReconciliationView } from "../../../src/process/platform/vmReconciliation.js";
+import { describe, it } from "../../describe.js";
+
+const listedAt = 100_000;
+const vm: ListedVm = {
+    endpoint: "e1",
+    address: "127.0.0.1:1",
+    failureDomain: "curepipe",
+    pool: "gullhall-llm",
+    cheap: true,
+    state: "live",
+};
+const ordered: OrderedEndpoint = {
+    ...vm,
+    state: "live",
+    actId: "1-1",
+    grantedAt: 1_000,
+    changedAt: 1_000,
+    version: undefined,
+};
+const nothing: ReconciliationView = {
+    ordered: [],
+    configured: new Set(),
+    domainsWithOpenOrders: new Set(),
+    recentlyStopped: new Set(),
+    reachedByEntries: new Set(),
+};
+
+describe("reconcileVms", () => {
+    const cases: readonly [string, readonly ListedVm[], Partial<ReconciliationView>, readonly string[]][] = [
+        ["agrees", [vm], { ordered: [ordered] }, []],
+        ["is leaving", [{ ...vm, state: "leaving" }], { ordered: [ordered] }, ["leaving"]],
+        ["is known to leave", [{ ...vm, state: "leaving" }], { ordered: [{ ...ordered, state: "leaving" }] }, []],
+        ["is listed no longer", [], { ordered: [ordered] }, ["gone"]],
+        ["is reached though not listed", [], { ordered: [ordered], reachedByEntries: new Set(["e1"]) }, []],
+        ["is too new for the list", [], { ordered: [{ ...ordered, grantedAt: 90_000 }] }, []],
+        ["left and is listed no longer", [], { ordered: [{ ...ordered, grantedAt: 90_000, state: "leaving" }] }, [
+            "gone",
+        ]],
+        ["was never ordered", [vm], {}, ["notOrdered"]],
+        ["stands in the manifest", [vm], { configured: new Set(["e1"]) }, []],
+        ["may belong to an open order", [vm], { domainsWithOpenOrders: new Set(["curepipe"]) }, []],
+        ["was just given back", [vm], { recentlyStopped: new Set(["e1"]) }, []],
+    ];
+    for (const [title, vms, view, expected] of cases) {
+        it(`judges an endpoint that ${title}`, t => {
+            const findings = reconcileVms({ listedAt, vms }, { ...nothing, ...view });
+            t.deepEqual(findings.map(({ kind }) => kind), expected);
+        });
+    }
+});
