--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -20,8 +20,8 @@
 /** A program of a cluster that can be started again with the same settings. */
 export class ClusterMember implements AsyncDisposable {
     private running: StartedProgram | undefined;
-    private ended: number | undefined;
     private lastCallerAddress = "";
+    private ended: number | undefined;
 
     constructor(
         readonly name: string,
