--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -47,6 +47,11 @@
         return this.child.exitCode ?? undefined;
     }
 
+    /** Identifier of the process, under which the system accounts for it. */
+    get processId(): number {
+        return this.child.pid ?? 0;
+    }
+
     /** Ends the program at once, as the loss of its VM would, and waits for its end. */
     async kill(): Promise<void> {
         this.child.kill("SIGKILL");
