--- a/tests/process/entry/endpoints.test.ts
+++ b/tests/process/entry/endpoints.test.ts
@@ -59,7 +59,7 @@
         crashing?.faults.set({ kind: "crash" });
         t.deepEqual(await askMany(entry, 20), expectedMany(20));
         await entry.until(() => state?.health.isSetAside === true);
-        crashing?.faults.clear();
+        await crashing?.recover();
         await entry.until(() => state?.health.isSetAside === false);
         while (state?.health.state.kind !== "sound") {
             t.deepEqual(await askMany(entry, 8), expectedMany(8));
--- a/tests/request/model/engineAnswer.test.ts
+++ b/tests/request/model/engineAnswer.test.ts
@@ -30,7 +30,11 @@
     return `${text}data: [DONE]\n\n`;
 }
 
-async function read(bytes: string, cuts: readonly number[], maximum = 1_000): Promise<readonly [string, string, number]> {
+async function read(
+    bytes: string,
+    cuts: readonly number[],
+    maximum = 1_000,
+): Promise<readonly [string, string, number]> {
     const edges = [...new Set([0, ...cuts.map(cut => cut % (bytes.length + 1)), bytes.length])].sort((a, b) => a - b);
     const parts = edges.slice(1).map((edge, index) => Buffer.from(bytes.slice(edges[index], edge)));
     const message = Object.assign(Readable.from(parts), { headers: { "content-type": "text/event-stream" } });
@@ -46,19 +50,23 @@
 describe("EngineAnswerReader", () => {
     it("passes each token on once and in order, and calls an answer finished only when it is whole", async t => {
         const plans = fastCheck.array(fastCheck.constantFrom(...mishaps), { minLength: 1, maxLength: 30 });
-        const property = fastCheck.asyncProperty(plans, fastCheck.array(fastCheck.nat(), { maxLength: 8 }), async (plan, cuts) => {
-            const firstBreak = plan.findIndex((mishap, index) =>
-                mishap === "cut" || (mishap === "lost" && plan[index + 1] !== "late")
-            );
-            const delivered = firstBreak < 0 ? plan.length : firstBreak;
-            const [kind, text, foreign] = await read(streamOf(plan), cuts);
-            t.is(kind, firstBreak < 0 ? "finished" : "broken");
-            t.is(text, Array.from(Array(delivered).keys(), number => `t${number} `).join(""));
-            const isForeign = (mishap: Mishap): boolean => mishap === "foreign";
-            // A lost token shows at the next own one, until which foreign chunks still count.
-            t.true(foreign >= plan.slice(0, delivered).filter(isForeign).length);
-            t.true(foreign <= plan.filter(isForeign).length);
-        });
+        const property = fastCheck.asyncProperty(
+            plans,
+            fastCheck.array(fastCheck.nat(), { maxLength: 8 }),
+            async (plan, cuts) => {
+                const firstBreak = plan.findIndex((mishap, index) =>
+                    mishap === "cut" || (mishap === "lost" && plan[index + 1] !== "late")
+                );
+                const delivered = firstBreak < 0 ? plan.length : firstBreak;
+                const [kind, text, foreign] = await read(streamOf(plan), cuts);
+                t.is(kind, firstBreak < 0 ? "finished" : "broken");
+                t.is(text, Array.from(Array(delivered).keys(), number => `t${number} `).join(""));
+                const isForeign = (mishap: Mishap): boolean => mishap === "foreign";
+                // A lost token shows at the next own one, until which foreign chunks still count.
+                t.true(foreign >= plan.slice(0, delivered).filter(isForeign).length);
+                t.true(foreign <= plan.filter(isForeign).length);
+            },
+        );
         await fastCheck.assert(property, { seed: 23, numRuns: 300 });
     });
 
--- a/tests/request/routing/choosers.test.ts
+++ b/tests/request/routing/choosers.test.ts
@@ -98,7 +98,11 @@
             const chooser = affine(7);
             const group = table.groupFor(requirement);
             const chosen = Array.from(Array(72).keys(), count => {
-                const endpoint = chooser.choose(group, requestOf(`r${count}`, classOf(1), { prefixDigest: "p" }), count);
+                const endpoint = chooser.choose(
+                    group,
+                    requestOf(`r${count}`, classOf(1), { prefixDigest: "p" }),
+                    count,
+                );
                 endpoint?.start(count);
                 return endpoint?.name;
             });
@@ -115,7 +119,11 @@
             const group = table.groupFor(requirement);
             const usual = chooser.choose(group, request, 0);
             const holder = table.all.find(each => each !== usual);
-            const stored = (number: number, prefixDigest: string): CacheEvent => ({ number, kind: "stored", prefixDigest });
+            const stored = (number: number, prefixDigest: string): CacheEvent => ({
+                number,
+                kind: "stored",
+                prefixDigest,
+            });
             if (holder !== undefined) {
                 hints.take(holder, [stored(1, "d1"), stored(2, "d2")], 2);
                 t.is(chooser.choose(group, request, 0), holder);
@@ -130,7 +138,10 @@
             const chooser = affine(5);
             const group = table.groupFor(requirement);
             const shareOfCheap = (tier: number): number => {
-                const chosen = Array.from(Array(400).keys(), () => chooser.choose(group, requestOf("r", classOf(tier)), 0));
+                const chosen = Array.from(
+                    Array(400).keys(),
+                    () => chooser.choose(group, requestOf("r", classOf(tier)), 0),
+                );
                 return chosen.filter(each => each?.description.cheap === true).length / chosen.length;
             };
             t.true(shareOfCheap(0) < 0.35);
