--- a/src/operator/answerSchemas.ts
+++ b/src/operator/answerSchemas.ts
@@ -162,7 +162,14 @@
             running: z.int(),
             waiting: z.int(),
             endpoints: z.array(
-                z.object({ name: z.string(), running: z.int(), freeSlots: z.int(), leaving: z.boolean() }).readonly(),
+                z.object({
+                    name: z.string(),
+                    running: z.int(),
+                    freeSlots: z.int(),
+                    load: z.number(),
+                    condition: z.enum(["sound", "trial", "setAside", "leaving"]),
+                    fault: z.string().optional(),
+                }).readonly(),
             ).readonly(),
         }).readonly(),
     ).readonly(),
@@ -193,6 +200,3 @@
 
 /** What a manifest would change. */
 export type Comparison = z.output<typeof comparisonSchema>;
-
-/** An accepted change. */
-export type Acceptance = z.output<typeof acceptanceSchema>;
--- a/src/operator/statusLines.ts
+++ b/src/operator/statusLines.ts
@@ -67,14 +67,13 @@
         pool.endpoints.map(endpoint => {
             const seen = states.flatMap(({ state }) => endpointReport(state, pool.name, endpoint.name));
             const running = seen.reduce((sum, report) => sum + report.running, 0);
-            const leaving = seen.some(report => report.leaving);
             return [
                 pool.name,
                 endpoint.name,
                 endpoint.failureDomain,
                 endpoint.address,
                 endpoint.cheap ? "cheap" : "steady",
-                leaving ? "leaving" : "live",
+                conditionText(seen),
                 seen.length === 0 ? unknownFigure : String(running),
             ];
         })
@@ -82,6 +81,16 @@
     return textTable(["pool", "endpoint", "failure domain", "address", "supply", "state", "running"], rows);
 }
 
+/** What the entries think of an endpoint, where they differ with the number of entries for each view. */
+function conditionText(seen: EntryState["pools"][number]["endpoints"]): string {
+    const views = seen.map(({ condition, fault }) => fault === undefined ? condition : `${condition} (${fault})`);
+    const distinct = [...new Set(views)];
+    if (distinct.length <= 1) {
+        return distinct[0] ?? unknownFigure;
+    }
+    return distinct.map(view => `${views.filter(other => other === view).length}x ${view}`).join(", ");
+}
+
 function endpointReport(
     state: EntryState | undefined,
     pool: string,
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -94,10 +94,10 @@
                 configuration: state.configuration,
                 permit: state.permit,
                 status: () => state.status(),
-                claims: state.claims,
                 onDrain: () => {
                     this.requestStop("an operator drains this entry");
                 },
+                claims: state.claims,
                 onListing: listings => {
                     state.updateListing(listings, clock.now());
                 },
