--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -159,7 +159,8 @@
         const headers = { ...answer.headers(), "x-request-id": requestId };
         if (answer.whole) {
             this.claim?.settleAnswer(storedAnswerOf(answer));
-            response.writeHead(answer.status, { ...headers, "content-length": answer.beginning.length });
+            const length = this.context.request.method === "HEAD" ? {} : { "content-length": answer.beginning.length };
+            response.writeHead(answer.status, { ...headers, ...length });
             response.end(answer.beginning);
         }
         else {
--- a/tests/connection/entry/testCaller.ts
+++ b/tests/connection/entry/testCaller.ts
@@ -36,6 +36,7 @@
             path: call.path,
             headers: {
                 "content-type": "application/json",
+                ...call.body === undefined ? {} : { "content-length": Buffer.byteLength(call.body) },
                 ...key === "" ? {} : { authorization: `Bearer ${key}` },
                 ...call.headers,
             },
--- a/tests/request/model/wholeAnswers.test.ts
+++ b/tests/request/model/wholeAnswers.test.ts
@@ -16,6 +16,10 @@
     return engines;
 }
 
+function names(prefix: string, count: number): readonly string[] {
+    return Array.from(Array(count).keys(), index => `${prefix}-${index}`);
+}
+
 describe("model request", () => {
     describe("under a fault of one engine", () => {
         const faults: readonly FaultInput[] = [
@@ -32,12 +36,16 @@
                 await using store = new DisposableStore();
                 const engines = await startEngines(store, 2, { stepMilliseconds: 2 });
                 const entry = store.add(await TestEntry.start({ engines: engines.map(engine => engine.address) }));
-                const texts = ["a", "b", "c", "d", "e", "f"];
-                const asked = texts.map(text => ask(entry, chatCall(30, text)));
-                await entry.until(() => entry.engines.running === texts.length);
+                const begun = names("begun", 40);
+                const messages = await Promise.all(begun.map(text => open(entry, chatCall(120, text))));
                 engines[0]?.faults.set(fault);
-                const answers = await Promise.all(asked);
-                t.deepEqual(answers.map(streamedText), texts.map(text => chatText(30, text)));
+                const fresh = names("fresh", 6);
+                const answers = await Promise.all([
+                    ...messages.map(collect),
+                    ...fresh.map(text => ask(entry, chatCall(30, text))),
+                ]);
+                const expected = [...begun.map(text => chatText(120, text)), ...fresh.map(text => chatText(30, text))];
+                t.deepEqual(answers.map(streamedText), expected);
                 t.is(entry.engines.running, 0);
             });
         }
--- /dev/null
+++ b/tests/request/service/serviceRequest.test.ts
@@ -0,0 +1,50 @@
+import { PlainService } from "../../../src/standIn/plainService/plainService.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { ask, codeOf } from "../../connection/entry/testCaller.js";
+import { TestEntry } from "../../connection/entry/testEntry.js";
+import { describe, it } from "../../describe.js";
+
+async function withService(check: (entry: TestEntry, service: PlainService) => Promise<void>): Promise<void> {
+    await using store = new DisposableStore();
+    const service = store.add(new PlainService({}, new SystemClock()));
+    await service.start();
+    await check(store.add(await TestEntry.start({ services: [service.address] })), service);
+}
+
+describe("service request", () => {
+    it("repeats a lookup whose answer was lost", t =>
+        withService(async (entry, service) => {
+            service.faults.set({ kind: "loseAnswers", times: 1, pathPrefix: "/bookings" });
+            t.is((await ask(entry, { method: "GET", path: "/bookings/17" })).status, 200);
+            t.is(service.executions.all.length, 2);
+            t.is(entry.state.metrics.counters.countOf("retries"), 1);
+        }));
+
+    it("stops repeating when the budget of its class is spent, and says that the outcome is unknown", t =>
+        withService(async (entry, service) => {
+            service.faults.set({ kind: "loseAnswers", pathPrefix: "/bookings" });
+            while (entry.state.retryBudgets.of("drafts").takeRetry()) {
+                // Spends the budget.
+            }
+            const answer = await ask(entry, { method: "GET", path: "/bookings/17" });
+            t.deepEqual([codeOf(answer), answer.headers["x-outcome"]], ["endpointFailed", "unknown"]);
+            t.is(service.executions.all.length, 1);
+        }));
+
+    it("passes a large answer on whole", t =>
+        withService(async (entry, service) => {
+            const body = "\"".repeat(60_000);
+            const answer = await ask(entry, { method: "GET", path: "/bookings/large", body });
+            t.is(answer.status, 200);
+            t.is((JSON.parse(answer.body) as { readonly echo: string; }).echo, body);
+            t.is(service.executions.all.length, 1);
+            t.is(entry.services.running, 0);
+        }));
+
+    it("answers a request for the head alone", t =>
+        withService(async entry => {
+            const answer = await ask(entry, { method: "HEAD", path: "/bookings/17" });
+            t.deepEqual([answer.status, answer.body], [200, ""]);
+        }));
+});
