fix(connection): end calls by a timer that cannot be collected

Cause: a call ended by AbortSignal.any over AbortSignal.timeout. Nothing else refers to the timeout's signal, so under load it was collected before it fired (Node.js 20.20), and a call to an endpoint that never answers stayed open for ever. The monitor of such an endpoint then hung, and with it the stop of the entry. Ruled out: the server's connections and the stalled stream itself, whose answer had been resumed and delivered.

Change: a timer of the call's own destroys it; the caller's signal is passed on alone.

--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -39,10 +39,14 @@
             method: call.method,
             path: call.path,
             headers: { ...call.headers, "content-length": Buffer.byteLength(call.body ?? "") },
-            signal: AbortSignal.any([
-                AbortSignal.timeout(call.timeout),
-                ...(call.signal === undefined ? [] : [call.signal]),
-            ]),
+            ...call.signal === undefined ? {} : { signal: call.signal },
+        });
+        // A timer of its own: a signal of AbortSignal.timeout that only AbortSignal.any refers to can be collected early.
+        const timer = setTimeout(() => {
+            outgoing.destroy(new Error("the call timed out"));
+        }, call.timeout);
+        outgoing.once("close", () => {
+            clearTimeout(timer);
         });
         outgoing.on("error", error => {
             resolve(Err(error.message));
