--- a/src/bin/serverArguments.ts
+++ b/src/bin/serverArguments.ts
@@ -1,9 +1,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { commandError } from "../operator/commandError.js";
-import { failure } from "../resultCode/resultCode.js";
-import { exitUsage } from "../util/exitCode.js";
 import { packageVersion } from "../util/packageVersion.js";
+import { usageFaultHandler } from "./usageFault.js";
 
 /** The command line of a serving program. */
 export interface ServerArguments {
@@ -23,12 +21,7 @@
         .option("check-settings", { type: "boolean", default: false, describe: "Check the settings and end" })
         .version(version)
         .strict()
-        .fail((message: string | undefined, error: Error | undefined) => {
-            const reason = message ?? error?.message ?? "unknown";
-            const reported = failure("commandLineInvalid", { reason, program: programName });
-            process.stderr.write(`${commandError(reported).message}\n`);
-            process.exit(exitUsage);
-        })
+        .fail(usageFaultHandler(programName))
         .parseAsync();
     return { settings: parsed.settings, checkSettings: parsed.checkSettings, version };
 }
