fix(entry): notice a control process that takes requests and answers none

Cause: the connection relied on the socket's own timeout, which each written permit request starts anew, so that an entry never left a leader that was stopped (SIGSTOP) while its kernel still took bytes. Permits ran out 4 s later.

Change: the renewing task compares the time of the last received message with the answer's time limit before each request.

The added test stayed pending on the earlier code.

--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -69,6 +69,7 @@
     private awaitingUsage = false;
     private leaderAddress: string | undefined;
     private silent = false;
+    private heardAt: Milliseconds;
 
     constructor(
         address: string,
@@ -77,6 +78,7 @@
     ) {
         this.socket = connect(splitAddress(address));
         this.connection = new MessageConnection(this.socket);
+        this.heardAt = context.clock.now();
     }
 
     /** Serves the connection until it ends, stays silent for too long, or names another leader. */
@@ -85,10 +87,6 @@
             this.socket.destroy();
         };
         this.stop.addEventListener("abort", close, { once: true });
-        this.socket.setTimeout(answerTimeout, () => {
-            this.silent = true;
-            close();
-        });
         this.greet();
         this.context.claims.attach(message => {
             this.send(message);
@@ -96,6 +94,7 @@
         const renewing = this.renew();
         try {
             for await (const message of this.connection.messages()) {
+                this.heardAt = this.context.clock.now();
                 if (!this.handle(message as ControlToEntry)) {
                     break;
                 }
@@ -123,6 +122,12 @@
     private async renew(): Promise<void> {
         const { clock, configuration, status } = this.context;
         while (!this.ended.signal.aborted) {
+            // The socket's own timeout would not do: each request that is written starts it anew.
+            if (clock.now() - this.heardAt > answerTimeout) {
+                this.silent = true;
+                this.socket.destroy();
+                return;
+            }
             const number = this.nextNumber++;
             this.sentAt.set(number, clock.now());
             this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
--- /dev/null
+++ b/tests/connection/entry/controlConnection.test.ts
@@ -0,0 +1,58 @@
+import { createServer } from "node:net";
+import type { Socket } from "node:net";
+import { ControlClaimStore } from "../../../src/connection/entry/controlClaimStore.js";
+import { ControlConnection } from "../../../src/connection/entry/controlConnection.js";
+import type { ControlConnectionContext } from "../../../src/connection/entry/controlConnection.js";
+import { EntryConfiguration } from "../../../src/process/entry/entryConfiguration.js";
+import { ServingPermit } from "../../../src/process/entry/servingPermit.js";
+import { UsageRecorder } from "../../../src/process/entry/usageRecorder.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { listen } from "../../../src/util/socketAddress.js";
+import { describe, it } from "../../describe.js";
+
+const identity = {
+    cluster: "test",
+    entry: "entry-1",
+    incarnation: "first",
+    startedAt: 1,
+    failureDomain: "hobart-a",
+    callerAddress: "127.0.0.1:1",
+    metricsAddress: "127.0.0.1:2",
+};
+
+function contextOf(): ControlConnectionContext {
+    return {
+        identity: () => identity,
+        renewIncarnation: () => undefined,
+        usage: new UsageRecorder("first"),
+        clock: new SystemClock(),
+        configuration: new EntryConfiguration(),
+        permit: new ServingPermit(),
+        status: () => ({ draining: false, runningRequests: 0, waitingRequests: 0 }),
+        onDrain: () => undefined,
+        onListing: () => undefined,
+        claims: new ControlClaimStore(),
+    };
+}
+
+describe("ControlConnection", () => {
+    describe("run", () => {
+        it("gives up a process that takes every request and answers none", async t => {
+            const sockets: Socket[] = [];
+            let bytes = 0;
+            const server = createServer(socket => {
+                sockets.push(socket);
+                socket.on("error", () => undefined);
+                socket.on("data", chunk => {
+                    bytes += chunk.length;
+                });
+            });
+            const address = await listen(server, "127.0.0.1:0");
+            const end = await new ControlConnection(address, contextOf(), new AbortController().signal).run();
+            t.deepEqual(end, { leaderAddress: undefined, silent: true });
+            t.true(bytes > 0);
+            sockets.forEach(socket => socket.destroy());
+            server.close();
+        });
+    });
+});
