feat(experiment): measure the slopes of control, entries, log and decisions

Cause: docs/CAPACITY.md must be worked out from measured slopes.

Change: npm run slopes measures real control and entry processes over the loopback interface against entries, teams, endpoints and changes a second, the replicated log, the request path and decisions, each at three or more sizes with a least-squares fit; it simulates the entries' chooser over subsets. npm run bench:failover ends leaders in three ways, withdraws keys and compares staggered with sequential operator calls.

--- /dev/null
+++ b/src/experiment/slopes/logSlopes.ts
@@ -0,0 +1,142 @@
+import { build } from "hdr-histogram-js";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { StateMachine } from "../../process/replicatedLog/commandLog.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { LocalLogMember } from "../localLogMember.js";
+import type { LinearFit } from "./linearFit.js";
+import { fitOf } from "./linearFit.js";
+
+/** Bytes of each command, about those of a change of a key. */
+const commandBytes = 200;
+
+const memberCounts = [3, 5];
+const concurrencies = [1, 16, 256];
+const logLengths = [1000, 10_000, 50_000];
+const commitDuration: Milliseconds = 2000;
+const microsecondsPerMillisecond = 1000;
+
+/** An interval that no measured log reaches. */
+const noSnapshots = 1_000_000_000;
+
+class CountingMachine extends StateMachine<string, number> {
+    private count = 0;
+
+    override apply(): number {
+        this.count += 1;
+        return this.count;
+    }
+
+    override snapshot(): Uint8Array {
+        return Buffer.from(String(this.count));
+    }
+
+    override restore(snapshot: Uint8Array): void {
+        this.count = Number(Buffer.from(snapshot).toString());
+    }
+}
+
+type Member = LocalLogMember<CountingMachine>;
+
+/** Speed of commits with sync; all members in one process and on one disk. */
+export interface CommitCost {
+    readonly members: number;
+    /** Proposals under way at once. */
+    readonly concurrency: number;
+    readonly commitsPerSecond: number;
+    readonly p50: Milliseconds;
+    readonly p99: Milliseconds;
+}
+
+/** Time from the start of a member until its log is open. */
+export interface RecoveryCost {
+    readonly entries: number;
+    readonly time: Milliseconds;
+}
+
+/** Cost of the replicated log. */
+export interface LogSlopes {
+    readonly commits: readonly CommitCost[];
+    readonly recovery: readonly RecoveryCost[];
+    /** Milliseconds against entries after the last snapshot. */
+    readonly recoveryTime: LinearFit;
+}
+
+/** Measures commits and recovery of the replicated log. */
+export async function measureLogSlopes(clock: Clock): Promise<LogSlopes> {
+    const commits: CommitCost[] = [];
+    for (const members of memberCounts) {
+        for (const concurrency of concurrencies) {
+            commits.push(await measureCommits(members, concurrency, clock));
+        }
+    }
+    const recovery: RecoveryCost[] = [];
+    for (const entries of logLengths) {
+        recovery.push(await measureRecovery(entries, clock));
+    }
+    return { commits, recovery, recoveryTime: fitOf(recovery, cost => cost.entries, cost => cost.time) };
+}
+
+async function measureCommits(members: number, concurrency: number, clock: Clock): Promise<CommitCost> {
+    return withFolder(async folder => {
+        const group = { folder, addresses: await LocalLogMember.freeAddresses(members), snapshotInterval: 10_000 };
+        const started = await Promise.all(
+            [...group.addresses.keys()].map(index => LocalLogMember.start(group, index, new CountingMachine())),
+        );
+        const leader = await LocalLogMember.leaderOf(started);
+        const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000 });
+        const start = clock.now();
+        const propose = async (): Promise<void> => {
+            while (clock.now() - start < commitDuration) {
+                const proposedAt = clock.now();
+                (await leader.log.propose("x".repeat(commandBytes))).unwrap();
+                histogram.recordValue(Math.round((clock.now() - proposedAt) * microsecondsPerMillisecond));
+            }
+        };
+        await Promise.all(Array.from({ length: concurrency }, propose));
+        const seconds = (clock.now() - start) / 1000;
+        await Promise.all(started.map(member => member.stop()));
+        return {
+            members,
+            concurrency,
+            commitsPerSecond: histogram.totalCount / seconds,
+            p50: histogram.getValueAtPercentile(50) / microsecondsPerMillisecond,
+            p99: histogram.getValueAtPercentile(99) / microsecondsPerMillisecond,
+        };
+    });
+}
+
+async function measureRecovery(entries: number, clock: Clock): Promise<RecoveryCost> {
+    return withFolder(async folder => {
+        const addresses = await LocalLogMember.freeAddresses(1);
+        const group = { folder, addresses, snapshotInterval: noSnapshots };
+        const first = await LocalLogMember.start(group, 0, new CountingMachine());
+        await fill(await LocalLogMember.leaderOf([first]), entries);
+        const { lastPosition } = first.log.status();
+        await first.stop();
+        const start = clock.now();
+        const again = await LocalLogMember.start(group, 0, new CountingMachine());
+        await again.log.waitForPosition(lastPosition);
+        const time = clock.now() - start;
+        await again.stop();
+        return { entries, time };
+    });
+}
+
+async function fill(leader: Member, entries: number): Promise<void> {
+    const batch = 1000;
+    for (let written = 0; written < entries; written += batch) {
+        await Promise.all(Array.from({ length: batch }, () => leader.log.propose("x".repeat(commandBytes))));
+    }
+}
+
+async function withFolder<T>(action: (folder: string) => Promise<T>): Promise<T> {
+    const folder = await mkdtemp(join(tmpdir(), "gullhall-slopes-"));
+    try {
+        return await action(folder);
+    }
+    finally {
+        await rm(folder, { recursive: true });
+    }
+}
--- /dev/null
+++ b/src/experiment/slopes/main.ts
@@ -0,0 +1,53 @@
+/**
+ * Measures the slopes behind docs/CAPACITY.md on this machine and prints them as JSON.
+ *
+ * Everything runs on the loopback interface with real `gullhall` programs and small stand-ins, below a hundred
+ * processes. `--only NAME` runs one group of measurements.
+ */
+import { cpus } from "node:os";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { SystemClock } from "../../util/clock.js";
+import type { Clock } from "../../util/clock.js";
+import { measureControlSlopes } from "./controlSlopes.js";
+import { measureDecisionSlopes } from "./decisionSlopes.js";
+import { measureEntrySlopes } from "./entrySlopes.js";
+import { measureLogSlopes } from "./logSlopes.js";
+import { measureRequestSlopes } from "./requestSlopes.js";
+import { measureSubsetBalance } from "./subsetBalance.js";
+import { measureTeamSlopes } from "./teamSlopes.js";
+
+const groups: Readonly<Record<string, (clock: Clock) => Promise<unknown>>> = {
+    control: measureControlSlopes,
+    teams: measureTeamSlopes,
+    entry: measureEntrySlopes,
+    request: measureRequestSlopes,
+    log: measureLogSlopes,
+    decisions: clock => Promise.resolve(measureDecisionSlopes(clock)),
+    balance: () => Promise.resolve(measureSubsetBalance()),
+};
+
+/** Digits that are printed of each number. */
+const printedDigits = 4;
+
+const parsed = yargs(hideBin(process.argv))
+    .option("only", { type: "string", choices: Object.keys(groups), describe: "Run this group alone." })
+    .strict()
+    .parseSync();
+
+const clock = new SystemClock();
+const started = clock.now();
+const measured: Record<string, unknown> = {};
+for (const [name, measure] of Object.entries(groups)) {
+    if (parsed.only === undefined || parsed.only === name) {
+        process.stderr.write(`${name} …\n`);
+        measured[name] = await measure(clock);
+    }
+}
+const machine = `${cpus().length} processors, Node.js ${process.version}`;
+const seconds = (clock.now() - started) / 1000;
+console.log(JSON.stringify({ machine, seconds, ...measured }, (...[, value]) => shorten(value), 2));
+
+function shorten(value: unknown): unknown {
+    return typeof value === "number" ? Number(value.toPrecision(printedDigits)) : value;
+}
--- /dev/null
+++ b/src/experiment/slopes/reportingEndpoints.ts
@@ -0,0 +1,61 @@
+import { createServer } from "node:http";
+import type { Socket } from "node:net";
+import { listen } from "../../util/socketAddress.js";
+
+/** One server that answers the questions for load which an entry asks any number of endpoints. */
+export class ReportingEndpoints implements AsyncDisposable {
+    private asked = 0;
+    private closedBytes = 0;
+    private readonly sockets = new Set<Socket>();
+    private readonly server = createServer((request, response) => {
+        this.asked += 1;
+        response.setHeader("content-type", "application/json");
+        if (request.url !== "/v1/load") {
+            response.end("{\"events\":[],\"last\":0}");
+            return;
+        }
+        response.end(JSON.stringify({
+            reportedAt: Date.now(),
+            model: "model-0",
+            version: "1",
+            adapters: [],
+            role: "mixed",
+            runningRequests: 8,
+            waitingRequests: 0,
+            maximumRunningRequests: 32,
+            leaving: false,
+        }));
+    });
+
+    /** Questions answered so far. */
+    get questions(): number {
+        return this.asked;
+    }
+
+    /** Bytes of questions and answers so far, without those of TCP and IP headers. */
+    get bytes(): number {
+        const open = [...this.sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
+        return this.closedBytes + open;
+    }
+
+    /** Starts to listen; resolves with the address. */
+    start(): Promise<string> {
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => {
+                this.sockets.delete(socket);
+                this.closedBytes += socket.bytesRead + socket.bytesWritten;
+            });
+        });
+        return listen(this.server, "127.0.0.1:0");
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await new Promise<void>(resolve => {
+            this.server.close(() => {
+                resolve();
+            });
+            this.server.closeAllConnections();
+        });
+    }
+}
--- /dev/null
+++ b/src/experiment/slopes/usageSpan.ts
@@ -0,0 +1,29 @@
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { readProcessUsage } from "../processUsage.js";
+
+/** What a process used over a span of time. */
+export interface UsageSpan {
+    /** Processor time as a part of one core. */
+    readonly cores: number;
+    /** Resident memory at the end, in megabytes (10^6 bytes). */
+    readonly residentMegabytes: number;
+    readonly seconds: number;
+}
+
+/** Measures what a process uses while an action runs. */
+export async function usageWhile(
+    processId: number,
+    clock: Clock,
+    action: () => Promise<void>,
+): Promise<UsageSpan> {
+    const before = await readProcessUsage(processId);
+    const start = clock.now();
+    await action();
+    const length: Milliseconds = clock.now() - start;
+    const after = await readProcessUsage(processId);
+    return {
+        cores: (after.processorTime - before.processorTime) / length,
+        residentMegabytes: after.residentBytes / 1e6,
+        seconds: length / 1000,
+    };
+}
--- a/src/operator/operatorClient.ts
+++ b/src/operator/operatorClient.ts
@@ -11,7 +11,7 @@
 const callTimeout: Milliseconds = 5_000;
 
 /** How long a control process may be silent before the next one is asked as well, in milliseconds. */
-const stagger: Milliseconds = 500;
+const defaultStagger: Milliseconds = 500;
 
 /** Longest search for a control process that can answer, in milliseconds. */
 const searchTimeout: Milliseconds = 15_000;
@@ -33,16 +33,25 @@
 
 /** Calls the operator interface of whichever control process can answer. */
 export class OperatorClient {
+    private sent = 0;
+
     /**
      * @param addresses Operator addresses of the control processes.
      * @param token The operator's token.
+     * @param stagger How long a control process may be silent before the next one is asked as well.
      */
     constructor(
         private readonly addresses: readonly string[],
         private readonly token: string,
         private readonly clock: Clock,
+        private readonly stagger: Milliseconds = defaultStagger,
     ) {}
 
+    /** Calls that were sent to control processes so far. */
+    get callsSent(): number {
+        return this.sent;
+    }
+
     /** Asks the control processes in turn; every call of the interface may be repeated without harm. */
     async call(call: OperatorCall): Promise<Result<HttpCallAnswer, Failure>> {
         const end = this.clock.now() + searchTimeout;
@@ -56,7 +65,7 @@
                 }
                 return answer;
             });
-            const answer = await staggeredRace(attempts, stagger, this.clock);
+            const answer = await staggeredRace(attempts, this.stagger, this.clock);
             if (answer !== undefined) {
                 return Ok(answer);
             }
@@ -73,6 +82,7 @@
         call: OperatorCall,
         signal: AbortSignal,
     ): Promise<HttpCallAnswer | undefined> {
+        this.sent += 1;
         const headers = { ...call.headers, authorization: `Bearer ${this.token}` };
         const answer = await httpCall({ ...call, address, headers, timeout: callTimeout, signal });
         return answer.ok ? answer.val : undefined;
--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -71,6 +71,9 @@
     private controlMembers: readonly ClusterMember[] = [];
     private entryMembers: readonly ClusterMember[] = [];
 
+    /** @param entryCount Number of entries, spread over the failure domains. */
+    constructor(private readonly entryCount: number = failureDomains.length) {}
+
     /** The control processes. */
     get controls(): readonly ClusterMember[] {
         return this.controlMembers;
@@ -91,13 +94,19 @@
         return this.addresses.map(address => address.operatorAddress);
     }
 
-    /** Starts control processes and one entry in each failure domain. */
+    /** Addresses at which the control processes accept entries. */
+    get controlEntryAddresses(): readonly string[] {
+        return this.addresses.map(address => address.entryAddress);
+    }
+
+    /** Starts a control process in each failure domain, and the entries. */
     async start(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "gullhall-"));
         this.store.defer(() => rm(this.folder, { recursive: true, force: true }));
         this.addresses = await takeControlAddresses();
         this.controlMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareControl(index)));
-        this.entryMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareEntry(index)));
+        const entryIndexes = [...Array(this.entryCount).keys()];
+        this.entryMembers = await Promise.all(entryIndexes.map(index => this.prepareEntry(index)));
         this.controlMembers.forEach(member => this.store.add(member));
         await Promise.all([...this.controlMembers, ...this.entryMembers].map(member => member.start()));
     }
@@ -148,7 +157,7 @@
         const settings = await this.writeFile(`${name}.json`, {
             cluster: "quickstart",
             name,
-            failureDomain: failureDomains[index],
+            failureDomain: failureDomains[index % failureDomains.length],
             logStyle: "hidden",
             callerAddress: "127.0.0.1:0",
             controlAddresses: this.addresses.map(address => address.entryAddress),
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -42,6 +42,11 @@
         return new StartedProgram(started, JSON.parse(line[0]) as Readonly<Record<string, string>>, closed);
     }
 
+    /** Identifier of the process, under which the system accounts for it. */
+    get processId(): number {
+        return this.child.pid ?? 0;
+    }
+
     /** Ends the program at once, as the loss of its VM would, and waits for its end. */
     async kill(): Promise<void> {
         this.child.kill("SIGKILL");
