--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -2,12 +2,14 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { match } from "ts-pattern";
+import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntryConfiguration } from "../../process/entry/entryConfiguration.js";
 import type { ServingPermit } from "../../process/entry/servingPermit.js";
 import type { UsageRecorder } from "../../process/entry/usageRecorder.js";
 import type { Clock, Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import type { ConfigurationSnapshot } from "../../version/configurationChange.js";
+import { controlToEntrySchema } from "../controlToEntrySchema.js";
 import { entryProtocolVersion } from "../entryMessages.js";
 import type { ControlToEntry, EntryListing, EntryStatus, EntryToControl } from "../entryMessages.js";
 import { MessageConnection } from "../messageConnection.js";
@@ -41,6 +43,7 @@
     readonly renewIncarnation: (ended: string) => void;
     readonly usage: UsageRecorder;
     readonly clock: Clock;
+    readonly eventLog: EventLog;
     readonly configuration: EntryConfiguration;
     readonly permit: ServingPermit;
     readonly status: () => EntryStatus;
@@ -95,7 +98,7 @@
         try {
             for await (const message of this.connection.messages()) {
                 this.heardAt = this.context.clock.now();
-                if (!this.handle(message as ControlToEntry)) {
+                if (!this.take(message)) {
                     break;
                 }
             }
@@ -145,6 +148,29 @@
         }
     }
 
+    /**
+     * Handles a message as it came from the network; one that is malformed ends the connection.
+     *
+     * @returns Whether the connection is still of use.
+     */
+    private take(message: unknown): boolean {
+        try {
+            return controlToEntrySchema.safeParse(message).success
+                ? this.handle(message as ControlToEntry)
+                : this.rejectMalformed();
+        }
+        catch {
+            // The content of a change or snapshot does not fit what this entry holds.
+            return this.rejectMalformed();
+        }
+    }
+
+    private rejectMalformed(): false {
+        const { remoteAddress } = this.connection;
+        this.context.eventLog.write("connectionRejected", { address: remoteAddress, code: "frameMalformed" });
+        return false;
+    }
+
     /** @returns Whether the connection is still of use. */
     private handle(message: ControlToEntry): boolean {
         return match(message)
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -91,6 +91,7 @@
                 },
                 usage: state.usage,
                 clock,
+                eventLog: state.eventLog,
                 configuration: state.configuration,
                 permit: state.permit,
                 status: () => state.status(),
--- a/tests/connection/entry/controlConnection.test.ts
+++ b/tests/connection/entry/controlConnection.test.ts
@@ -3,6 +3,8 @@
 import { ControlClaimStore } from "../../../src/connection/entry/controlClaimStore.js";
 import { ControlConnection } from "../../../src/connection/entry/controlConnection.js";
 import type { ControlConnectionContext } from "../../../src/connection/entry/controlConnection.js";
+import { encodeFrame } from "../../../src/connection/frameCodec.js";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
 import { EntryConfiguration } from "../../../src/process/entry/entryConfiguration.js";
 import { ServingPermit } from "../../../src/process/entry/servingPermit.js";
 import { UsageRecorder } from "../../../src/process/entry/usageRecorder.js";
@@ -26,6 +28,7 @@
         renewIncarnation: () => undefined,
         usage: new UsageRecorder("first"),
         clock: new SystemClock(),
+        eventLog: new EventLog("entry-1", "hidden"),
         configuration: new EntryConfiguration(),
         permit: new ServingPermit(),
         status: () => ({ draining: false, runningRequests: 0, waitingRequests: 0 }),
@@ -35,6 +38,15 @@
     };
 }
 
+const garbageFrames: readonly (readonly [title: string, garbage: Buffer])[] = [
+    ["an unknown kind of message", encodeFrame({ kind: "unknown" })],
+    ["a message that is no map", encodeFrame(17)],
+    ["changes that are no list", encodeFrame({ kind: "changes", changes: { at: 1 } })],
+    ["a snapshot of other bytes", encodeFrame({ kind: "snapshotPart", bytes: Buffer.from([0xff, 0]), last: true })],
+    ["a permit without numbers", encodeFrame({ kind: "permit", number: "1", version: {}, entries: 5 })],
+    ["bytes that are no frame", Buffer.from([0, 0, 0, 2, 0xff, 0xff])],
+];
+
 describe("ControlConnection", () => {
     describe("run", () => {
         it("gives up a process that takes every request and answers none", async t => {
@@ -54,5 +66,18 @@
             sockets.forEach(socket => socket.destroy());
             server.close();
         });
+
+        for (const [title, garbage] of garbageFrames) {
+            it(`ends on ${title} without a fault of the program`, async t => {
+                const server = createServer(socket => {
+                    socket.on("error", () => undefined);
+                    socket.write(garbage);
+                });
+                const address = await listen(server, "127.0.0.1:0");
+                const end = await new ControlConnection(address, contextOf(), new AbortController().signal).run();
+                t.deepEqual(end, { leaderAddress: undefined, silent: false });
+                server.close();
+            });
+        }
     });
 });
