test(fuzz): feed parsers mutated input, and refuse JSON that nests too deeply

Cause: every parser of bytes from outside must refuse with a numbered error.

A manifest of 100,000 open brackets overflowed the stack of the parser; documents and model bodies now refuse more than 200 levels before they are parsed.

--- a/src/request/model/modelBody.ts
+++ b/src/request/model/modelBody.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
+import { findTooDeep, maximumNesting } from "../../util/jsonNesting.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 
@@ -41,9 +42,13 @@
 
 /** Reads the JSON body of a chat or completion call. */
 export function readModelBody(form: ModelCallForm, bytes: Buffer): Result<ModelBody, Failure> {
+    const text = bytes.toString("utf8");
+    if (findTooDeep(text) !== undefined) {
+        return Err(failure("bodyMalformed", { reason: `it nests deeper than ${maximumNesting} levels` }));
+    }
     let value: unknown;
     try {
-        value = JSON.parse(bytes.toString("utf8"));
+        value = JSON.parse(text);
     }
     catch {
         return Err(failure("bodyMalformed", { reason: "it is not JSON" }));
--- a/src/settings/jsonDocument.ts
+++ b/src/settings/jsonDocument.ts
@@ -1,8 +1,9 @@
-import { findNodeAtLocation, getLocation, parse, parseTree, printParseErrorCode } from "jsonc-parser";
+import { findNodeAtLocation, getLocation, parse, parseTree, printParseErrorCode, stripComments } from "jsonc-parser";
 import type { JSONPath, Node, ParseError } from "jsonc-parser";
 import type { z } from "zod";
 import type { Failure } from "../resultCode/resultCode.js";
 import { failure } from "../resultCode/resultCode.js";
+import { findTooDeep, maximumNesting } from "../util/jsonNesting.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { nearestName } from "./nearestName.js";
@@ -22,6 +23,11 @@
 
     /** Parses a text; lists every syntax error with its line. */
     static parse(file: string, text: string): Result<JsonDocument, readonly Failure[]> {
+        const deepAt = findTooDeep(stripComments(text, " "));
+        if (deepAt !== undefined) {
+            const reason = `nested deeper than ${maximumNesting} levels`;
+            return Err([failure("settingsSyntax", { file, line: lineAt(text, deepAt), reason })]);
+        }
         const errors: ParseError[] = [];
         const options = { allowTrailingComma: true, allowEmptyContent: false };
         const value: unknown = parse(text, errors, options);
--- /dev/null
+++ b/src/util/jsonNesting.ts
@@ -0,0 +1,29 @@
+/** Deepest nesting of arrays and objects that is accepted in JSON from outside. */
+export const maximumNesting = 200;
+
+/** Offset at which arrays and objects of a JSON text nest deeper than {@link maximumNesting}, if they do. */
+export function findTooDeep(text: string): number | undefined {
+    let depth = 0;
+    let inString = false;
+    for (let index = 0; index < text.length; index++) {
+        const character = text[index];
+        if (inString) {
+            // An escaped character cannot end the string.
+            index += character === "\\" ? 1 : 0;
+            inString = character !== "\"";
+        }
+        else if (character === "\"") {
+            inString = true;
+        }
+        else if (character === "[" || character === "{") {
+            depth++;
+        }
+        else if (character === "]" || character === "}") {
+            depth--;
+        }
+        if (depth > maximumNesting) {
+            return index;
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/tests/fuzz/messages.test.ts
@@ -0,0 +1,71 @@
+import fastCheck from "fast-check";
+import { entryToControlSchema } from "../../src/connection/entryMessages.js";
+import { encodeFrame, FrameReader } from "../../src/connection/frameCodec.js";
+import { checkHello, helloFrame, readPeerFrame } from "../../src/connection/peerHello.js";
+import type { PeerFrame } from "../../src/connection/peerMessage.js";
+import { definitionOf } from "../../src/resultCode/resultCode.js";
+import { describe, it } from "../describe.js";
+import { mutatedBytes } from "./mutatedText.js";
+
+const introduction = { cluster: "test", memberId: "one" };
+
+const frames: readonly PeerFrame[] = [
+    helloFrame(introduction),
+    { kind: "goodbye", code: "peerHelloMissing" },
+    { kind: "request", id: 1, request: { kind: "takeLead", group: "main", from: "a", to: "b", term: 7 } },
+];
+
+const permitRequest = {
+    kind: "permitRequest",
+    number: 1,
+    version: 2,
+    status: { draining: false, runningRequests: 3, waitingRequests: 4 },
+};
+
+describe("messages from outside", () => {
+    it("decodes or refuses any mutation of peer frames", t => {
+        const bytes = fastCheck.constantFrom(...frames).chain(frame => mutatedBytes(encodeFrame(frame)));
+        fastCheck.assert(
+            fastCheck.property(bytes, mutated => {
+                const received = new FrameReader(1000).push(mutated);
+                const messages = received.ok ? received.val : [];
+                for (const read of messages.flatMap(each => [readPeerFrame(each), checkHello(introduction, each)])) {
+                    t.true(read.ok || definitionOf(read.val.code).number >= 1000);
+                }
+                t.true(received.ok || definitionOf(received.val.code).number >= 1000);
+            }),
+            { seed: 21, numRuns: 3000 },
+        );
+    });
+
+    it("decodes or refuses any mutation of an entry's message", t => {
+        fastCheck.assert(
+            fastCheck.property(mutatedBytes(encodeFrame(permitRequest)), mutated => {
+                const received = new FrameReader(1000).push(mutated);
+                const messages = received.ok ? received.val : [];
+                messages.forEach(message => entryToControlSchema.safeParse(message));
+                t.true(received.ok || definitionOf(received.val.code).number >= 1000);
+            }),
+            { seed: 22, numRuns: 3000 },
+        );
+    });
+
+    it("refuses any value that is no message", t => {
+        fastCheck.assert(
+            fastCheck.property(fastCheck.anything(), value => {
+                t.false(entryToControlSchema.safeParse(value).success);
+                t.true(readPeerFrame(value).err);
+                t.true(checkHello(introduction, value).err);
+            }),
+            { seed: 23, numRuns: 2000 },
+        );
+    });
+
+    it("refuses a frame whose body nests without end", t => {
+        const body = Buffer.alloc(100_000, 0x81);
+        const head = Buffer.alloc(4);
+        head.writeUInt32BE(body.length);
+        const received = new FrameReader().push(Buffer.concat([head, body]));
+        t.is(received.err ? received.val.code : undefined, "frameMalformed");
+    });
+});
