--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -163,7 +163,7 @@
 
     /** Answers bytes that did not become a request, and ends their connection. */
     private refuseBytes(socket: Duplex, reported: Failure): void {
-        this.state.metrics.count("callersRefused");
+        this.state.metrics.counters.count("callersRefused");
         const address = "remoteAddress" in socket ? String(socket.remoteAddress) : "unknown";
         this.state.eventLog.write("callerRefused", { address, code: reported.code });
         socket.on("error", () => undefined);
--- a/src/operator/entryVerdict.ts
+++ b/src/operator/entryVerdict.ts
@@ -5,7 +5,7 @@
     readonly entry: string;
     readonly decision: "admitted" | "queued" | "refused" | "unknown";
     readonly reason: string;
-    /** Endpoints of the pool with room, the one with the fewest requests of this entry first. */
+    /** Endpoints of the pool with room, the one with the lowest load first. */
     readonly candidates: readonly string[];
 }
 
@@ -22,19 +22,31 @@
         return { entry, decision: "refused", reason: "it has no confirmed configuration", candidates: [] };
     }
     const report = state.pools.find(candidate => candidate.pool === pool);
-    const live = (report?.endpoints ?? []).filter(endpoint => !endpoint.leaving);
-    const free = live.filter(endpoint => endpoint.freeSlots > 0);
-    const ordered = [...free].sort((left, right) => left.running - right.running);
+    const endpoints = report?.endpoints ?? [];
+    const free = endpoints.filter(endpoint => endpoint.freeSlots > 0);
+    const ordered = [...free].sort((left, right) => left.load - right.load);
     const candidates = ordered.map(endpoint => endpoint.name);
     const waiting = report?.waiting ?? 0;
-    if (live.length === 0) {
-        return { entry, decision: "queued", reason: `pool ${pool} has no live endpoint`, candidates };
+    if (endpoints.length === 0) {
+        return { entry, decision: "refused", reason: `pool ${pool} has no endpoint`, candidates };
     }
     if (free.length === 0) {
-        return { entry, decision: "queued", reason: `no endpoint has room; ${waiting} requests wait`, candidates };
+        const reason = `${conditionText(endpoints)}; ${waiting} requests wait`;
+        return { entry, decision: "queued", reason, candidates };
     }
     if (waiting > 0) {
         return { entry, decision: "queued", reason: `${waiting} requests wait already`, candidates };
     }
-    return { entry, decision: "admitted", reason: `${free.length} of ${live.length} endpoints have room`, candidates };
+    const reason = `${free.length} of ${endpoints.length} endpoints have room`;
+    return { entry, decision: "admitted", reason, candidates };
+}
+
+/** Why no endpoint has room: how many are full, leave, or are set aside, and for what. */
+function conditionText(endpoints: EntryState["pools"][number]["endpoints"]): string {
+    const counts = new Map<string, number>();
+    for (const { condition, fault } of endpoints) {
+        const text = condition === "sound" ? "full" : `${condition}${fault === undefined ? "" : ` (${fault})`}`;
+        counts.set(text, (counts.get(text) ?? 0) + 1);
+    }
+    return `of ${endpoints.length} endpoints ${[...counts].map(([text, count]) => `${count} ${text}`).join(", ")}`;
 }
--- a/src/process/entry/entryExposition.ts
+++ b/src/process/entry/entryExposition.ts
@@ -22,9 +22,10 @@
 }
 
 function writePool(writer: ExpositionWriter, { pool, running, waiting, endpoints }: PoolReport): void {
-    const leaving = endpoints.filter(endpoint => endpoint.leaving).length;
     writer.sample("gullhall_pool_running_requests", { pool }, running);
     writer.sample("gullhall_pool_waiting_requests", { pool }, waiting);
-    writer.sample("gullhall_pool_endpoints", { pool, state: "leaving" }, leaving);
-    writer.sample("gullhall_pool_endpoints", { pool, state: "live" }, endpoints.length - leaving);
+    for (const condition of ["sound", "trial", "setAside", "leaving"] as const) {
+        const count = endpoints.filter(endpoint => endpoint.condition === condition).length;
+        writer.sample("gullhall_pool_endpoints", { pool, state: condition }, count);
+    }
 }
--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -20,6 +20,8 @@
 /** A program of a cluster that can be started again with the same settings. */
 export class ClusterMember implements AsyncDisposable {
     private running: StartedProgram | undefined;
+    private lastCallerAddress = "";
+    private ended: number | undefined;
 
     constructor(
         readonly name: string,
@@ -29,6 +31,11 @@
         readonly dataFolder: string,
     ) {}
 
+    /** Exit code of its last graceful stop; undefined while it runs, and when a signal ended it. */
+    get exitCode(): number | undefined {
+        return this.ended;
+    }
+
     /** The running program; throws while it does not run. */
     get started(): StartedProgram {
         if (this.running === undefined) {
@@ -37,9 +44,15 @@
         return this.running;
     }
 
+    /** Address for callers at its last start; empty for control processes. */
+    get callerAddress(): string {
+        return this.lastCallerAddress;
+    }
+
     /** Starts the program and waits until it serves. */
     async start(): Promise<void> {
         this.running = await StartedProgram.start(this.program, ["--settings", this.settingsFile]);
+        this.lastCallerAddress = this.running.shown["callerAddress"] ?? "";
     }
 
     /** Ends the program at once, as the loss of its VM would. */
@@ -57,6 +70,7 @@
     async [Symbol.asyncDispose](): Promise<void> {
         this.running?.resume();
         await this.running?.[Symbol.asyncDispose]();
+        this.ended = this.running?.exitCode ?? this.ended;
         this.running = undefined;
     }
 }
@@ -70,6 +84,7 @@
     private addresses: readonly ControlAddressSettings[] = [];
     private controlMembers: readonly ClusterMember[] = [];
     private entryMembers: readonly ClusterMember[] = [];
+    private readonly standIns: StartedProgram[] = [];
 
     /** @param entryCount Number of entries, spread over the failure domains. */
     constructor(private readonly entryCount: number = failureDomains.length) {}
@@ -86,7 +101,7 @@
 
     /** Caller addresses of the entries. */
     get entryAddresses(): readonly string[] {
-        return this.entryMembers.map(entry => entry.started.shown["callerAddress"] ?? "");
+        return this.entryMembers.map(entry => entry.callerAddress);
     }
 
     /** Operator addresses of the control processes. */
@@ -94,6 +109,11 @@
         return this.addresses.map(address => address.operatorAddress);
     }
 
+    /** Exit codes of all programs after the cluster was stopped; undefined for those that a signal ended. */
+    get exitCodes(): readonly (number | undefined)[] {
+        return [...this.entryMembers, ...this.controlMembers, ...this.standIns].map(program => program.exitCode);
+    }
+
     /** Addresses at which the control processes accept entries. */
     get controlEntryAddresses(): readonly string[] {
         return this.addresses.map(address => address.entryAddress);
@@ -115,6 +135,7 @@
     async startStandIn(role: "engine" | "service" | "platform", name: string, options: object): Promise<string> {
         const flags = [role, "--name", name, "--options", JSON.stringify(options)];
         const program = this.store.add(await StartedProgram.start("gullhallStandIn", flags));
+        this.standIns.push(program);
         return program.shown["address"] ?? "";
     }
 
--- a/src/quickstart/startedProgram.ts
+++ b/src/quickstart/startedProgram.ts
@@ -42,6 +42,11 @@
         return new StartedProgram(started, JSON.parse(line[0]) as Readonly<Record<string, string>>, closed);
     }
 
+    /** Exit code of the program; undefined while it runs, and when a signal ended it. */
+    get exitCode(): number | undefined {
+        return this.child.exitCode ?? undefined;
+    }
+
     /** Identifier of the process, under which the system accounts for it. */
     get processId(): number {
         return this.child.pid ?? 0;
--- a/src/request/model/modelAttempt.ts
+++ b/src/request/model/modelAttempt.ts
@@ -102,7 +102,7 @@
             return { kind: "callerTooSlow" };
         }
         if (this.stalled.signal.aborted) {
-            context.metrics.count("stalledAnswers");
+            context.metrics.counters.count("stalledAnswers");
             this.noteFault("stalled");
             return { kind: "broken", reason: "the answer stood still" };
         }
@@ -147,7 +147,7 @@
         const { context, pending } = this.parts;
         const { endpoint } = this.placement;
         if (crossed > 0) {
-            context.metrics.count("foreignAnswers", crossed);
+            context.metrics.counters.count("foreignAnswers", crossed);
             const fields = { requestId: pending.id, endpoint: endpoint.name, parts: crossed };
             context.eventLog.write("foreignAnswerDropped", fields);
         }
@@ -155,7 +155,7 @@
             endpoint.noteSuccess(this.now());
         }
         else if (!this.signal.aborted) {
-            context.metrics.count("malformedAnswers");
+            context.metrics.counters.count("malformedAnswers");
             this.noteFault("brokenAnswer");
         }
     }
