--- a/src/experiment/slopes/controlSlopes.ts
+++ b/src/experiment/slopes/controlSlopes.ts
@@ -1,6 +1,7 @@
 import { Cluster } from "../../quickstart/cluster.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { MeasuredCluster, measuredClusterName } from "../measuredCluster.js";
+import { readProcessUsage } from "../processUsage.js";
 import { FakeEntryFleet } from "./fakeEntryFleet.js";
 import { issueKeysAtRate } from "./keyChanges.js";
 import type { LinearFit } from "./linearFit.js";
@@ -54,6 +55,9 @@
     readonly withPermit: number;
     /** Bytes a second that control sent to all of them meanwhile. */
     readonly receivedPerSecond: number;
+    /** Part of a core that the leader, and this process with all the entries, used meanwhile. */
+    readonly leaderCores: number;
+    readonly ownCores: number;
 }
 
 /** The leader's cost against entries and changes. */
@@ -89,7 +93,7 @@
     const spread: SpreadTimes[] = [];
     const joins: JoinTrial[] = [];
     for (const count of entryCounts) {
-        joins.push(await measureJoin(fleet, count, clock));
+        joins.push(await measureJoin(measured, fleet, count, clock));
         await clock.sleep(1000);
         costs.push(await measureLoad(measured, fleet, quiet, clock));
         costs.push(await measureLoad(measured, fleet, listings, clock));
@@ -98,17 +102,31 @@
     for (const changesPerSecond of changeRates) {
         costs.push(await measureLoad(measured, fleet, { ...quiet, changesPerSecond }, clock));
     }
-    joins.push(await measureJoin(fleet, triedEntries, clock));
+    joins.push(await measureJoin(measured, fleet, triedEntries, clock));
     return { costs, spread, joins, ...fitsOf(costs) };
 }
 
-async function measureJoin(fleet: FakeEntryFleet, entries: number, clock: Clock): Promise<JoinTrial> {
-    const start = clock.now();
+async function measureJoin(
+    measured: MeasuredCluster,
+    fleet: FakeEntryFleet,
+    entries: number,
+    clock: Clock,
+): Promise<JoinTrial> {
+    const leader = await measured.findLeader();
     const before = fleet.traffic().received;
-    await fleet.growTo(entries, joinTimeout);
-    const seconds = (clock.now() - start) / 1000;
-    const receivedPerSecond = (fleet.traffic().received - before) / seconds;
-    return { entries, seconds, withPermit: fleet.permitted, receivedPerSecond };
+    const ownBefore = await readProcessUsage(process.pid);
+    const span = await usageWhile(leader.started.processId, clock, async () => {
+        await fleet.growTo(entries, joinTimeout);
+    });
+    const ownAfter = await readProcessUsage(process.pid);
+    return {
+        entries,
+        seconds: span.seconds,
+        withPermit: fleet.permitted,
+        receivedPerSecond: (fleet.traffic().received - before) / span.seconds,
+        leaderCores: span.cores,
+        ownCores: (ownAfter.processorTime - ownBefore.processorTime) / 1000 / span.seconds,
+    };
 }
 
 async function measureLoad(
