--- a/src/experiment/slopes/teamSlopes.ts
+++ b/src/experiment/slopes/teamSlopes.ts
@@ -12,6 +12,7 @@
 const teamCounts = [1000, 6000, 18_000];
 
 const entries = 10;
+const joinTimeout: Milliseconds = 15_000;
 const changesPerSecond = 5;
 const spanSeconds = 3;
 
@@ -73,7 +74,7 @@
             return manifest;
         }));
     using fleet = new FakeEntryFleet(measuredClusterName, cluster.controlEntryAddresses, clock);
-    await fleet.growTo(entries);
+    await fleet.growTo(entries, joinTimeout);
     await fleet.allHold(1);
     const snapshotBytes = fleet.traffic().received / entries;
     let version = 0;
--- a/src/settings/jsonDocument.ts
+++ b/src/settings/jsonDocument.ts
@@ -1,9 +1,17 @@
-import { findNodeAtLocation, getLocation, getNodeValue, parseTree, printParseErrorCode } from "jsonc-parser";
+import {
+    findNodeAtLocation,
+    getLocation,
+    getNodeValue,
+    parseTree,
+    printParseErrorCode,
+    stripComments,
+} from "jsonc-parser";
 import type { JSONPath, Node, ParseError } from "jsonc-parser";
 import { match } from "ts-pattern";
 import type { z } from "zod";
 import type { Failure } from "../resultCode/resultCode.js";
 import { failure } from "../resultCode/resultCode.js";
+import { findTooDeep, maximumNesting } from "../util/jsonNesting.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { LineTable } from "./lineTable.js";
@@ -38,8 +46,13 @@
 
     /** Parses a text; lists every syntax error with its line. */
     static parse(file: string, text: string): Result<JsonDocument, readonly Failure[]> {
-        const errors: ParseError[] = [];
         const lines = new LineTable(text);
+        const deepAt = findTooDeep(stripComments(text, " "));
+        if (deepAt !== undefined) {
+            const reason = `nested deeper than ${maximumNesting} levels`;
+            return Err([failure("settingsSyntax", { file, line: lines.lineAt(deepAt), reason })]);
+        }
+        const errors: ParseError[] = [];
         const options = { allowTrailingComma: true, allowEmptyContent: false };
         const tree = parseTree(text, errors, options);
         if (tree === undefined || errors.length > 0) {
