--- a/src/bin/runProgram.ts
+++ b/src/bin/runProgram.ts
@@ -1,6 +1,6 @@
 import { EventLog } from "../logEvent/eventLog.js";
 import type { LogStyle } from "../logEvent/eventLog.js";
-import { describeFailure } from "../resultCode/resultCode.js";
+import { describeFailure, failure } from "../resultCode/resultCode.js";
 import type { Failure } from "../resultCode/resultCode.js";
 import { SystemClock } from "../util/clock.js";
 import type { Clock } from "../util/clock.js";
@@ -11,6 +11,8 @@
 export interface ServingProcess extends AsyncDisposable {
     /** Starts to serve; resolves with what is shown on standard output. */
     start(): Promise<object>;
+    /** Resolves with the reason when the process should stop without a signal. */
+    readonly stopRequested?: Promise<string>;
 }
 
 /** What a program's settings must contain to run it. */
@@ -55,12 +57,14 @@
         eventLog.write("processStarted", { role: program.role, address, failureDomain, version: program.version });
     }
     catch (error) {
-        eventLog.write("taskFailed", { task: "start", reason: String(error) });
+        const reason = error instanceof Error ? error.message : String(error);
+        eventLog.write("taskFailed", { task: "start", reason });
+        process.stderr.write(`${describeFailure(failure("startFailed", { reason }))}\n`);
         await serving[Symbol.asyncDispose]();
         process.exitCode = exitFailure;
         return;
     }
-    eventLog.write("processStopping", { reason: await stopping });
+    eventLog.write("processStopping", { reason: await Promise.race([stopping, serving.stopRequested ?? stopping]) });
     await serving[Symbol.asyncDispose]();
     eventLog.write("processStopped", {});
 }
--- a/src/operator/statusLines.ts
+++ b/src/operator/statusLines.ts
@@ -10,6 +10,8 @@
     return [
         ...controlLines(status),
         "",
+        ...memberLines(status.members),
+        "",
         ...entryLines(status),
         "",
         ...endpointLines(status, states),
@@ -19,20 +21,34 @@
 }
 
 function controlLines(status: ShownStatus): readonly string[] {
-    const { control, fencingNumber, leaderAddress, version, manifest } = status;
-    const lease = fencingNumber === undefined ? "holds no lease" : `holds the lease of term ${fencingNumber}`;
+    const { control, fencingNumber, log, version, manifest } = status;
     const submitted = manifest === undefined
         ? "no manifest"
         : `manifest ${manifest.number ?? unknownFigure} by ${manifest.operator} at ${isoTime(manifest.receivedAt)}`;
-    const leader = leaderAddress === undefined ? [] : [`leader   ${leaderAddress}`];
-    return [`control  ${control}, ${lease}`, ...leader, `version  ${version}, ${submitted}`];
+    return [
+        `leader   ${control}, holds the lease of term ${fencingNumber}`,
+        `log      last ${log.lastPosition}, committed ${log.commitPosition}, applied ${log.appliedPosition}`,
+        `version  ${version}, ${submitted}`,
+    ];
 }
 
-function isoTime(unixMilliseconds: number): string {
+/** The members of the log group for people. */
+export function memberLines(members: ShownStatus["members"]): readonly string[] {
+    const rows = members.map(member => [
+        member.memberId,
+        member.leads ? "leader" : member.role,
+        member.address,
+        member.operatorAddress,
+    ]);
+    return textTable(["member", "role", "peers at", "operators at"], rows);
+}
+
+/** A time in the form of ISO 8601. */
+export function isoTime(unixMilliseconds: number): string {
     return new Date(unixMilliseconds).toISOString();
 }
 
-function entryLines({ version, entries }: ShownStatus): readonly string[] {
+function entryLines({ version, entries, entriesComplete }: ShownStatus): readonly string[] {
     const rows = entries.map(entry => [
         entry.entry,
         entry.failureDomain,
@@ -42,7 +58,8 @@
         String(entry.runningRequests),
         String(entry.waitingRequests),
     ]);
-    return textTable(["entry", "failure domain", "callers at", "version", "state", "running", "waiting"], rows);
+    const table = textTable(["entry", "failure domain", "callers at", "version", "state", "running", "waiting"], rows);
+    return entriesComplete ? table : [...table, "The leader is new; entries may be missing for a few seconds."];
 }
 
 function endpointLines({ pools }: ShownStatus, states: readonly FetchedState[]): readonly string[] {
@@ -50,14 +67,13 @@
         pool.endpoints.map(endpoint => {
             const seen = states.flatMap(({ state }) => endpointReport(state, pool.name, endpoint.name));
             const running = seen.reduce((sum, report) => sum + report.running, 0);
-            const leaving = seen.some(report => report.leaving);
             return [
                 pool.name,
                 endpoint.name,
                 endpoint.failureDomain,
                 endpoint.address,
                 endpoint.cheap ? "cheap" : "steady",
-                leaving ? "leaving" : "live",
+                conditionText(seen),
                 seen.length === 0 ? unknownFigure : String(running),
             ];
         })
@@ -65,6 +81,16 @@
     return textTable(["pool", "endpoint", "failure domain", "address", "supply", "state", "running"], rows);
 }
 
+/** What the entries think of an endpoint, where they differ with the number of entries for each view. */
+function conditionText(seen: EntryState["pools"][number]["endpoints"]): string {
+    const views = seen.map(({ condition, fault }) => fault === undefined ? condition : `${condition} (${fault})`);
+    const distinct = [...new Set(views)];
+    if (distinct.length <= 1) {
+        return distinct[0] ?? unknownFigure;
+    }
+    return distinct.map(view => `${views.filter(other => other === view).length}x ${view}`).join(", ");
+}
+
 function endpointReport(
     state: EntryState | undefined,
     pool: string,
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -15,6 +15,9 @@
 /** Longest time until the other entries no longer name a draining one, in milliseconds. */
 const listingDelay: Milliseconds = 1_000;
 
+/** Longest wait of a stopping entry for the confirmation of its usage records, in milliseconds. */
+const usageDeliveryTimeout: Milliseconds = 10_000;
+
 /** The addresses at which an entry serves. */
 export interface EntryAddresses {
     readonly callerAddress: string;
@@ -26,6 +29,11 @@
     private readonly store = new DisposableStore();
     private readonly stopping = new AbortController();
     private readonly state: EntryProcessState;
+    private requestStop: (reason: string) => void = () => undefined;
+    /** Resolves with the reason when the process should stop by itself. */
+    readonly stopRequested = new Promise<string>(resolve => {
+        this.requestStop = resolve;
+    });
 
     constructor(private readonly settings: EntrySettings, private readonly clock: Clock, eventLog: EventLog) {
         this.state = this.store.add(new EntryProcessState(settings, clock, eventLog));
@@ -41,6 +49,7 @@
             this.stopping.abort();
             await Promise.all(tasks);
         });
+        this.store.defer(() => this.deliverUsage());
         this.store.add(callerServer);
         return { callerAddress, metricsAddress };
     }
@@ -52,6 +61,17 @@
         await this.store.dispose();
     }
 
+    /** Waits, after the last request has ended, until control has confirmed what is to be billed. */
+    private async deliverUsage(): Promise<void> {
+        const end = this.clock.now() + usageDeliveryTimeout;
+        while (!this.state.usage.delivered && this.clock.now() < end) {
+            await this.clock.sleep(sweepInterval);
+        }
+        if (!this.state.usage.delivered) {
+            this.state.eventLog.write("usageUndelivered", {});
+        }
+    }
+
     private followControl(addresses: EntryAddresses): Promise<void> {
         const { cluster, name, failureDomain, controlAddresses } = this.settings;
         const { state, clock } = this;
@@ -74,6 +94,9 @@
                 configuration: state.configuration,
                 permit: state.permit,
                 status: () => state.status(),
+                onDrain: () => {
+                    this.requestStop("an operator drains this entry");
+                },
                 claims: state.claims,
                 onListing: listings => {
                     state.updateListing(listings, clock.now());
--- a/src/process/entry/entryStateReport.ts
+++ b/src/process/entry/entryStateReport.ts
@@ -1,7 +1,12 @@
 import type { Milliseconds } from "../../util/clock.js";
+import type { HealthFault, HealthState } from "./endpointHealth.js";
+import type { EndpointState } from "./endpointState.js";
 import type { ClassFigures } from "./entryMetrics.js";
 import type { EntryProcessState } from "./entryProcessState.js";
 
+/** Whether an endpoint gets work from an entry. */
+export type EndpointCondition = HealthState["kind"] | "leaving";
+
 /** One endpoint as an entry sees it. */
 export interface EndpointReport {
     readonly name: string;
@@ -9,7 +14,11 @@
     readonly running: number;
     /** Requests of this entry that could be started now. */
     readonly freeSlots: number;
-    readonly leaving: boolean;
+    /** Estimated share of its slots that are taken by all entries. */
+    readonly load: number;
+    readonly condition: EndpointCondition;
+    /** Why it is set aside or on trial. */
+    readonly fault: HealthFault | undefined;
 }
 
 /** One pool as an entry sees it. */
@@ -54,11 +63,19 @@
         pool,
         running,
         waiting,
-        endpoints: table.all.map(endpoint => ({
-            name: endpoint.name,
-            running: endpoint.running,
-            freeSlots: endpoint.freeSlots,
-            leaving: endpoint.leaving,
-        })),
+        endpoints: table.all.map(endpointReport),
+    };
+}
+
+function endpointReport(endpoint: EndpointState): EndpointReport {
+    const { name, running, freeSlots, load, leaving } = endpoint;
+    const health = endpoint.health.state;
+    return {
+        name,
+        running,
+        freeSlots,
+        load,
+        condition: leaving ? "leaving" : health.kind,
+        fault: health.kind === "sound" ? undefined : health.fault,
     };
 }
