--- a/src/request/admission/loadGuard.ts
+++ b/src/request/admission/loadGuard.ts
@@ -14,6 +14,9 @@
 /** Requests beyond the length that may wait for room at other entries, as a share of the length. */
 const heldShare = 0.1;
 
+/** Requests that may wait for room at other entries at most, because each of them is judged anew at every sweep. */
+const mostHeld = 256;
+
 /** A waiting request that must be refused under load, and why. */
 export interface ShedDecision {
     readonly queued: QueuedRequest;
@@ -141,7 +144,8 @@
         if (running.hasPreemptibleBelow(tier) && this.held.size < gauge.preemptibleBelow(tier)) {
             return true;
         }
-        return this.held.size < maximumLength * heldShare && neighbours.lowerTierElsewhere(tier, now);
+        const limit = Math.min(mostHeld, maximumLength * heldShare);
+        return this.held.size < limit && neighbours.lowerTierElsewhere(tier, now);
     }
 
     private choose(cause: QueuedRequest): ShedDecision | undefined {
