fix(request): let new weights, tiers and classes reach a queue that never empties

Cause: the weight of a team was fixed when its share was made, so a team that never paused kept the old one; a class whose tier or weight changed left its old queue behind for good. Change: a share takes its weight from the configuration with each request; a replaced class goes once nothing of it waits or runs. Conclusion: an accepted configuration is in force in the queues with the next request of a team.

--- a/src/request/admission/classQueue.ts
+++ b/src/request/admission/classQueue.ts
@@ -74,14 +74,19 @@
         return this.latestClass === undefined ? Infinity : this.serviceTimes.admissibleWait(this.latestClass);
     }
 
-    /** The share of a request's team. */
+    /** The share of a request's team, with the weight of the configuration in force. */
     shareOf(request: PendingRequest): TeamShare {
+        const weight = this.weights.weightOf(request.team);
         let share = this.teams.get(request.team);
         if (share === undefined) {
-            share = new TeamShare(request.team, this.weights.weightOf(request.team), this);
+            share = new TeamShare(request.team, weight, this);
             share.counter = this.virtualTime;
             this.teams.set(request.team, share);
         }
+        else if (share.weight !== weight) {
+            this.activeWeight += share.orderMember === undefined ? 0 : weight - share.weight;
+            share.weight = weight;
+        }
         return share;
     }
 
--- a/src/request/admission/serviceFloor.ts
+++ b/src/request/admission/serviceFloor.ts
@@ -31,6 +31,11 @@
         }
     }
 
+    /** Forgets a class that is gone. */
+    forget(gone: ClassQueue): void {
+        this.states.delete(gone);
+    }
+
     /** Notes that a request of a class was taken, and divides the floor's share of it. */
     noteServed(served: ClassQueue, tokens: number, now: Milliseconds): void {
         const state = this.states.get(served);
--- a/src/request/admission/teamShare.ts
+++ b/src/request/admission/teamShare.ts
@@ -45,10 +45,10 @@
 
     /**
      * @param name Name of the team; undefined for requests without one.
-     * @param weight Share of service among the teams of the class.
+     * @param weight Share of service among the teams of the class; it changes with the configuration.
      * @param owner The class that holds it.
      */
-    constructor(readonly name: string | undefined, readonly weight: number, readonly owner: ClassQueue) {}
+    constructor(readonly name: string | undefined, public weight: number, readonly owner: ClassQueue) {}
 
     /** Number of waiting requests that were not begun. */
     get size(): number {
--- a/src/request/admission/tierQueue.ts
+++ b/src/request/admission/tierQueue.ts
@@ -15,6 +15,14 @@
         this.classes.push(added);
     }
 
+    /** Removes a class that has nothing left. */
+    removeClass(removed: ClassQueue): void {
+        const index = this.classes.indexOf(removed);
+        if (index >= 0) {
+            this.classes.splice(index, 1);
+        }
+    }
+
     /** Number of waiting requests that were not begun; these alone may be shed. */
     get sheddable(): number {
         return this.classes.reduce((sum, each) => sum + each.arrivals.size, 0);
--- a/src/request/admission/tierTable.ts
+++ b/src/request/admission/tierTable.ts
@@ -38,6 +38,7 @@
     private readonly arrivingRequests = this.tiers.map(() => new DecayingRate(arrivalAveraging));
     private readonly arrivingOutput = this.tiers.map(() => new DecayingRate(arrivalAveraging));
     private readonly classes = new Map<string, ClassQueue>();
+    private readonly newest = new Map<string, ClassQueue>();
 
     /** @param weights Weights of the teams. */
     constructor(private readonly weights: TeamWeights) {}
@@ -65,10 +66,24 @@
             found = new ClassQueue(requestClass.name, requestClass.tier, requestClass.weight, this.weights);
             this.tierOf(requestClass.tier).addClass(found);
             this.classes.set(key, found);
+            this.newest.set(requestClass.name, found);
         }
         return found;
     }
 
+    /** Removes the classes that a new configuration has replaced, once nothing of them waits or runs; returns them. */
+    removeReplaced(): readonly ClassQueue[] {
+        const removed: ClassQueue[] = [];
+        for (const [key, each] of this.classes) {
+            if (this.newest.get(each.name) !== each && each.size === 0 && each.teamCount === 0) {
+                this.classes.delete(key);
+                this.tierOf(each.tier).removeClass(each);
+                removed.push(each);
+            }
+        }
+        return removed;
+    }
+
     /** The queue of a tier. */
     tierOf(tier: number): TierQueue {
         const found = this.tiers[tier];
--- a/src/request/admission/tieredQueue.ts
+++ b/src/request/admission/tieredQueue.ts
@@ -80,6 +80,11 @@
         return this.waiting.size;
     }
 
+    /** Number of classes that are remembered. */
+    get classCount(): number {
+        return [...this.table.allClasses].length;
+    }
+
     /** Number of waiting requests that would have been shed if no room could be made below them. */
     get heldLength(): number {
         return this.guard.heldLength;
@@ -127,6 +132,9 @@
             each.setAsideLate(now);
             each.forgetIdleTeams();
         }
+        for (const replaced of this.table.removeReplaced()) {
+            this.floor.forget(replaced);
+        }
         for (const { queued, code } of this.guard.judgeHeld(capacity, now)) {
             refusals.push(this.refuse(queued, code, now));
         }
--- a/tests/request/admission/tieredQueue.test.ts
+++ b/tests/request/admission/tieredQueue.test.ts
@@ -1,6 +1,7 @@
 import { SummaryPressure } from "../../../src/request/admission/neighbourPressure.js";
 import { emptySummary, emptyTier } from "../../../src/request/admission/poolSummary.js";
 import type { PoolSummary, TierSummary } from "../../../src/request/admission/poolSummary.js";
+import { ListedTeamWeights } from "../../../src/request/admission/teamWeights.js";
 import { TieredQueue } from "../../../src/request/admission/tieredQueue.js";
 import { describe, it } from "../../describe.js";
 import { classOf, requestOf, tenASecond } from "./requestBuilder.js";
@@ -117,6 +118,44 @@
         });
     });
 
+    describe("a new configuration", () => {
+        it("changes the weight of a team that never pauses", t => {
+            const weights = new Map([["team-a", 1], ["team-b", 1]]);
+            const queue = new TieredQueue({ weights: new ListedTeamWeights(weights) });
+            const patient = classOf(1, { target: { totalMilliseconds: 1e8 } });
+            const takenOfB = (prefix: string): number => {
+                const taken = [...Array(120).keys()].map(turn => {
+                    ["team-a", "team-b"].forEach(team => {
+                        queue.offer(requestOf(`${prefix}-${team}-${turn}`, patient, { team }), tenASecond, 0);
+                    });
+                    return queue.take(tenASecond, 0)?.team;
+                });
+                return taken.filter(team => team === "team-b").length;
+            };
+            t.is(takenOfB("before"), 60);
+            weights.set("team-b", 3);
+            t.is(takenOfB("after"), 90);
+        });
+
+        it("moves a class to another tier, and keeps nothing of the old one once it has run out", t => {
+            const queue = new TieredQueue();
+            queue.offer(requestOf("old", classOf(4, { name: "draft" })), noSlot, 0);
+            queue.offer(requestOf("other", classOf(2)), noSlot, 0);
+            queue.offer(requestOf("new", classOf(1, { name: "draft" })), noSlot, 0);
+            const taken = [0, 1, 2].map(() => queue.take(tenASecond, 10));
+            t.deepEqual(taken.map(each => each?.id), ["new", "other", "old"]);
+            t.is(queue.classCount, 3);
+            taken.forEach(each => {
+                if (each !== undefined) {
+                    queue.complete(each, { promptTokens: 100, cachedTokens: 0, outputTokens: 20, serviceTime: 100 });
+                }
+            });
+            queue.sweep(tenASecond, 20);
+            queue.sweep(tenASecond, 30);
+            t.is(queue.classCount, 2);
+        });
+    });
+
     describe("withdrawKey", () => {
         it("answers every waiting request of the key, truthfully where it had begun", t => {
             const queue = runningBatch();
