--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -86,6 +86,9 @@
     private entryMembers: readonly ClusterMember[] = [];
     private readonly standIns: StartedProgram[] = [];
 
+    /** @param entryCount Number of entries, spread over the failure domains. */
+    constructor(private readonly entryCount: number = failureDomains.length) {}
+
     /** The control processes. */
     get controls(): readonly ClusterMember[] {
         return this.controlMembers;
@@ -111,13 +114,19 @@
         return [...this.entryMembers, ...this.controlMembers, ...this.standIns].map(program => program.exitCode);
     }
 
-    /** Starts control processes and one entry in each failure domain. */
+    /** Addresses at which the control processes accept entries. */
+    get controlEntryAddresses(): readonly string[] {
+        return this.addresses.map(address => address.entryAddress);
+    }
+
+    /** Starts a control process in each failure domain, and the entries. */
     async start(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "gullhall-"));
         this.store.defer(() => rm(this.folder, { recursive: true, force: true }));
         this.addresses = await takeControlAddresses();
         this.controlMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareControl(index)));
-        this.entryMembers = await Promise.all([...failureDomains.keys()].map(index => this.prepareEntry(index)));
+        const entryIndexes = [...Array(this.entryCount).keys()];
+        this.entryMembers = await Promise.all(entryIndexes.map(index => this.prepareEntry(index)));
         this.controlMembers.forEach(member => this.store.add(member));
         await Promise.all([...this.controlMembers, ...this.entryMembers].map(member => member.start()));
     }
@@ -169,7 +178,7 @@
         const settings = await this.writeFile(`${name}.json`, {
             cluster: "quickstart",
             name,
-            failureDomain: failureDomains[index],
+            failureDomain: failureDomains[index % failureDomains.length],
             logStyle: "hidden",
             callerAddress: "127.0.0.1:0",
             controlAddresses: this.addresses.map(address => address.entryAddress),
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -55,7 +55,7 @@
     async run(): Promise<void> {
         const { dispatcher, callerLeft, clock, metrics } = this.context;
         this.context.retryBudgets.of(this.labels.requestClass).noteFirstAttempt();
-        metrics.count("firstAttempts");
+        metrics.counters.count("firstAttempts");
         let placed: Result<Placement, Refused> = await dispatcher.acquire(this.pending, callerLeft);
         if (placed.ok) {
             metrics.recordTime(this.labels, "queueWait", placed.val.startedAt - this.pending.arrivedAt);
@@ -108,13 +108,13 @@
         const { metrics, eventLog, requestId } = this.context;
         const { nextToken } = this.progress;
         if (end.kind === "preempted") {
-            metrics.count("preemptions");
+            metrics.counters.count("preemptions");
         }
         else if (nextToken === 0) {
-            metrics.count("retries");
+            metrics.counters.count("retries");
         }
         else {
-            metrics.count("resumes");
+            metrics.counters.count("resumes");
             const reason = "reason" in end ? end.reason : end.kind;
             eventLog.write("answerResumed", { requestId, endpoint: placement.endpoint.name, nextToken, reason });
         }
@@ -239,7 +239,7 @@
 
     private cutCaller(): void {
         const { metrics, eventLog, requestId } = this.context;
-        metrics.count("callersCut");
+        metrics.counters.count("callersCut");
         metrics.countEnd(this.labels, "failed", false);
         eventLog.write("callerCut", { requestId });
         this.writer.fail(failure("callerTooSlow"));
