feat(entry): enforce team limits and share pool pressure over all entries

Cause: a manifest's limits and team weights were accepted and had no effect, and entries did not know of each other's pressure. Change: entries send pool summaries and limit demands with each permit request; the leader adds up the summaries and divides limits by demand; team weights come from the configuration. A command that makes a section throw is rejected by every member alike (GH1218) instead of stopping them. Conclusion: the effect on attainment between real entries is not measured yet.

--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -4,6 +4,8 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
 import { permitMilliseconds } from "../../process/control/entryTable.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
+import type { LimitDivision } from "../../process/control/limitDivision.js";
+import type { PoolPressure } from "../../process/control/poolPressure.js";
 import type { CommandLog } from "../../process/replicatedLog/commandLog.js";
 import type { ControlProposals } from "../../process/state/controlProposals.js";
 import type { ControlCommand, ControlOutcome, ControlState } from "../../process/state/controlState.js";
@@ -40,6 +42,8 @@
     readonly commandLog: CommandLog<ControlCommand, ControlOutcome>;
     readonly proposals: ControlProposals;
     readonly entries: EntryTable;
+    readonly pressure: PoolPressure;
+    readonly limitDivision: LimitDivision;
     /** Woken after each applied command. */
     readonly applied: WakeUp;
     /** Address of the leader's port for entries; undefined while no leader is known. */
@@ -130,12 +134,20 @@
         entries.enterTerm(term, clock.now());
         this.record(request, hello, receivedAt);
         const listing = entries.listingVersion;
+        const now = clock.now();
+        if (request.pools !== undefined) {
+            this.context.pressure.report(hello.incarnation, request.pools, now);
+        }
+        const { demands } = request;
+        const limitParts = demands && this.context.limitDivision.divide(hello.incarnation, demands, now);
         this.send({
             kind: "permit",
             number: request.number,
             version: state.configuration.current.version,
             validMilliseconds: permitMilliseconds,
             entries: listing === this.sentListing ? undefined : entries.listings(),
+            pools: request.pools && this.context.pressure.sumsOf(now),
+            limitParts,
         });
         this.sentListing = listing;
         if (!request.status.draining && entries.drainRequested(hello.entry, hello.incarnation)) {
--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -9,7 +9,7 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { listen } from "../../util/socketAddress.js";
-import { answerFailure, answerJson, failureBody } from "../httpAnswer.js";
+import { answerFailure, answerJson, failureBody, retryAfterHeader } from "../httpAnswer.js";
 import { CallAdmission } from "./callAdmission.js";
 
 /** Bounds on callers. */
@@ -117,7 +117,21 @@
             return;
         }
         const { context, modelBody } = admitted.val;
-        await (modelBody === undefined ? new ServiceRequest(context) : new ModelRequest(context, modelBody)).run();
+        const { limits, clock } = this.state;
+        const limited = limits.admit(context.identity, modelBody?.estimatedPromptTokens ?? 0, clock.now());
+        if ("code" in limited) {
+            const headers = { "x-request-id": context.requestId, ...retryAfterHeader(limited.retryAfter) };
+            answerFailure(response, failure(limited.code), headers);
+            return;
+        }
+        if (modelBody === undefined) {
+            await new ServiceRequest(context).run();
+            limits.finish(limited, 0, clock.now());
+            return;
+        }
+        const modelRequest = new ModelRequest(context, modelBody);
+        await modelRequest.run();
+        limits.finish(limited, modelRequest.tokensUsed, clock.now());
     }
 
     private answerEntries(request: IncomingMessage, response: ServerResponse): void {
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -3,9 +3,12 @@
 import type { Socket } from "node:net";
 import { match } from "ts-pattern";
 import type { EventLog } from "../../logEvent/eventLog.js";
+import type { OwnerDemand, OwnerPart } from "../../process/control/limitDivision.js";
+import type { PoolRow } from "../../process/control/poolPressure.js";
 import type { EntryConfiguration } from "../../process/entry/entryConfiguration.js";
 import type { ServingPermit } from "../../process/entry/servingPermit.js";
 import type { UsageRecorder } from "../../process/entry/usageRecorder.js";
+import { summaryInterval } from "../../request/admission/neighbourPressure.js";
 import type { Clock, Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import type { ConfigurationSnapshot } from "../../version/configurationChange.js";
@@ -16,7 +19,7 @@
 import type { ControlClaimStore } from "./controlClaimStore.js";
 
 /** How often an entry asks for a new permit, in milliseconds. */
-const permitInterval: Milliseconds = 400;
+const permitInterval: Milliseconds = summaryInterval;
 
 /** Longest wait for a connection or for an answer, in milliseconds. */
 const answerTimeout: Milliseconds = 1000;
@@ -49,6 +52,11 @@
     readonly status: () => EntryStatus;
     /** Called when an operator asked this entry to stop gracefully. */
     readonly onDrain: () => void;
+    /** What other entries and control should know of this one's pools and limits; called once for each message. */
+    readonly takePoolRows: (now: Milliseconds) => readonly PoolRow[];
+    readonly takeDemands: (now: Milliseconds) => readonly OwnerDemand[];
+    readonly onPoolSums: (sums: readonly PoolRow[], now: Milliseconds) => void;
+    readonly onLimitParts: (parts: readonly OwnerPart[], now: Milliseconds) => void;
     readonly onListing: (entries: readonly EntryListing[]) => void;
     readonly claims: ControlClaimStore;
 }
@@ -131,9 +139,17 @@
                 this.socket.destroy();
                 return;
             }
+            const now = clock.now();
             const number = this.nextNumber++;
-            this.sentAt.set(number, clock.now());
-            this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
+            this.sentAt.set(number, now);
+            this.send({
+                kind: "permitRequest",
+                number,
+                version: configuration.current.version,
+                status: status(),
+                pools: this.context.takePoolRows(now),
+                demands: this.context.takeDemands(now),
+            });
             this.deliverUsage();
             await clock.sleep(permitInterval, this.ended.signal);
         }
@@ -239,6 +255,13 @@
         if (sentAt !== undefined) {
             this.context.permit.grant(sentAt, permit.validMilliseconds, permit.version);
         }
+        const now = this.context.clock.now();
+        if (permit.pools !== undefined) {
+            this.context.onPoolSums(permit.pools, now);
+        }
+        if (permit.limitParts !== undefined) {
+            this.context.onLimitParts(permit.limitParts, now);
+        }
         if (permit.entries !== undefined) {
             this.context.onListing(permit.entries);
         }
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -1,5 +1,7 @@
 import { z } from "zod";
 import type { ClaimDecision } from "../process/claims/claimCommand.js";
+import type { OwnerPart } from "../process/control/limitDivision.js";
+import type { PoolRow } from "../process/control/poolPressure.js";
 import type { UsageOutcomeOfCommand } from "../process/usage/usageCommand.js";
 import { bytesSchema } from "../util/bytesSchema.js";
 import type { ConfigurationSnapshot, VersionedChange } from "../version/configurationChange.js";
@@ -20,6 +22,27 @@
 /** Usage records in one message at most. */
 const maximumUsageRecords = 1000;
 
+/** Pools whose summaries one message carries at most. */
+const maximumPools = 64;
+
+/** Integers in the summary of a pool at most. */
+const maximumRowLength = 64;
+
+/** Teams and keys whose demands one message carries at most. */
+const maximumDemands = 200;
+
+const poolRowSchema = z.strictObject({
+    pool: shortText,
+    row: z.array(count).max(maximumRowLength).readonly(),
+}).readonly();
+
+const ownerDemandSchema = z.strictObject({
+    owner: shortText,
+    requests: z.number().min(0),
+    tokens: z.number().min(0),
+    concurrent: z.number().min(0),
+}).readonly();
+
 const usageRecordSchema = z.strictObject({
     team: shortText,
     requestClass: shortText,
@@ -77,6 +100,10 @@
         /** Version that is in force at the entry. */
         version: count,
         status: entryStatusSchema,
+        /** Summaries of the entry's pools; absent in messages that only tell of a new version. */
+        pools: z.array(poolRowSchema).max(maximumPools).readonly().optional(),
+        /** Demands for limits since the last message that had some. */
+        demands: z.array(ownerDemandSchema).max(maximumDemands).readonly().optional(),
     }),
     z.strictObject({
         kind: z.literal("usage"),
@@ -137,6 +164,10 @@
         readonly validMilliseconds: number;
         /** Present when the list has changed since the last permit on this connection. */
         readonly entries: readonly EntryListing[] | undefined;
+        /** Sums of all entries' summaries, this one's included. */
+        readonly pools?: readonly PoolRow[] | undefined;
+        /** This entry's parts of the limits for which it told a demand. */
+        readonly limitParts?: readonly OwnerPart[] | undefined;
     }
     /** What a claim batch led to, in its order; undefined where this could not be confirmed. */
     | {
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -11,6 +11,9 @@
 import { DisposableStore } from "../../util/disposableStore.js";
 import { listen } from "../../util/socketAddress.js";
 import { WakeUp } from "../../util/wakeUp.js";
+import { CompiledConfiguration } from "../../version/compiledConfiguration.js";
+import { emptyConfiguration } from "../../version/configurationChange.js";
+import type { Limits } from "../../version/manifest.js";
 import type { CommandLog } from "../replicatedLog/commandLog.js";
 import type { ReplicatedLog } from "../replicatedLog/replicatedLog.js";
 import { ControlProposals } from "../state/controlProposals.js";
@@ -25,12 +28,15 @@
 import { InForceWatch } from "./inForceWatch.js";
 import { runLeaderDuties } from "./leaderDuties.js";
 import type { LeaderDutyContext } from "./leaderDuties.js";
+import { LimitDivision } from "./limitDivision.js";
+import { PoolPressure } from "./poolPressure.js";
 
 /** A control process: holds the replicated state, answers operators and serves entries. */
 export class ControlProcess implements AsyncDisposable {
     private readonly store = new DisposableStore();
     private readonly applied = new WakeUp();
     private readonly entries = new EntryTable();
+    private compiled = new CompiledConfiguration(emptyConfiguration);
     private readonly state = new ControlState(() => {
         this.applied.wake();
     });
@@ -60,6 +66,11 @@
             commandLog: commandLog.val,
             proposals,
             entries,
+            pressure: new PoolPressure(),
+            limitDivision: new LimitDivision(
+                owner => this.limitsOf(owner),
+                () => entries.all(clock.now()).map(record => record.incarnation),
+            ),
             applied: this.applied,
             leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
@@ -101,6 +112,15 @@
         });
     }
 
+    /** Limits of a team, or of a key as `team/key`, by the newest configuration. */
+    private limitsOf(owner: string): Limits | undefined {
+        const { current } = this.state.configuration;
+        if (this.compiled.version !== current.version) {
+            this.compiled = new CompiledConfiguration(current);
+        }
+        return this.compiled.limitsOf(owner);
+    }
+
     private leaderEntryAddress(commandLog: CommandLog<ControlCommand, ControlOutcome>): string | undefined {
         const leader = commandLog.leaderAddress();
         return this.settings.controls.find(control => control.operatorAddress === leader)?.entryAddress;
--- /dev/null
+++ b/src/process/entry/configuredTeamWeights.ts
@@ -0,0 +1,13 @@
+import { TeamWeights } from "../../request/admission/teamWeights.js";
+import type { EntryConfiguration } from "./entryConfiguration.js";
+
+/** Weights of teams by the configuration in force. */
+export class ConfiguredTeamWeights extends TeamWeights {
+    constructor(private readonly configuration: EntryConfiguration) {
+        super();
+    }
+
+    override weightOf(team: string | undefined): number {
+        return this.configuration.current.weightOf(team);
+    }
+}
--- a/src/process/entry/discovery.ts
+++ b/src/process/entry/discovery.ts
@@ -24,6 +24,11 @@
      */
     constructor(private readonly random: RandomSource, private readonly timeToLive: number) {}
 
+    /** Number of entries that the leader listed. */
+    get count(): number {
+        return this.listings.length;
+    }
+
     /** Takes over the list that the leader sent. */
     update(listings: readonly EntryListing[]): void {
         this.listings = listings;
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -95,6 +95,14 @@
                 configuration: state.configuration,
                 permit: state.permit,
                 status: () => state.status(),
+                takePoolRows: now => state.takePoolRows(now),
+                takeDemands: now => state.limits.takeDemands(now),
+                onPoolSums: (sums, now) => {
+                    state.updatePressure(sums, now);
+                },
+                onLimitParts: (parts, now) => {
+                    state.limits.takeParts(parts, now);
+                },
                 onDrain: () => {
                     this.requestStop("an operator drains this entry");
                 },
--- a/src/process/entry/entryProcessState.ts
+++ b/src/process/entry/entryProcessState.ts
@@ -2,6 +2,9 @@
 import { ControlClaimStore } from "../../connection/entry/controlClaimStore.js";
 import type { EntryListing, EntryStatus } from "../../connection/entryMessages.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
+import { SummaryPressure } from "../../request/admission/neighbourPressure.js";
+import { emptySummary, subtractOwn, summaryFromRow, summaryToRow } from "../../request/admission/poolSummary.js";
+import type { PoolSummary } from "../../request/admission/poolSummary.js";
 import { TieredQueue } from "../../request/admission/tieredQueue.js";
 import { Deadlines } from "../../request/retry/deadlines.js";
 import { RetryBudgets } from "../../request/retry/retryBudget.js";
@@ -13,6 +16,8 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { RandomSource } from "../../util/randomSource.js";
 import type { CompiledConfiguration } from "../../version/compiledConfiguration.js";
+import type { PoolRow } from "../control/poolPressure.js";
+import { ConfiguredTeamWeights } from "./configuredTeamWeights.js";
 import { Discovery } from "./discovery.js";
 import { EndpointClients } from "./endpointClients.js";
 import { EndpointMonitors } from "./endpointMonitors.js";
@@ -23,6 +28,7 @@
 import type { EntryIncarnation } from "./entryIncarnation.js";
 import { EntryMetrics } from "./entryMetrics.js";
 import { PoolDispatcher } from "./poolDispatcher.js";
+import { RequestLimits } from "./requestLimits.js";
 import { ServingPermit } from "./servingPermit.js";
 import { UsageRecorder } from "./usageRecorder.js";
 
@@ -43,10 +49,13 @@
     readonly retryBudgets = new RetryBudgets();
     readonly discovery: Discovery;
     readonly usage: UsageRecorder;
+    readonly limits = new RequestLimits(this.configuration, () => Math.max(1, this.discovery.count));
     readonly monitors = new EndpointMonitors();
     /** Whether the process is about to stop; it still serves those who come. */
     draining = false;
     private readonly dispatchers = new Map<string, PoolDispatcher>();
+    private readonly pressures = new Map<string, SummaryPressure>();
+    private readonly sentSummaries = new Map<string, PoolSummary>();
     private readonly hints = new CacheHints();
     private readonly random: RandomSource;
     private requestCount = 0;
@@ -120,6 +129,26 @@
         this.shareEndpoints(now);
     }
 
+    /** Summaries of the pools for the other entries; called once for each message. */
+    takePoolRows(now: Milliseconds): readonly PoolRow[] {
+        return [...this.dispatchers].map(([pool, dispatcher]) => {
+            const summary = dispatcher.summarize(pool, now);
+            this.sentSummaries.set(pool, summary);
+            return { pool, row: summaryToRow(summary) };
+        });
+    }
+
+    /** Takes over the sums of all entries' summaries, less this entry's own. */
+    updatePressure(sums: readonly PoolRow[], now: Milliseconds): void {
+        for (const { pool, row } of sums) {
+            const sum = summaryFromRow(pool, row);
+            if (sum !== undefined) {
+                const own = this.sentSummaries.get(pool) ?? emptySummary(pool);
+                this.pressures.get(pool)?.update(subtractOwn(sum, own), now);
+            }
+        }
+    }
+
     /** What is told to control processes. */
     status(): EntryStatus {
         const dispatchers = [...this.dispatchers.values()];
@@ -134,6 +163,7 @@
     sweep(now: Milliseconds): void {
         this.deadlines.sweep(now);
         this.claims.sweep(now);
+        this.limits.sweep(now);
         if (now - this.reviewedAt >= reviewInterval) {
             this.reviewedAt = now;
             this.dispatchers.forEach(({ table }) => {
@@ -160,8 +190,10 @@
                 eventLog.write("endpointReturned", { pool, endpoint: endpoint.name });
             },
         });
+        const neighbours = new SummaryPressure();
+        this.pressures.set(pool, neighbours);
         return new PoolDispatcher({
-            queue: new TieredQueue(),
+            queue: new TieredQueue({ weights: new ConfiguredTeamWeights(this.configuration), neighbours }),
             chooser: new AffinityChooser(this.random, this.hints),
             table,
             clock: this.clock,
--- a/src/process/entry/poolDispatcher.ts
+++ b/src/process/entry/poolDispatcher.ts
@@ -1,3 +1,4 @@
+import type { PoolSummary } from "../../request/admission/poolSummary.js";
 import type { ActualUse, AdmissionQueue, PoolCapacityView, Refusal } from "../../request/admissionQueue.js";
 import type { EndpointChooser } from "../../request/endpointChooser.js";
 import type { PendingRequest } from "../../request/pendingRequest.js";
@@ -263,6 +264,11 @@
         waiter?.resolve(result);
     }
 
+    /** What other entries should know of this pool; called once for each message. */
+    summarize(pool: string, now: Milliseconds): PoolSummary {
+        return this.queue.summarize(pool, this.capacity(), now);
+    }
+
     private capacity(): PoolCapacityView {
         const { freeSlots } = this.table;
         const slots = freeSlots + this.running;
--- a/src/process/limits/limitTable.ts
+++ b/src/process/limits/limitTable.ts
@@ -19,11 +19,11 @@
 
     /**
      * @param limitsOf Gives the limits of a team or key over all entries; undefined where it has none.
-     * @param entries Number of entries.
+     * @param entries Gives the number of entries.
      */
     constructor(
         private readonly limitsOf: (owner: LimitOwner) => Limits | undefined,
-        private readonly entries: number,
+        private readonly entries: () => number,
     ) {}
 
     /** Number of teams and keys that are remembered. */
@@ -94,7 +94,7 @@
     private evenPart(owner: LimitOwner): LimitPart {
         const limits = this.limitsOf(owner) ?? {};
         const divide = (limit: number | undefined): number | undefined => {
-            return limit === undefined ? undefined : limit / this.entries;
+            return limit === undefined ? undefined : limit / this.entries();
         };
         const { concurrentRequests } = limits;
         return {
@@ -104,7 +104,7 @@
                 "concurrentRequests",
                 concurrentRequests === undefined
                     ? undefined
-                    : Math.max(1, Math.floor(concurrentRequests / this.entries)),
+                    : Math.max(1, Math.floor(concurrentRequests / this.entries())),
             ),
         };
     }
--- a/src/process/state/controlProposals.ts
+++ b/src/process/state/controlProposals.ts
@@ -1,5 +1,6 @@
 import type { Failure } from "../../resultCode/resultCode.js";
-import { Ok } from "../../util/result.js";
+import { failure } from "../../resultCode/resultCode.js";
+import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import type { CommandLog } from "../replicatedLog/commandLog.js";
 import type { ControlCommand, ControlOutcome } from "./controlState.js";
@@ -28,6 +29,9 @@
             return committed;
         }
         const { outcome } = committed.val;
+        if (outcome.section === "rejected") {
+            return Err(failure("commandRejected", { section, reason: outcome.reason }));
+        }
         if (outcome.section !== section) {
             throw new Error(`A command of section ${section} gave an outcome of section ${outcome.section}.`);
         }
--- a/src/process/state/controlState.ts
+++ b/src/process/state/controlState.ts
@@ -23,7 +23,9 @@
     | { readonly section: "configuration"; readonly outcome: ConfigurationOutcome; }
     | { readonly section: "usage"; readonly outcome: UsageOutcomeOfCommand; }
     | { readonly section: "claims"; readonly outcome: ClaimOutcome; }
-    | { readonly section: "platform"; readonly outcome: PlatformOutcome; };
+    | { readonly section: "platform"; readonly outcome: PlatformOutcome; }
+    /** The command is at fault; it changed nothing that the members would not agree on. */
+    | { readonly section: "rejected"; readonly reason: string; };
 
 /** The state as plain data, encoded in snapshots. */
 interface ControlStateData {
@@ -49,7 +51,23 @@
     }
 
     override apply(command: ControlCommand): ControlOutcome {
-        const outcome = match(command)
+        const outcome = this.applyOrReject(command);
+        this.onApplied();
+        return outcome;
+    }
+
+    /** A command that makes a section throw must not stop every member: all of them reject it alike. */
+    private applyOrReject(command: ControlCommand): ControlOutcome {
+        try {
+            return this.applyToSection(command);
+        }
+        catch (error) {
+            return { section: "rejected", reason: error instanceof Error ? error.message : String(error) };
+        }
+    }
+
+    private applyToSection(command: ControlCommand): ControlOutcome {
+        return match(command)
             .returnType<ControlOutcome>()
             .with({ section: "configuration" }, ({ section, command: change }) => ({
                 section,
@@ -65,8 +83,6 @@
                 outcome: this.platform.apply(act),
             }))
             .exhaustive();
-        this.onApplied();
-        return outcome;
     }
 
     override snapshot(): Uint8Array {
--- a/src/request/admission/tieredQueue.ts
+++ b/src/request/admission/tieredQueue.ts
@@ -186,7 +186,7 @@
     }
 
     /** What other entries should know of this one; call it once for each message. */
-    summarize(pool: string, capacity: PoolCapacityView, now: Milliseconds): PoolSummary {
+    override summarize(pool: string, capacity: PoolCapacityView, now: Milliseconds): PoolSummary {
         return this.gauge.summarize(pool, capacity, now);
     }
 
--- a/src/request/admissionQueue.ts
+++ b/src/request/admissionQueue.ts
@@ -1,5 +1,7 @@
 import type { ResultCode } from "../resultCode/resultCode.js";
 import type { Milliseconds } from "../util/clock.js";
+import { emptySummary } from "./admission/poolSummary.js";
+import type { PoolSummary } from "./admission/poolSummary.js";
 import type { PendingRequest } from "./pendingRequest.js";
 
 /** What an entry knows of a pool's capacity at one moment. */
@@ -40,6 +42,12 @@
 
 /** The requests of one pool at one entry that wait for an endpoint, and the order in which they go. */
 export abstract class AdmissionQueue {
+    /** What other entries should know of this one; called once for each message. Baselines tell nothing. */
+    summarize(pool: string, capacity: PoolCapacityView, now: Milliseconds): PoolSummary;
+    summarize(pool: string): PoolSummary {
+        return emptySummary(pool);
+    }
+
     /** Number of waiting requests. */
     abstract get length(): number;
 
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -51,6 +51,11 @@
         this.progress = new AnswerProgress(context.metrics, this.labels, this.pending.arrivedAt);
     }
 
+    /** Tokens of the prompt and of the answer so far; none where no endpoint worked on the request. */
+    get tokensUsed(): number {
+        return this.mayHaveRun ? this.pending.promptTokens + this.progress.nextToken : 0;
+    }
+
     /** Serves the request to its end. */
     async run(): Promise<void> {
         const { dispatcher, callerLeft, clock, metrics } = this.context;
--- a/src/resultCode/controlCodes.ts
+++ b/src/resultCode/controlCodes.ts
@@ -74,6 +74,12 @@
         text: "Version {version} was accepted, but these entries may not have it yet: {entries}.",
         advice: "Ask again with `gullhall status`.",
     },
+    commandRejected: {
+        number: 1218,
+        httpStatus: 500,
+        text: "A command of section {section} could not be applied: {reason}.",
+        advice: "Report it with the log of the control process; nothing was changed.",
+    },
     storageFull: {
         number: 1220,
         httpStatus: 503,
--- a/src/version/compiledConfiguration.ts
+++ b/src/version/compiledConfiguration.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationSnapshot } from "./configurationChange.js";
-import type { Key, Manifest, Pool, Price, RequestClass, Route, Team } from "./manifest.js";
+import type { Key, Limits, Manifest, Pool, Price, RequestClass, Route, Team } from "./manifest.js";
 
 /** The team and key that a request was authenticated as. */
 export interface Identity {
@@ -24,6 +24,8 @@
     private readonly modelRoutes = new Map<string, readonly Route[]>();
     private readonly serviceRoutes: readonly Route[];
     private readonly prices: ReadonlyMap<string, Price>;
+    private readonly weights = new Map<string, number>();
+    private readonly limits = new Map<string, Limits>();
     private readonly routeTeams = new Map<string, ReadonlySet<string>>();
 
     constructor(snapshot: ConfigurationSnapshot) {
@@ -50,6 +52,16 @@
         return this.manifest?.billing.cutPerMillion ?? 0;
     }
 
+    /** Limits of a team, or of a key as `team/key`; undefined where it has none. */
+    limitsOf(owner: string): Limits | undefined {
+        return this.limits.get(owner);
+    }
+
+    /** Share of service of a team among the teams of a tier; 1 for an unknown one. */
+    weightOf(team: string | undefined): number {
+        return team === undefined ? 1 : this.weights.get(team) ?? 1;
+    }
+
     /** Prices of a request class; undefined for one that costs nothing. */
     priceOf(requestClass: string): Price | undefined {
         return this.prices.get(requestClass);
@@ -114,18 +126,36 @@
         const teams = new Map<string, Team>();
         for (const team of snapshot.manifest?.teams ?? []) {
             teams.set(team.name, team);
+            this.indexTeam(team);
             for (const key of team.keys) {
-                this.identities.set(key.digest, { team, key });
+                this.indexKey({ team, key });
             }
         }
         for (const issued of snapshot.issuedKeys) {
             const team = teams.get(issued.team);
             if (team !== undefined) {
-                this.identities.set(issued.key.digest, { team, key: issued.key });
+                this.indexKey({ team, key: issued.key });
             }
         }
     }
 
+    private indexTeam(team: Team): void {
+        if (team.weight !== 1) {
+            this.weights.set(team.name, team.weight);
+        }
+        if (team.limits !== undefined) {
+            this.limits.set(team.name, team.limits);
+        }
+    }
+
+    private indexKey(identity: Identity): void {
+        const { team, key } = identity;
+        this.identities.set(key.digest, identity);
+        if (key.limits !== undefined) {
+            this.limits.set(`${team.name}/${key.name}`, key.limits);
+        }
+    }
+
     private indexRoutes(routes: readonly Route[]): void {
         for (const route of routes) {
             if (route.teams !== "all") {
--- a/tests/connection/entry/controlConnection.test.ts
+++ b/tests/connection/entry/controlConnection.test.ts
@@ -34,6 +34,10 @@
         status: () => ({ draining: false, runningRequests: 0, waitingRequests: 0 }),
         onDrain: () => undefined,
         onListing: () => undefined,
+        takePoolRows: () => [],
+        takeDemands: () => [],
+        onPoolSums: () => undefined,
+        onLimitParts: () => undefined,
         claims: new ControlClaimStore(),
     };
 }
--- a/tests/process/limits/limitTable.test.ts
+++ b/tests/process/limits/limitTable.test.ts
@@ -21,7 +21,7 @@
     const random = new RandomSource(seed);
     const tables = Array.from(
         { length: entryCount },
-        () => new LimitTable(() => ({ requestsPerSecond: limit }), entryCount),
+        () => new LimitTable(() => ({ requestsPerSecond: limit }), () => entryCount),
     );
     const admitted: number[] = [];
     let deliveries: readonly Delivery[] = [];
@@ -88,7 +88,7 @@
     });
 
     it("fall back to even parts when control is silent", t => {
-        const table = new LimitTable(() => ({ requestsPerSecond: limit }), entryCount);
+        const table = new LimitTable(() => ({ requestsPerSecond: limit }), () => entryCount);
         table.takePart("team", { requestsPerSecond: limit }, 0);
         const admitted = (now: number): number => {
             return [...Array(200).keys()].filter(() => table.admit(["team"], 1, now) === undefined).length;
@@ -100,7 +100,7 @@
 
     it("refuse by each limit with its own code, and count nothing for what is refused", t => {
         const limits = { requestsPerSecond: 100, tokensPerMinute: 6_000, concurrentRequests: 2 };
-        const table = new LimitTable(owner => owner === "team" ? limits : { tokensPerMinute: 60_000 }, 1);
+        const table = new LimitTable(owner => owner === "team" ? limits : { tokensPerMinute: 60_000 }, () => 1);
         t.is(table.admit(["team", "team/key"], 150, 0), undefined);
         t.deepEqual(table.admit(["team", "team/key"], 150, 0), { code: "tokenRateExceeded", retryAfter: 1_000 });
         t.is(table.admit(["team", "team/key"], 50, 0), undefined);
@@ -110,14 +110,14 @@
     });
 
     it("correct the tokens of a finished request", t => {
-        const table = new LimitTable(() => ({ tokensPerMinute: 6_000 }), 1);
+        const table = new LimitTable(() => ({ tokensPerMinute: 6_000 }), () => 1);
         t.is(table.admit(["team"], 100, 0), undefined);
         table.finish(["team"], 100, 400, 0);
         t.deepEqual(table.admit(["team"], 100, 0), { code: "tokenRateExceeded", retryAfter: 3_000 });
     });
 
     it("are forgotten once nothing matters any more", t => {
-        const table = new LimitTable(() => ({ tokensPerMinute: 6_000 }), 1);
+        const table = new LimitTable(() => ({ tokensPerMinute: 6_000 }), () => 1);
         table.admit(["team"], 100, 0);
         table.finish(["team"], 100, 1_000, 0);
         [1_000, 2_000, 9_000].forEach(now => table.takeDemands(now));
--- /dev/null
+++ b/tests/process/state/controlState.test.ts
@@ -0,0 +1,38 @@
+import { VolatileCommandLog } from "../../../src/process/replicatedLog/volatileCommandLog.js";
+import { ControlProposals } from "../../../src/process/state/controlProposals.js";
+import { ControlState } from "../../../src/process/state/controlState.js";
+import type { ControlCommand } from "../../../src/process/state/controlState.js";
+import { describe, it } from "../../describe.js";
+
+const origin = { operator: "operator", receivedAt: 0 };
+
+describe("ControlState", () => {
+    it("rejects a command that makes a section throw, and applies the next one", async t => {
+        const state = new ControlState();
+        const proposals = new ControlProposals(new VolatileCommandLog(state));
+        const malformed = { kind: "submitManifest", number: 1, digest: "", baseVersion: 0, origin } as never;
+        const rejected = await proposals.propose("configuration", malformed);
+        t.is(rejected.err ? rejected.val.code : undefined, "commandRejected");
+        const withdrawn = await proposals.propose("configuration", { kind: "withdrawKey", digest: "d", origin });
+        t.deepEqual(withdrawn.unwrap(), { kind: "accepted", version: 1, repeated: false });
+    });
+
+    it("gives the same state from a snapshot, and equal outcomes afterwards", t => {
+        const commands: readonly ControlCommand[] = [
+            { section: "configuration", command: { kind: "withdrawKey", digest: "d", origin } },
+            { section: "usage", command: { kind: "setUsageWindow", length: 1000, at: 0 } },
+            {
+                section: "usage",
+                command: { kind: "beginIncarnation", entry: "e", incarnation: "i", startedAt: 0, at: 0 },
+            },
+        ];
+        const first = new ControlState();
+        commands.forEach(command => first.apply(command));
+        const second = new ControlState();
+        second.restore(first.snapshot());
+        t.deepEqual(second.snapshot(), first.snapshot());
+        const next = commands[0];
+        t.truthy(next);
+        t.deepEqual(next && second.apply(next), next && first.apply(next));
+    });
+});
