--- a/src/bin/gullhallLoad.ts
+++ b/src/bin/gullhallLoad.ts
@@ -18,6 +18,7 @@
 import { SystemClock } from "../util/clock.js";
 import { exitFailure, exitUsage } from "../util/exitCode.js";
 import { packageVersion } from "../util/packageVersion.js";
+import { usageFaultHandler } from "./usageFault.js";
 
 /** How often progress is shown on a terminal, in milliseconds. */
 const progressInterval = 500;
@@ -28,12 +29,10 @@
     .option("plan", { type: "string", demandOption: true, describe: "Load plan, JSON with comments" })
     .option("json", { type: "boolean", default: false, describe: "Report as JSON" })
     .option("records", { type: "string", describe: "File for one JSON line for each request" })
+    .option("check-settings", { type: "boolean", default: false, describe: "Check the plan and end" })
     .version(packageVersion())
     .strict()
-    .fail((message, error) => {
-        process.stderr.write(`${message || String(error)}\n`);
-        process.exit(exitUsage);
-    })
+    .fail(usageFaultHandler("gullhall-load"))
     .parseAsync();
 
 const plan = await readSettings(flags.plan, loadPlanSchema);
@@ -44,6 +43,11 @@
     process.exit(exitUsage);
 }
 
+if (flags.checkSettings) {
+    process.stdout.write("The plan is valid.\n");
+    process.exit();
+}
+
 const clock = new SystemClock();
 const tally = new LoadTally();
 const records = flags.records === undefined ? undefined : createWriteStream(flags.records);
