fix(experiment): measure a group of slopes again where a port was taken

Cause: a whole run of npm run slopes on a shared machine ended in its third group because another process had taken a port between choice and use.

Change: each group is tried twice.

--- a/src/experiment/slopes/main.ts
+++ b/src/experiment/slopes/main.ts
@@ -27,6 +27,9 @@
     balance: () => Promise.resolve(measureSubsetBalance()),
 };
 
+/** Attempts at each group; another process may take a port between its choice and its use. */
+const attempts = 2;
+
 /** Digits that are printed of each number. */
 const printedDigits = 4;
 
@@ -41,13 +44,26 @@
 for (const [name, measure] of Object.entries(groups)) {
     if (parsed.only === undefined || parsed.only === name) {
         process.stderr.write(`${name} …\n`);
-        measured[name] = await measure(clock);
+        measured[name] = await attempt(() => measure(clock));
     }
 }
 const machine = `${cpus().length} processors, Node.js ${process.version}`;
 const seconds = (clock.now() - started) / 1000;
 console.log(JSON.stringify({ machine, seconds, ...measured }, (...[, value]) => shorten(value), 2));
 
+/** Repeats a measurement that failed; the last failure ends the program. */
+async function attempt(measure: () => Promise<unknown>): Promise<unknown> {
+    for (let left = attempts - 1; left > 0; left--) {
+        try {
+            return await measure();
+        }
+        catch (error) {
+            process.stderr.write(`again, after: ${String(error)}\n`);
+        }
+    }
+    return measure();
+}
+
 function shorten(value: unknown): unknown {
     return typeof value === "number" ? Number(value.toPrecision(printedDigits)) : value;
 }
