feat(control): report sealed usage windows to the platform under the lease

Cause: windows were sealed and never reported by the running program. Change: gullhall-control sends sealed windows to usageReportAddress while it leads, each call under the lease; the tasks of a term are a list, so that duties can be started one by one. Conclusion: orders, weight loads and the capacity planner have tests but are not started by the program yet.

--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -30,6 +30,7 @@
 import type { LeaderDutyContext } from "./leaderDuties.js";
 import { LimitDivision } from "./limitDivision.js";
 import { PoolPressure } from "./poolPressure.js";
+import { runUsageReporting } from "./usageReporting.js";
 
 /** A control process: holds the replicated state, answers operators and serves entries. */
 export class ControlProcess implements AsyncDisposable {
@@ -93,12 +94,20 @@
         return this.store.add(server).start(settings.metricsAddress);
     }
 
+    private async reportUsage(context: LeaderDutyContext, stop: AbortSignal): Promise<void> {
+        const address = this.settings.usageReportAddress;
+        if (address !== undefined) {
+            await runUsageReporting({ ...context, address, eventLog: this.eventLog }, stop);
+        }
+    }
+
     /** Runs the leader's recurring duties until the process stops. */
     private runDuties(context: LeaderDutyContext): void {
         const stopping = new AbortController();
         const { state, commandLog, clock } = context;
         const duties = Promise.all([
             runLeaderDuties(context, stopping.signal),
+            this.reportUsage(context, stopping.signal),
             this.inForce.run(
                 () => commandLog.leadingTerm(),
                 () => state.configuration.current.version,
--- a/src/process/platform/platformDuties.ts
+++ b/src/process/platform/platformDuties.ts
@@ -18,42 +18,51 @@
 /** How often capacity is planned. */
 const planInterval: Milliseconds = 1_000;
 
-/** Runs the duties of each term in which this process leads, and ends them when the term does. */
-export async function runPlatformDuties(
+/** A task that runs until its signal aborts, which happens when this process stops leading. */
+export type TermTask = (signal: AbortSignal) => Promise<void>;
+
+/** Runs the tasks of each term in which this process leads, and ends them when the term does. */
+export async function runWhileLeading(
     log: Pick<CommandLog<never, unknown>, "leadingTerm">,
     clock: Clock,
-    dutiesOf: (term: number) => PlatformDuties,
+    tasksOf: (term: number) => readonly TermTask[],
     stop: AbortSignal,
 ): Promise<void> {
     while (!stop.aborted) {
         const term = log.leadingTerm();
         if (term !== undefined) {
-            await runTerm(term, log, clock, dutiesOf(term), stop);
+            await runTerm(term, log, clock, tasksOf(term), stop);
         }
         await clock.sleep(lookInterval, stop);
     }
 }
 
+/** Everything that a leader does towards the platform, as tasks of one term. */
+export function platformTasks(duties: PlatformDuties, term: number, clock: Clock): readonly TermTask[] {
+    const { executor, reporter, watcher, capacity } = duties;
+    return [
+        signal => executor.run(signal),
+        signal => reporter.run(signal),
+        signal => watcher.run(signal),
+        signal => planRegularly(capacity, term, clock, signal),
+    ];
+}
+
 async function runTerm(
     term: number,
     log: Pick<CommandLog<never, unknown>, "leadingTerm">,
     clock: Clock,
-    { executor, reporter, watcher, capacity }: PlatformDuties,
+    tasks: readonly TermTask[],
     stop: AbortSignal,
 ): Promise<void> {
     const ended = new AbortController();
     const { signal } = ended;
-    const tasks = [
-        executor.run(signal),
-        reporter.run(signal),
-        watcher.run(signal),
-        planRegularly(capacity, term, clock, signal),
-    ];
+    const running = tasks.map(task => task(signal));
     while (!stop.aborted && log.leadingTerm() === term) {
         await clock.sleep(lookInterval, stop);
     }
     ended.abort();
-    await Promise.all(tasks);
+    await Promise.all(running);
 }
 
 async function planRegularly(
--- a/src/quickstart/cluster.ts
+++ b/src/quickstart/cluster.ts
@@ -86,8 +86,14 @@
     private entryMembers: readonly ClusterMember[] = [];
     private readonly standIns: StartedProgram[] = [];
 
-    /** @param entryCount Number of entries, spread over the failure domains. */
-    constructor(private readonly entryCount: number = failureDomains.length) {}
+    /**
+     * @param entryCount Number of entries, spread over the failure domains.
+     * @param controlSettings Settings of the control processes beside those that every cluster needs.
+     */
+    constructor(
+        private readonly entryCount: number = failureDomains.length,
+        private readonly controlSettings: object = {},
+    ) {}
 
     /** The control processes. */
     get controls(): readonly ClusterMember[] {
@@ -168,6 +174,7 @@
             controls: this.addresses,
             peerSecurity: { kind: "plainOnLoopback" },
             dataFolder,
+            ...this.controlSettings,
             operators: [{ name: "operator", tokenDigest: keyDigest(this.operatorToken) }],
         });
         return new ClusterMember(name, "gullhallControl", settings, dataFolder);
--- a/src/settings/controlSettings.ts
+++ b/src/settings/controlSettings.ts
@@ -27,6 +27,7 @@
             ),
         }).readonly(),
     ]).describe("How control processes prove to each other who they are."),
+    usageReportAddress: addressSchema.optional().describe("Where the platform takes usage reports, over HTTP."),
     metricsAddress: addressSchema.default("127.0.0.1:0").describe("Where metrics and state are shown, over HTTP."),
     dataFolder: z.string().min(1).describe("Folder of the durable state."),
     operators: z.array(
--- a/tests/process/platform/platformDuties.test.ts
+++ b/tests/process/platform/platformDuties.test.ts
@@ -11,8 +11,8 @@
 import type { OrderedEndpoint } from "../../../src/process/platform/fleet.js";
 import { HttpLeasedCaller } from "../../../src/process/platform/httpLeasedCaller.js";
 import type { PlatformCommand } from "../../../src/process/platform/platformCommand.js";
-import { runPlatformDuties } from "../../../src/process/platform/platformDuties.js";
-import type { PlatformDuties } from "../../../src/process/platform/platformDuties.js";
+import { platformTasks, runWhileLeading } from "../../../src/process/platform/platformDuties.js";
+import type { PlatformDuties, TermTask } from "../../../src/process/platform/platformDuties.js";
 import { defaultPlatformSettings } from "../../../src/process/platform/platformSettings.js";
 import { UsageReporter } from "../../../src/process/platform/usageReporter.js";
 import { EndpointKnowledge, VmWatcher } from "../../../src/process/platform/vmWatcher.js";
@@ -92,7 +92,8 @@
     constructor(private readonly platform: Platform, private readonly planner: CapacityPlanner) {}
 
     run(signal: AbortSignal): Promise<void> {
-        return runPlatformDuties({ leadingTerm: () => this.term }, clock, term => this.dutiesOf(term), signal);
+        const tasksOf = (term: number): readonly TermTask[] => platformTasks(this.dutiesOf(term), term, clock);
+        return runWhileLeading({ leadingTerm: () => this.term }, clock, tasksOf, signal);
     }
 
     private dutiesOf(term: number): PlatformDuties {
@@ -126,7 +127,7 @@
     }
 }
 
-describe("runPlatformDuties", () => {
+describe("runWhileLeading", () => {
     it("orders, loads weights, reports and finds what nobody ordered, over a change of leader", async t => {
         const domains = failureDomains.map(name => ({ name, steadyCapacity: 4, cheapCapacity: 4 }));
         const strange = { endpoint: "stranger", address: "127.0.0.1:9", failureDomain: "hobart-a", pool: "drafting" };
