fix(connection): let permits pass usage and say when a concurrency refusal ends

Cause: read-through: a usage delivery held an entry's permits up while it waited for a commit; a second hello on one connection was accepted; a refusal for want of a concurrent slot named no time to come back; each whole answer paid for an abort exception. Change: each of the four.

--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -73,6 +73,10 @@
                     return;
                 }
                 if (message.data.kind === "hello") {
+                    if (hello !== undefined) {
+                        this.reject("frameMalformed");
+                        return;
+                    }
                     hello = this.welcome(message.data);
                 }
                 else if (hello !== undefined) {
@@ -110,9 +114,11 @@
     private async handle(message: Exclude<EntryToControl, Hello>, hello: Hello): Promise<void> {
         await match(message)
             .with({ kind: "permitRequest" }, request => this.answerPermit(request, hello))
-            .with({ kind: "usage" }, usage => this.takeUsage(usage))
+            // Usage and claims wait for a commit; permits must not wait behind them.
+            .with({ kind: "usage" }, usage => {
+                void this.takeUsage(usage);
+            })
             .with({ kind: "claimBatch" }, { kind: "claimResults" }, claims => {
-                // Claims wait for a commit; permits must not wait behind them.
                 void this.answerClaims(claims, hello);
             })
             .exhaustive();
--- a/src/process/limits/limitAccount.ts
+++ b/src/process/limits/limitAccount.ts
@@ -6,6 +6,9 @@
 /** Amount that may come at once after a pause, as the time in which the rate gives it, in seconds. */
 export const burstSeconds = 2;
 
+/** When a caller should come back after a refusal for want of a concurrent slot, in milliseconds. */
+const concurrencyRetryAfter: Milliseconds = 1_000;
+
 /** An entry's part of the limits of one team or key; absent parts are not limited. */
 export type LimitPart = Limits;
 
@@ -76,7 +79,7 @@
             return { code: "tokenRateExceeded", retryAfter: tokens.retryAfter };
         }
         if (this.running >= this.concurrentLimit) {
-            return { code: "concurrencyExceeded", retryAfter: 0 };
+            return { code: "concurrencyExceeded", retryAfter: concurrencyRetryAfter };
         }
         return undefined;
     }
--- a/src/request/model/modelAttempt.ts
+++ b/src/request/model/modelAttempt.ts
@@ -60,15 +60,20 @@
     /** Makes the attempt; when it returns, nothing of it goes on. */
     async run(): Promise<AttemptEnd> {
         const { context, pending } = this.parts;
+        let finished = false;
         context.deadlines.set(this.stalled, this.placement.startedAt + firstTokenBound(pending.requestClass));
         try {
             const end = await this.send();
-            return end.kind === "finished" ? end : this.interruption() ?? end;
+            finished = end.kind === "finished";
+            return finished ? end : this.interruption() ?? end;
         }
         finally {
             context.deadlines.clear(this.stalled);
             context.deadlines.clear(this.unread);
-            this.ended.abort();
+            // An answer that was read to its end leaves nothing to stop, and an abort costs an exception.
+            if (!finished) {
+                this.ended.abort();
+            }
         }
     }
 
--- a/tests/process/limits/limitTable.test.ts
+++ b/tests/process/limits/limitTable.test.ts
@@ -104,7 +104,8 @@
         t.is(table.admit(["team", "team/key"], 150, 0), undefined);
         t.deepEqual(table.admit(["team", "team/key"], 150, 0), { code: "tokenRateExceeded", retryAfter: 1_000 });
         t.is(table.admit(["team", "team/key"], 50, 0), undefined);
-        t.is(table.admit(["team", "team/key"], 1, 10_000)?.code, "concurrencyExceeded");
+        const refused = { code: "concurrencyExceeded", retryAfter: 1_000 };
+        t.deepEqual(table.admit(["team", "team/key"], 1, 10_000), refused);
         table.finish(["team", "team/key"], 50, 50, 10_000);
         t.is(table.admit(["team", "team/key"], 1, 10_000), undefined);
     });
