--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -4,7 +4,7 @@
 import type { PoolRow } from "../process/control/poolPressure.js";
 import type { UsageOutcomeOfCommand } from "../process/usage/usageCommand.js";
 import { bytesSchema } from "../util/bytesSchema.js";
-import type { ConfigurationSnapshot, VersionedChange } from "../version/configurationChange.js";
+import type { VersionedChange } from "../version/configurationChange.js";
 
 /** Version of the protocol between entries and control processes. */
 export const entryProtocolVersion = 1;
@@ -146,7 +146,7 @@
     | { readonly kind: "refused"; readonly code: number; }
     /** This process is not the leader; the address is the leader's, where known. */
     | { readonly kind: "redirect"; readonly leaderAddress: string | undefined; }
-    /** Bytes of an encoded {@link ConfigurationSnapshot}; the last part completes it. */
+    /** Bytes of an encoded `ConfigurationSnapshot`; the last part completes it. */
     | { readonly kind: "snapshotPart"; readonly bytes: Uint8Array; readonly last: boolean; }
     /** An operator asked this entry to stop gracefully. */
     | { readonly kind: "drain"; }
@@ -177,6 +177,3 @@
     }
     /** Whether the results of claims were committed; those that were not must be sent again. */
     | { readonly kind: "claimResultsTaken"; readonly number: number; readonly taken: boolean; };
-
-/** The decoded form of the parts of a snapshot. */
-export type TransferredSnapshot = ConfigurationSnapshot;
--- a/src/process/replicatedLog/logSnapshot.ts
+++ b/src/process/replicatedLog/logSnapshot.ts
@@ -1,13 +1,13 @@
 import { z } from "zod";
 import type { Failure } from "../../resultCode/resultCode.js";
-import { failure } from "../../resultCode/resultCode.js";
 import { bytesSchema } from "../../util/bytesSchema.js";
-import { Err, Ok } from "../../util/result.js";
+import { Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import { checkOwner, fileFormat, ownerOf, snapshotFileName } from "./groupFiles.js";
 import type { GroupFiles } from "./groupFiles.js";
 import { membershipSchema } from "./membership.js";
-import { decodeValue, encodeRecord, scanRecords } from "./recordCodec.js";
+import { encodeRecord } from "./recordCodec.js";
+import { readSoleRecord } from "./soleRecord.js";
 
 /** Schema of {@link LogSnapshot}. */
 export const logSnapshotSchema = z.object({
@@ -37,19 +37,14 @@
 /** Reads the newest snapshot; undefined when there is none. */
 export async function loadSnapshot(files: GroupFiles): Promise<Result<LogSnapshot | undefined, Failure>> {
     const name = snapshotFileName(files.group);
-    const bytes = await files.storage.read(name);
-    if (bytes.err) {
-        return bytes;
+    const record = await readSoleRecord(files.storage, name);
+    if (record.err) {
+        return record;
     }
-    if (bytes.val === undefined) {
+    if (record.val === undefined) {
         return Ok(undefined);
     }
-    const scan = scanRecords(bytes.val);
-    const body = scan.bodies[0];
-    if (body === undefined || scan.bodies.length > 1 || scan.ending !== "clean") {
-        return Err(failure("logDamaged", { name, offset: scan.soundBytes }));
-    }
-    const stored = snapshotFileSchema.parse(decodeValue(body));
+    const stored = snapshotFileSchema.parse(record.val);
     const owner = checkOwner(files, name, stored);
     return owner.ok ? Ok(stored.snapshot) : owner;
 }
--- a/src/process/replicatedLog/memberIdentity.ts
+++ b/src/process/replicatedLog/memberIdentity.ts
@@ -5,7 +5,8 @@
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import type { LogStorage } from "./logStorage.js";
-import { decodeValue, encodeRecord, scanRecords } from "./recordCodec.js";
+import { encodeRecord } from "./recordCodec.js";
+import { readSoleRecord } from "./soleRecord.js";
 
 /** Name of the file that holds the identity. */
 const identityFile = "identity";
@@ -26,18 +27,18 @@
     cluster: string,
     makeMemberId: () => string = randomUUID,
 ): Promise<Result<MemberIdentity, Failure>> {
-    const stored = await storage.read(identityFile);
+    const stored = await readSoleRecord(storage, identityFile);
     if (stored.err) {
         return stored;
     }
     if (stored.val === undefined) {
         return makeIdentity(storage, { cluster, memberId: makeMemberId() });
     }
-    const identity = decodeIdentity(stored.val);
-    if (identity.ok && identity.val.cluster !== cluster) {
-        return Err(failure("logFolderForeign", { name: identityFile, found: identity.val.cluster, expected: cluster }));
+    const identity = identitySchema.parse(stored.val);
+    if (identity.cluster !== cluster) {
+        return Err(failure("logFolderForeign", { name: identityFile, found: identity.cluster, expected: cluster }));
     }
-    return identity;
+    return Ok(identity);
 }
 
 async function makeIdentity(storage: LogStorage, identity: MemberIdentity): Promise<Result<MemberIdentity, Failure>> {
@@ -51,12 +52,3 @@
     const written = await storage.replace(identityFile, encodeRecord(identity));
     return written.ok ? Ok(identity) : written;
 }
-
-function decodeIdentity(bytes: Uint8Array): Result<MemberIdentity, Failure> {
-    const scan = scanRecords(bytes);
-    const body = scan.bodies[0];
-    if (body === undefined || scan.bodies.length > 1 || scan.ending !== "clean") {
-        return Err(failure("logDamaged", { name: identityFile, offset: scan.soundBytes }));
-    }
-    return Ok(identitySchema.parse(decodeValue(body)));
-}
--- a/src/process/replicatedLog/voteRecord.ts
+++ b/src/process/replicatedLog/voteRecord.ts
@@ -1,11 +1,11 @@
 import { z } from "zod";
 import type { Failure } from "../../resultCode/resultCode.js";
-import { failure } from "../../resultCode/resultCode.js";
-import { Err, Ok } from "../../util/result.js";
+import { Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import { checkOwner, ownerOf, voteFileName } from "./groupFiles.js";
 import type { GroupFiles } from "./groupFiles.js";
-import { decodeValue, encodeRecord, scanRecords } from "./recordCodec.js";
+import { encodeRecord } from "./recordCodec.js";
+import { readSoleRecord } from "./soleRecord.js";
 
 const voteSchema = z.object({
     cluster: z.string(),
@@ -26,19 +26,14 @@
     /** Reads the record; undefined when the group has none yet. */
     static async load(files: GroupFiles): Promise<Result<VoteRecord | undefined, Failure>> {
         const name = voteFileName(files.group);
-        const bytes = await files.storage.read(name);
-        if (bytes.err) {
-            return bytes;
+        const record = await readSoleRecord(files.storage, name);
+        if (record.err) {
+            return record;
         }
-        if (bytes.val === undefined) {
+        if (record.val === undefined) {
             return Ok(undefined);
         }
-        const scan = scanRecords(bytes.val);
-        const body = scan.bodies[0];
-        if (body === undefined || scan.bodies.length > 1 || scan.ending !== "clean") {
-            return Err(failure("logDamaged", { name, offset: scan.soundBytes }));
-        }
-        const stored = voteSchema.parse(decodeValue(body));
+        const stored = voteSchema.parse(record.val);
         const owner = checkOwner(files, name, stored);
         return owner.ok ? Ok(new VoteRecord(files, stored.term, stored.votedFor)) : owner;
     }
--- a/tests/connection/entry/testControl.ts
+++ b/tests/connection/entry/testControl.ts
@@ -1,10 +1,10 @@
 import { ClaimProposer, unconfirmed } from "../../../src/connection/control/claimProposer.js";
 import type { ClaimMessage } from "../../../src/connection/control/claimProposer.js";
 import type { ControlClaimStore } from "../../../src/connection/entry/controlClaimStore.js";
-import { VolatileCommandLog } from "../../../src/process/replicatedLog/volatileCommandLog.js";
 import { ControlProposals } from "../../../src/process/state/controlProposals.js";
 import { ControlState } from "../../../src/process/state/controlState.js";
 import { SystemClock } from "../../../src/util/clock.js";
+import { VolatileCommandLog } from "../../process/replicatedLog/volatileCommandLog.js";
 
 /** The control state of a test, without the network between it and the entries. */
 export class TestControl {
--- a/src/process/replicatedLog/volatileCommandLog.ts
+++ b/tests/process/replicatedLog/volatileCommandLog.ts
@@ -1,8 +1,8 @@
-import type { Failure } from "../../resultCode/resultCode.js";
-import { Ok } from "../../util/result.js";
-import type { Result } from "../../util/result.js";
-import { CommandLog } from "./commandLog.js";
-import type { CommittedCommand, FencingToken, StateMachine } from "./commandLog.js";
+import { CommandLog } from "../../../src/process/replicatedLog/commandLog.js";
+import type { CommittedCommand, FencingToken, StateMachine } from "../../../src/process/replicatedLog/commandLog.js";
+import type { Failure } from "../../../src/resultCode/resultCode.js";
+import { Ok } from "../../../src/util/result.js";
+import type { Result } from "../../../src/util/result.js";
 
 /** A log of a single process that keeps nothing over a restart; for tests of the log's users. */
 export class VolatileCommandLog<Command, Outcome> extends CommandLog<Command, Outcome> {
--- a/tests/process/state/controlState.test.ts
+++ b/tests/process/state/controlState.test.ts
@@ -1,8 +1,8 @@
-import { VolatileCommandLog } from "../../../src/process/replicatedLog/volatileCommandLog.js";
 import { ControlProposals } from "../../../src/process/state/controlProposals.js";
 import { ControlState } from "../../../src/process/state/controlState.js";
 import type { ControlCommand } from "../../../src/process/state/controlState.js";
 import { describe, it } from "../../describe.js";
+import { VolatileCommandLog } from "../replicatedLog/volatileCommandLog.js";
 
 const origin = { operator: "operator", receivedAt: 0 };
 
