fix(entry): dispatch nothing after the permit has lapsed

Cause: the last read of the change: the permit was looked at before a request's body arrived, so that a slow sender, or a request that waited in the queue, could be sent to an endpoint with a withdrawn key at an entry that was cut off for longer than its permit. Change: the permit is looked at again after the body, and the dispatcher starts nothing while it does not hold; an answer under way goes on. Conclusion: the bound on withdrawn keys at a cut-off entry is now the length of the permit for every request.

--- a/src/connection/entry/callAdmission.ts
+++ b/src/connection/entry/callAdmission.ts
@@ -57,7 +57,11 @@
         if (body.err) {
             return body;
         }
-        // The configuration is looked up after the body has arrived, so that a slow sender cannot outlive its key.
+        // Permit and configuration are looked at after the body has arrived: a slow sender must not outlive its key.
+        const unready = this.state.unreadiness();
+        if (unready !== undefined) {
+            return Err(unready);
+        }
         const authenticated = this.authenticate(request);
         if (authenticated.err) {
             return authenticated;
--- a/src/process/entry/entryProcessState.ts
+++ b/src/process/entry/entryProcessState.ts
@@ -197,6 +197,7 @@
             chooser: new AffinityChooser(this.random, this.hints),
             table,
             clock: this.clock,
+            mayServe: now => this.permit.holds(this.configuration.current.version, now),
             onPreemption: ({ id, requestClass }, forTier) => {
                 eventLog.write("requestPreempted", { requestId: id, pool, tier: requestClass.tier, forTier });
             },
--- a/src/process/entry/poolDispatcher.ts
+++ b/src/process/entry/poolDispatcher.ts
@@ -42,6 +42,8 @@
     readonly chooser: EndpointChooser;
     readonly table: EndpointTable;
     readonly clock: Clock;
+    /** Whether the entry may serve now; while it may not, nothing is dispatched. */
+    readonly mayServe: (now: Milliseconds) => boolean;
     /** Told of each request that is interrupted for the sake of a tier. */
     readonly onPreemption?: (request: PendingRequest, forTier: number) => void;
 }
@@ -151,6 +153,9 @@
 
     /** Dispatches what can be dispatched; called after each change of the endpoints. */
     pump(now: Milliseconds): void {
+        if (!this.options.mayServe(now)) {
+            return;
+        }
         this.placeParked(now);
         while (this.queue.length > 0 && this.table.freeSlots > 0 && this.parked.length < maximumParked) {
             const request = this.queue.take(this.capacity(), now);
