--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,10 +3,10 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**"] },
     eslint.configs.recommended,
     {
-        files: ["src/**/*.ts", "tests/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts", "tests/**/*.ts"],
         extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         plugins: { "@stylistic": stylistic },
--- /dev/null
+++ b/src/bin/gullhallHostedControl.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/** `gullhall-hosted-control`: keeps the configuration of a hosted installation and acts towards its platform. */
+import { HostedControlProcess } from "../process/hosted/control/hostedControlProcess.js";
+import { runHosted } from "./runHosted.js";
+
+await runHosted({
+    role: "control",
+    create: (settings, clock, eventLog) => new HostedControlProcess(settings, clock, eventLog),
+});
--- /dev/null
+++ b/src/connection/hosted/entryLink.ts
@@ -0,0 +1,132 @@
+import type { Socket } from "node:net";
+import type { EventLog } from "../../logEvent/eventLog.js";
+import type { EndpointReading } from "../../process/hosted/control/endpointWatch.js";
+import type { EntryRegistry } from "../../process/hosted/control/entryRegistry.js";
+import type { StoredDocument } from "../../process/hosted/control/hostedState.js";
+import type { Clock } from "../../util/clock.js";
+import type { MedianClock } from "../../util/medianClock.js";
+import { MessageConnection } from "../messageConnection.js";
+import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
+import type { ControlMessage, EntryBeat, EntryHello } from "./linkMessages.js";
+
+/** Largest frame that an entry may send, in bytes. */
+const entryFrameLimit = 1024 * 1024;
+
+/** What the links of entries share within a control process. */
+export interface EntryLinkContext {
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+    readonly medianClock: MedianClock;
+    readonly registry: EntryRegistry;
+    readonly document: () => StoredDocument | undefined;
+    readonly endpoints: () => EndpointReading | undefined;
+    /** The newest version as a quorum confirms it. */
+    readonly confirmVersion: () => Promise<number | undefined>;
+    readonly isLeader: () => boolean;
+    readonly controlHosts: () => readonly string[];
+}
+
+/** The link of one entry, as a control process sees it. */
+export class EntryLink {
+    private readonly connection: MessageConnection;
+    private hello: EntryHello | undefined;
+    private sentVersion = 0;
+
+    constructor(socket: Socket, private readonly context: EntryLinkContext) {
+        this.connection = new MessageConnection(socket, entryFrameLimit);
+    }
+
+    /** Serves the link until it ends. */
+    async run(): Promise<void> {
+        for await (const received of this.connection.messages()) {
+            const message = entryMessageSchema.safeParse(received);
+            if (!message.success || !this.take(message.data)) {
+                this.reject("frameMalformed");
+                break;
+            }
+        }
+        if (this.connection.fault !== undefined) {
+            this.reject(this.connection.fault.code);
+        }
+        this.connection[Symbol.dispose]();
+        if (this.hello !== undefined) {
+            this.context.registry.disconnect(this.hello);
+            const { entry, incarnation } = this.hello;
+            this.context.eventLog.write("entryLinkEnded", { entry, incarnation });
+        }
+    }
+
+    /** Sends the configuration if the entry has an older one. */
+    pushDocument(): void {
+        const document = this.context.document();
+        if (this.hello !== undefined && document !== undefined && document.version > this.sentVersion) {
+            this.sentVersion = document.version;
+            this.send({ kind: "configuration", ...document });
+        }
+    }
+
+    /** Sends the endpoints of all services. */
+    pushEndpoints(): void {
+        const reading = this.context.endpoints();
+        if (this.hello !== undefined && reading !== undefined) {
+            const age = this.context.clock.now() - reading.readAt;
+            this.send({ kind: "endpoints", age, endpoints: reading.endpoints });
+        }
+    }
+
+    /** Ends the link. */
+    close(): void {
+        this.connection[Symbol.dispose]();
+    }
+
+    /** @returns Whether the message is in order. */
+    private take(message: EntryHello | EntryBeat): boolean {
+        if (message.kind === "hello") {
+            return this.welcome(message);
+        }
+        if (this.hello === undefined) {
+            return false;
+        }
+        void this.answer(message, this.hello);
+        return true;
+    }
+
+    private welcome(hello: EntryHello): boolean {
+        if (this.hello !== undefined || hello.protocol !== linkProtocolVersion) {
+            return false;
+        }
+        this.hello = hello;
+        this.sentVersion = hello.version;
+        const { entry, incarnation, version } = hello;
+        this.context.eventLog.write("entryLinkBegan", { entry, incarnation, version });
+        this.pushDocument();
+        this.pushEndpoints();
+        return true;
+    }
+
+    private async answer(beat: EntryBeat, hello: EntryHello): Promise<void> {
+        const { clock, medianClock, registry, confirmVersion } = this.context;
+        const now = clock.now();
+        registry.note(hello, beat, now);
+        medianClock.note(hello.entry, beat.unixTime, now);
+        const confirmedVersion = beat.wantsPermit ? await confirmVersion() : undefined;
+        this.pushDocument();
+        this.send({
+            kind: "beatAnswer",
+            number: beat.number,
+            unixTime: clock.unixNow(),
+            ...confirmedVersion === undefined ? {} : { confirmedVersion },
+            isLeader: this.context.isLeader(),
+            controlHosts: this.context.controlHosts(),
+            entryCount: registry.count(clock.now()),
+        });
+    }
+
+    private send(message: ControlMessage): void {
+        this.connection.send(message);
+    }
+
+    private reject(code: string): void {
+        this.context.eventLog.write("connectionRejected", { address: this.connection.remoteAddress, code });
+    }
+}
--- /dev/null
+++ b/src/connection/hosted/hostedControlServer.ts
@@ -0,0 +1,107 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { inflateRawSync } from "node:zlib";
+import { callerFailureDomain, resolutionBody, servedCalls } from "../../../platform/servedCalls.js";
+import type { EventLog } from "../../logEvent/eventLog.js";
+import type { DocumentService } from "../../process/hosted/control/documentService.js";
+import type { EntryRegistry } from "../../process/hosted/control/entryRegistry.js";
+import { failure } from "../../resultCode/resultCode.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { answerFailure, answerJson } from "../httpAnswer.js";
+import { readBody } from "../httpBody.js";
+
+/** Largest configuration that is read, in bytes; four times what operators are said to send. */
+const documentLimit = 16 * 1024 * 1024;
+
+/** How long callers may keep the answer which entries to use: short, so that they leave a lost entry soon. */
+const resolutionTimeToLive: Milliseconds = 2_000;
+
+/** What the server answers from. */
+export interface HostedControlServerParts {
+    readonly documents: DocumentService;
+    readonly registry: EntryRegistry;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+}
+
+/** Makes a server that answers operators, and callers that ask which entries to use. */
+export function createHostedControlServer(parts: HostedControlServerParts): Server {
+    return createServer((request, response) => {
+        answer(request, response, parts).catch((error: unknown) => {
+            parts.eventLog.write("taskFailed", { task: "operatorCall", reason: String(error) });
+            response.destroy();
+        });
+    });
+}
+
+async function answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    parts: HostedControlServerParts,
+): Promise<void> {
+    const target = request.url ?? "/";
+    const path = target.split("?", 1)[0] ?? "/";
+    const isCall = (call: { readonly method: string; readonly path: string; }): boolean =>
+        request.method === call.method && path === call.path;
+    if (isCall(servedCalls.replaceConfiguration)) {
+        await replaceConfiguration(request, response, parts.documents);
+        return;
+    }
+    request.resume();
+    if (isCall(servedCalls.resolution)) {
+        answerResolution(target, response, parts);
+    }
+    else if (isCall(servedCalls.fetchConfiguration)) {
+        await fetchConfiguration(response, parts.documents);
+    }
+    else {
+        answerFailure(response, failure("requestUnknown", { method: request.method ?? "?", path }));
+    }
+}
+
+function answerResolution(target: string, response: ServerResponse, parts: HostedControlServerParts): void {
+    const addresses = parts.registry.callerAddresses(callerFailureDomain(target), parts.clock.now());
+    if (addresses.length === 0) {
+        answerFailure(response, failure("noEntryKnown"));
+        return;
+    }
+    answerJson(response, 200, resolutionBody(addresses, resolutionTimeToLive));
+}
+
+async function replaceConfiguration(
+    request: IncomingMessage,
+    response: ServerResponse,
+    documents: DocumentService,
+): Promise<void> {
+    const body = await readBody(request, documentLimit);
+    if (body.err) {
+        answerFailure(response, body.val);
+        return;
+    }
+    const outcome = await documents.submit(body.val);
+    switch (outcome.kind) {
+        case "accepted":
+            answerJson(response, 200, { version: outcome.version });
+            break;
+        case "invalid":
+            answerFailure(response, failure("documentInvalid", { reason: outcome.reason }));
+            break;
+        case "otherLeader":
+            answerJson(response, 307, {}, { location: `http://${outcome.operatorAddress}${request.url ?? "/"}` });
+            break;
+        case "unavailable":
+            answerFailure(response, failure("quorumUnavailable"));
+            break;
+    }
+}
+
+async function fetchConfiguration(response: ServerResponse, documents: DocumentService): Promise<void> {
+    const body = await documents.fetch();
+    if (body === undefined) {
+        answerFailure(response, failure("quorumUnavailable"));
+        return;
+    }
+    const bytes = inflateRawSync(body);
+    response.writeHead(200, { "content-type": "application/json", "content-length": bytes.length });
+    response.end(bytes);
+}
--- a/src/logEvent/logEvent.ts
+++ b/src/logEvent/logEvent.ts
@@ -1,5 +1,6 @@
 import { controlEvents } from "./controlEvents.js";
 import { entryEvents } from "./entryEvents.js";
+import { hostedEvents } from "./hostedEvents.js";
 import { platformEvents } from "./platformEvents.js";
 import { processEvents } from "./processEvents.js";
 
@@ -23,6 +24,7 @@
     ...controlEvents,
     ...entryEvents,
     ...platformEvents,
+    ...hostedEvents,
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
 
 /** Identifier of a log event. */
--- /dev/null
+++ b/src/process/hosted/control/documentService.ts
@@ -0,0 +1,85 @@
+import { deflateRawSync } from "node:zlib";
+import { readDesiredState } from "../../../../platform/desiredState.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
+import type { Clock, Milliseconds } from "../../../util/clock.js";
+import { deploymentFaults } from "../../../version/deploymentFaults.js";
+import type { CommandLog } from "../../replicatedLog/commandLog.js";
+import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
+import type { SharedConfirmation } from "./sharedConfirmation.js";
+
+/** Longest wait for a commit; operators move on to another process after a second without an answer. */
+const longestCommit: Milliseconds = 850;
+
+/** What became of a submission. */
+export type SubmissionOutcome =
+    | { readonly kind: "accepted"; readonly version: number; }
+    | { readonly kind: "invalid"; readonly reason: string; }
+    | { readonly kind: "otherLeader"; readonly operatorAddress: string; }
+    | { readonly kind: "unavailable"; };
+
+/** What the service works with. */
+export interface DocumentServiceParts {
+    readonly log: CommandLog<HostedCommand, HostedOutcome>;
+    readonly state: HostedState;
+    readonly confirmation: SharedConfirmation;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+    /** This process's own address for operators. */
+    readonly operatorAddress: string;
+}
+
+/** Takes complete configurations of operators to the replicated log and gives the newest one back. */
+export class DocumentService {
+    constructor(private readonly parts: DocumentServiceParts) {}
+
+    /** Checks a configuration as a whole and makes it durable; a version that is not the highest changes nothing. */
+    async submit(body: Uint8Array): Promise<SubmissionOutcome> {
+        const { log, operatorAddress } = this.parts;
+        const leader = log.leaderAddress();
+        if (log.leadingTerm() === undefined && leader !== undefined && leader !== operatorAddress) {
+            return { kind: "otherLeader", operatorAddress: leader };
+        }
+        const read = readDesiredState(body);
+        const faults = read.ok ? deploymentFaults(read.val) : [read.val];
+        if (read.err || faults.length > 0) {
+            const reason = faults.join("; ");
+            this.parts.eventLog.write("documentRefused", { version: read.ok ? read.val.version : undefined, reason });
+            return { kind: "invalid", reason };
+        }
+        return this.store(read.val.version, body);
+    }
+
+    /** The newest configuration as it was submitted; undefined where it is not sure which one that is. */
+    async fetch(): Promise<Uint8Array | undefined> {
+        const version = await this.parts.confirmation.version();
+        return version === undefined ? undefined : this.parts.state.document?.body;
+    }
+
+    private async store(version: number, body: Uint8Array): Promise<SubmissionOutcome> {
+        const { state, eventLog } = this.parts;
+        if (version <= state.version) {
+            eventLog.write("documentOvertaken", { version, current: state.version });
+            return { kind: "accepted", version: state.version };
+        }
+        const document = { version, body: deflateRawSync(body) };
+        const committed = await this.propose({ kind: "replaceDocument", document });
+        if (committed === undefined) {
+            eventLog.write("documentUncommitted", { version });
+            return { kind: "unavailable" };
+        }
+        eventLog.write("documentAccepted", { version, current: committed.version, bytes: body.length });
+        return { kind: "accepted", version: committed.version };
+    }
+
+    private async propose(command: HostedCommand): Promise<HostedOutcome | undefined> {
+        const { log, clock } = this.parts;
+        const limit = new AbortController();
+        const ended = new AbortController();
+        void clock.sleep(longestCommit, ended.signal).then(() => {
+            limit.abort();
+        });
+        const committed = await log.propose(command, limit.signal);
+        ended.abort();
+        return committed.ok ? committed.val.outcome : undefined;
+    }
+}
--- /dev/null
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -0,0 +1,190 @@
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { EntryLink } from "../../../connection/hosted/entryLink.js";
+import { createHostedControlServer } from "../../../connection/hosted/hostedControlServer.js";
+import { linkPortOffset, peerPortOffset } from "../../../connection/hosted/linkMessages.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
+import { describeFailure } from "../../../resultCode/resultCode.js";
+import type { Clock, Milliseconds } from "../../../util/clock.js";
+import { DisposableStore } from "../../../util/disposableStore.js";
+import { MedianClock } from "../../../util/medianClock.js";
+import { listen, splitAddress } from "../../../util/socketAddress.js";
+import { SuspensionWatch } from "../../../util/suspensionWatch.js";
+import { HttpLeasedCaller } from "../../platform/httpLeasedCaller.js";
+import { runWhileLeading } from "../../platform/platformDuties.js";
+import type { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
+import type { HostedProcess } from "../hostedProcess.js";
+import type { HostedSettings } from "../hostedSettings.js";
+import { hostedLogTiming } from "../hostedTiming.js";
+import { DocumentService } from "./documentService.js";
+import { DutyLease } from "./dutyLease.js";
+import { EndpointWatch } from "./endpointWatch.js";
+import { EntryRegistry } from "./entryRegistry.js";
+import { openHostedLog } from "./hostedLog.js";
+import { HostedState } from "./hostedState.js";
+import type { HostedCommand, HostedOutcome } from "./hostedState.js";
+import { SharedConfirmation } from "./sharedConfirmation.js";
+import { UsageDuty } from "./usageDuty.js";
+
+/** Pause before the log is opened again after its disk or network failed. */
+const openPause: Milliseconds = 500;
+
+/** Longest time of a call to the platform; with the margin it fits into what a lease leaves. */
+const callTimeLimit: Milliseconds = 700;
+
+/** What must be left of the lease beyond the time limit of a call. */
+const leaseMargin: Milliseconds = 50;
+
+type HostedLog = ReplicatedLog<HostedCommand, HostedOutcome>;
+
+/** A control process of a hosted installation: keeps the configuration, leads entries to it, and acts for all. */
+export class HostedControlProcess implements HostedProcess {
+    private readonly store = new DisposableStore();
+    private readonly stopping = new AbortController();
+    private readonly links = new Set<EntryLink>();
+    private readonly registry = new EntryRegistry();
+    private readonly medianClock = new MedianClock();
+    private readonly suspension: SuspensionWatch;
+    private readonly state = new HostedState(() => {
+        this.links.forEach(link => {
+            link.pushDocument();
+        });
+    });
+
+    constructor(
+        private readonly settings: () => HostedSettings,
+        private readonly clock: Clock,
+        private readonly eventLog: EventLog,
+    ) {
+        this.suspension = new SuspensionWatch(clock);
+    }
+
+    /** Starts to serve; resolves when all addresses are listened on. */
+    async start(): Promise<void> {
+        const log = await this.openLog();
+        if (log === undefined) {
+            return;
+        }
+        const { operatorAddress = "", resolutionAddress } = this.settings();
+        const { state, clock, eventLog, registry } = this;
+        const confirmation = new SharedConfirmation(log, state, clock);
+        const documents = new DocumentService({ log, state, confirmation, clock, eventLog, operatorAddress });
+        const watch = this.watchEndpoints(log);
+        await this.listenForEntries(log, confirmation, watch);
+        for (const address of [operatorAddress, resolutionAddress]) {
+            if (address !== undefined && address !== "") {
+                await this.serve(createHostedControlServer({ documents, registry, clock, eventLog }), address);
+            }
+        }
+        this.runDuties(log);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stopping.abort();
+        await this.store.dispose();
+    }
+
+    /** Opens the log; tries again while the disk or the address cannot be used. */
+    private async openLog(): Promise<HostedLog | undefined> {
+        const { state, clock, eventLog, store } = this;
+        while (!this.stopping.signal.aborted) {
+            const opened = await openHostedLog({ settings: this.settings(), state, clock, eventLog, store });
+            if (opened.ok) {
+                return opened.val;
+            }
+            eventLog.write("taskFailed", { task: "openLog", reason: describeFailure(opened.val) });
+            await clock.sleep(openPause, this.stopping.signal);
+        }
+        return undefined;
+    }
+
+    private watchEndpoints(log: HostedLog): EndpointWatch {
+        const { clock, eventLog } = this;
+        const watch = new EndpointWatch({
+            platformAddress: this.settings().platform.address,
+            clock,
+            eventLog,
+            isReader: () => log.leadingTerm() !== undefined || log.leaderAddress() === undefined,
+            onChange: () => {
+                this.links.forEach(link => {
+                    link.pushEndpoints();
+                });
+            },
+        });
+        void watch.run(this.stopping.signal);
+        return watch;
+    }
+
+    private async listenForEntries(
+        log: HostedLog,
+        confirmation: SharedConfirmation,
+        watch: EndpointWatch,
+    ): Promise<void> {
+        const { clock, eventLog, medianClock, registry, state } = this;
+        const context = {
+            clock,
+            eventLog,
+            medianClock,
+            registry,
+            document: () => state.document,
+            endpoints: () => watch.reading,
+            confirmVersion: () => confirmation.version(),
+            isLeader: () => log.leadingTerm() !== undefined,
+            controlHosts: () => log.status().membership.members.map(member => splitAddress(member.address).host),
+        };
+        const server = createServer(socket => {
+            const link = new EntryLink(socket, context);
+            this.links.add(link);
+            void link.run().finally(() => this.links.delete(link));
+        });
+        this.store.defer(() => {
+            this.links.forEach(link => {
+                link.close();
+            });
+        });
+        const { host, firstInternalPort } = this.settings();
+        await this.serve(server, `${host}:${firstInternalPort + linkPortOffset}`);
+    }
+
+    private async serve(server: Server, address: string): Promise<void> {
+        const sockets = new Set<Socket>();
+        server.on("connection", (socket: Socket) => {
+            sockets.add(socket);
+            socket.once("close", () => sockets.delete(socket));
+        });
+        this.store.defer(() => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        });
+        await listen(server, address);
+    }
+
+    /** Acts towards the platform whenever this process leads. */
+    private runDuties(log: HostedLog): void {
+        const { state, registry, clock, eventLog, medianClock, suspension } = this;
+        const { name, bounds, platform } = this.settings();
+        const duty = new DutyLease(log, suspension, bounds.dutyTurn, hostedLogTiming.leaseDuration);
+        const lease = { lease: (now: Milliseconds, room: Milliseconds) => duty.token(now, room) };
+        const usage = new UsageDuty({
+            holder: name,
+            platformAddress: platform.address,
+            windowLength: bounds.usageWindow,
+            log,
+            state,
+            registry,
+            caller: new HttpLeasedCaller(lease, clock, callTimeLimit, leaseMargin),
+            clock,
+            unixNow: () => medianClock.unixAt(clock),
+            eventLog,
+        });
+        void runWhileLeading(log, clock, term => {
+            duty.enterTerm(term, clock.now());
+            return platform.reportsUsage ? [signal => usage.run(signal)] : [];
+        }, this.stopping.signal);
+    }
+}
+
+/** Address of a control process for its peers. */
+export function peerAddressOf(host: string, firstInternalPort: number): string {
+    return `${host}:${firstInternalPort + peerPortOffset}`;
+}
--- /dev/null
+++ b/src/process/hosted/control/hostedLog.ts
@@ -0,0 +1,100 @@
+import { randomInt } from "node:crypto";
+import { peerPortOffset } from "../../../connection/hosted/linkMessages.js";
+import { TcpPeerNetwork } from "../../../connection/tcpPeerNetwork.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
+import { failure } from "../../../resultCode/resultCode.js";
+import type { Failure } from "../../../resultCode/resultCode.js";
+import type { Clock } from "../../../util/clock.js";
+import type { DisposableStore } from "../../../util/disposableStore.js";
+import { RandomSource } from "../../../util/randomSource.js";
+import { Err } from "../../../util/result.js";
+import type { Result } from "../../../util/result.js";
+import { splitAddress } from "../../../util/socketAddress.js";
+import { FileLogStorage } from "../../replicatedLog/fileLogStorage.js";
+import { loadIdentity } from "../../replicatedLog/memberIdentity.js";
+import { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
+import type { HostedSettings } from "../hostedSettings.js";
+import { hostedLogTiming } from "../hostedTiming.js";
+import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
+
+/** Name that identities on disk carry; an installation has one group of control processes. */
+const clusterName = "hosted";
+
+const logGroup = "main";
+
+/** Entries between two snapshots: few, because each may hold a whole configuration. */
+const snapshotInterval = 64;
+
+/** Entries that stay behind a snapshot for members that lag a little. */
+const retainedEntries = 16;
+
+/** Seeds of the random election timeouts. */
+const seeds = 2 ** 31;
+
+/** What the log is opened with. */
+export interface HostedLogOptions {
+    readonly settings: HostedSettings;
+    readonly state: HostedState;
+    readonly clock: Clock;
+    readonly eventLog: EventLog;
+    /** Takes ownership of what is opened. */
+    readonly store: DisposableStore;
+}
+
+/** Opens the replicated log over the data folder and the network of peers. */
+export async function openHostedLog(
+    options: HostedLogOptions,
+): Promise<Result<ReplicatedLog<HostedCommand, HostedOutcome>, Failure>> {
+    const { settings, state, clock, eventLog, store } = options;
+    if (settings.dataFolder === undefined) {
+        return Err(failure("startFailed", { reason: "the settings name no data folder" }));
+    }
+    const storage = await FileLogStorage.open(settings.dataFolder);
+    if (storage.err) {
+        return storage;
+    }
+    const identity = await loadIdentity(storage.val, clusterName);
+    if (identity.err) {
+        await storage.val.close();
+        return identity;
+    }
+    const peerPort = settings.firstInternalPort + peerPortOffset;
+    const address = `${settings.host}:${peerPort}`;
+    const network = await TcpPeerNetwork.listen({
+        address,
+        identity: identity.val,
+        security: { kind: "plainWithoutProof" },
+        events: eventLog,
+    });
+    if (network.err) {
+        await storage.val.close();
+        return network;
+    }
+    const log = await ReplicatedLog.open({
+        group: logGroup,
+        storage: storage.val,
+        identity: identity.val,
+        network: network.val,
+        machine: state,
+        address,
+        operatorAddress: settings.operatorAddress ?? "",
+        expectedAddresses: settings.seedOperatorAddresses.map(seed => `${splitAddress(seed).host}:${peerPort}`),
+        admitsUnlisted: true,
+        mayForm: settings.isFirstStart,
+        timing: hostedLogTiming,
+        clock,
+        random: new RandomSource(randomInt(seeds)),
+        events: eventLog,
+        snapshotInterval,
+        retainedEntries,
+    });
+    if (log.err) {
+        await network.val.close();
+        await storage.val.close();
+        return log;
+    }
+    store.defer(() => storage.val.close());
+    store.defer(() => network.val.close());
+    store.defer(() => log.val.close());
+    return log;
+}
--- /dev/null
+++ b/src/process/hosted/control/sharedConfirmation.ts
@@ -0,0 +1,55 @@
+import type { Clock, Milliseconds } from "../../../util/clock.js";
+import type { CommandLog } from "../../replicatedLog/commandLog.js";
+import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
+
+/** Longest wait for a quorum; longer than a heartbeat's way, shorter than callers of the operator interface wait. */
+const longestWait: Milliseconds = 800;
+
+/**
+ * Confirms with a quorum which configuration is the newest; callers that come meanwhile share the next confirmation.
+ */
+export class SharedConfirmation {
+    private running: Promise<number | undefined> | undefined;
+    private next: Promise<number | undefined> | undefined;
+
+    constructor(
+        private readonly log: CommandLog<HostedCommand, HostedOutcome>,
+        private readonly state: HostedState,
+        private readonly clock: Clock,
+    ) {}
+
+    /** The newest version as of this call or later; undefined where no quorum confirms it in time. */
+    version(): Promise<number | undefined> {
+        if (this.running === undefined) {
+            return this.start();
+        }
+        this.next ??= this.running.then(() => {
+            this.next = undefined;
+            return this.start();
+        });
+        return this.next;
+    }
+
+    private start(): Promise<number | undefined> {
+        const started = this.confirm();
+        this.running = started;
+        void started.then(() => {
+            if (this.running === started) {
+                this.running = undefined;
+            }
+        });
+        return started;
+    }
+
+    private async confirm(): Promise<number | undefined> {
+        const limit = new AbortController();
+        const ended = new AbortController();
+        void this.clock.sleep(longestWait, ended.signal).then(() => {
+            limit.abort();
+        });
+        const position = await this.log.confirmPosition(limit.signal);
+        const reached = position.ok && await this.log.waitForPosition(position.val, limit.signal);
+        ended.abort();
+        return reached ? this.state.version : undefined;
+    }
+}
--- /dev/null
+++ b/src/process/hosted/control/usageDuty.ts
@@ -0,0 +1,95 @@
+import { usageReportCall } from "../../../../platform/platformCalls.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
+import { describeFailure } from "../../../resultCode/resultCode.js";
+import type { Clock, Milliseconds, UnixMilliseconds } from "../../../util/clock.js";
+import type { LeasedCaller } from "../../platform/leasedCaller.js";
+import type { CommandLog } from "../../replicatedLog/commandLog.js";
+import type { EntryRegistry } from "./entryRegistry.js";
+import type { HostedCommand, HostedOutcome, HostedState, SealedCounts } from "./hostedState.js";
+
+/** Time after the end of a window in which entries still tell what began in it: some beats. */
+const settlingTime: Milliseconds = 2_000;
+
+/** Pause between two looks at what is due. */
+const lookInterval: Milliseconds = 500;
+
+/** Windows for which late counts are kept. */
+const keptWindows = 12;
+
+/** What the duty works with. */
+export interface UsageDutyParts {
+    readonly holder: string;
+    readonly platformAddress: string;
+    /** Length of a window, in milliseconds. */
+    readonly windowLength: Milliseconds;
+    readonly log: CommandLog<HostedCommand, HostedOutcome>;
+    readonly state: HostedState;
+    readonly registry: EntryRegistry;
+    readonly caller: LeasedCaller;
+    readonly clock: Clock;
+    /** The wall-clock time that holds even if this VM's clock is wrong. */
+    readonly unixNow: () => UnixMilliseconds;
+    readonly eventLog: EventLog;
+}
+
+/**
+ * Seals usage windows in the log and reports the sealed figures, so that a later leader repeats the very same report.
+ */
+export class UsageDuty {
+    constructor(private readonly parts: UsageDutyParts) {}
+
+    /** Works until the signal ends it, which must happen when this process stops leading. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.sealDue(signal);
+            await this.reportDue(signal);
+            await this.parts.clock.sleep(lookInterval, signal);
+        }
+    }
+
+    /** The newest window whose counts have settled. */
+    private newestDue(): number {
+        const { unixNow, windowLength } = this.parts;
+        return Math.floor((unixNow() - settlingTime) / windowLength) - 1;
+    }
+
+    private async sealDue(signal: AbortSignal): Promise<void> {
+        const { registry, state, log, eventLog, clock } = this.parts;
+        const newest = this.newestDue();
+        const newestSealed = state.windows.at(-1)?.window ?? -Infinity;
+        for (const window of registry.windowsUpTo(newest)) {
+            if (window <= newestSealed || signal.aborted) {
+                continue;
+            }
+            const counts = registry.usageOf(window);
+            const sealed = await log.propose({ kind: "sealWindow", window, counts }, signal);
+            if (sealed.err) {
+                return;
+            }
+            const calls = Object.values(counts).reduce((sum, count) => sum + count, 0);
+            eventLog.write("usageWindowSealed", { window, calls, position: sealed.val.position });
+        }
+        registry.forgetBefore(newest - keptWindows, clock.now());
+    }
+
+    private async reportDue(signal: AbortSignal): Promise<void> {
+        for (const sealed of this.parts.state.windows.filter(window => !window.isReported)) {
+            if (signal.aborted || !await this.report(sealed, signal)) {
+                return;
+            }
+        }
+    }
+
+    private async report({ window, counts }: SealedCounts, signal: AbortSignal): Promise<boolean> {
+        const { caller, platformAddress, holder, log, eventLog } = this.parts;
+        const answer = await caller.call(usageReportCall(platformAddress, holder, window, counts), signal);
+        if (answer.err || answer.val.status >= 300) {
+            const reason = answer.err ? describeFailure(answer.val) : `status ${answer.val.status}`;
+            eventLog.write("usageReportFailed", { window, reason });
+            return false;
+        }
+        const noted = await log.propose({ kind: "windowReported", window }, signal);
+        eventLog.write("usageWindowReported", { window, digest: undefined });
+        return noted.ok;
+    }
+}
--- /dev/null
+++ b/src/process/hosted/entry/entryCounters.ts
@@ -0,0 +1,33 @@
+import type { Milliseconds } from "../../../util/clock.js";
+import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
+import { TimeHistogram } from "../../metrics/timeHistogram.js";
+
+/** Ends of calls and attempts that are counted. */
+const countedEvents = ["dispatched", "answered", "refused", "failed", "left", "attemptFailed"] as const;
+
+/** One of the events that are counted. */
+export type CountedEvent = (typeof countedEvents)[number];
+
+/** Counters and times of an entry's calls since its start. */
+export class EntryCounters {
+    private readonly counts = new Map<CountedEvent, number>();
+    private readonly times = new TimeHistogram();
+
+    count(event: CountedEvent): void {
+        this.counts.set(event, (this.counts.get(event) ?? 0) + 1);
+    }
+
+    /** Records the time from a call's arrival to the end of its answer. */
+    recordTime(time: Milliseconds): void {
+        this.times.record(time);
+    }
+
+    write(writer: ExpositionWriter): void {
+        writer.family("gullhall_calls_total", "counter", "Calls and attempts by what became of them.");
+        writer.family("gullhall_call_seconds", "summary", "Time from a call's arrival to the end of its answer.");
+        for (const event of countedEvents) {
+            writer.sample("gullhall_calls_total", { event }, this.counts.get(event) ?? 0);
+        }
+        this.times.write(writer, "gullhall_call_seconds", {});
+    }
+}
--- /dev/null
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -0,0 +1,199 @@
+import { randomInt, randomUUID } from "node:crypto";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { servedCalls } from "../../../../platform/servedCalls.js";
+import { linkPortOffset } from "../../../connection/hosted/linkMessages.js";
+import { answerFailure, answerJson } from "../../../connection/httpAnswer.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
+import { HostedCall } from "../../../request/hosted/hostedCall.js";
+import type { CallParts } from "../../../request/hosted/hostedCall.js";
+import { PredictedStartChooser } from "../../../request/hosted/predictedStartChooser.js";
+import { failure } from "../../../resultCode/resultCode.js";
+import type { Clock, Milliseconds } from "../../../util/clock.js";
+import { DisposableStore } from "../../../util/disposableStore.js";
+import { MedianClock } from "../../../util/medianClock.js";
+import { RandomSource } from "../../../util/randomSource.js";
+import { listen, splitAddress } from "../../../util/socketAddress.js";
+import { SuspensionWatch } from "../../../util/suspensionWatch.js";
+import type { HostedProcess } from "../hostedProcess.js";
+import type { HostedSettings } from "../hostedSettings.js";
+import { CallCounts } from "./callCounts.js";
+import { ControlLinks } from "./controlLinks.js";
+import { DeploymentView } from "./deploymentView.js";
+import { EndpointFleet } from "./endpointFleet.js";
+import { EntryCounters } from "./entryCounters.js";
+import { RetryAllowance } from "./retryAllowance.js";
+
+/** Largest head of a request that is read at all, in bytes; the configuration's own limit is checked afterwards. */
+const largestHead = 64 * 1024;
+
+/** How long a connection may stay idle before the first configuration says it. */
+const firstIdleTimeout: Milliseconds = 15_000;
+
+/** How long a leaving entry goes on to take new connections: the answer which entries to use is kept for a while. */
+const lameDuckTime: Milliseconds = 4_500;
+
+/** Part of the time for a shutdown after which what still runs is cut. */
+const shutdownFraction = 0.94;
+
+/** Pause between two looks at what still runs. */
+const shutdownLook: Milliseconds = 50;
+
+/** Seeds of random choices. */
+const seeds = 2 ** 31;
+
+/** An entry of a hosted installation: takes callers' calls and sends them to endpoints. */
+export class HostedEntryProcess implements HostedProcess {
+    private readonly store = new DisposableStore();
+    private readonly stopping = new AbortController();
+    private readonly sockets = new Set<Socket>();
+    private readonly running = new Set<ServerResponse>();
+    private readonly fleet: EndpointFleet;
+    private readonly view: DeploymentView;
+    private readonly suspension: SuspensionWatch;
+    private readonly parts: CallParts;
+    private readonly links: ControlLinks;
+    private readonly server: Server;
+    private isDraining = false;
+    private entryCount = 1;
+
+    constructor(
+        private readonly settings: () => HostedSettings,
+        private readonly clock: Clock,
+        eventLog: EventLog,
+    ) {
+        const { bounds, name, failureDomain, callerAddress = "", firstInternalPort, seedOperatorAddresses } =
+            settings();
+        this.fleet = this.store.add(new EndpointFleet(eventLog));
+        this.view = new DeploymentView(bounds.keyWithdrawal, eventLog);
+        this.suspension = new SuspensionWatch(clock);
+        const medianClock = new MedianClock();
+        const counts = new CallCounts(bounds.usageWindow);
+        this.parts = {
+            view: this.view,
+            fleet: this.fleet,
+            chooser: new PredictedStartChooser(),
+            allowance: new RetryAllowance(bounds),
+            counts,
+            counters: new EntryCounters(),
+            clock,
+            suspension: this.suspension,
+            medianClock,
+            random: new RandomSource(randomInt(seeds)),
+            eventLog,
+            entryCount: () => this.entryCount,
+        };
+        this.links = new ControlLinks(
+            {
+                entry: name,
+                incarnation: randomUUID(),
+                failureDomain,
+                callerAddress,
+                clock,
+                suspension: this.suspension,
+                medianClock,
+                eventLog,
+                view: this.view,
+                counts,
+                isReady: () => this.isReady(),
+                onEndpoints: (endpoints, age) => {
+                    this.fleet.take(endpoints, age, clock.now());
+                },
+                onEntryCount: entries => {
+                    this.entryCount = entries;
+                },
+            },
+            firstInternalPort + linkPortOffset,
+            seedOperatorAddresses.map(address => splitAddress(address).host),
+        );
+        this.server = this.createServer();
+    }
+
+    async start(): Promise<void> {
+        const { callerAddress, readinessAddress } = this.settings();
+        await listen(this.server, callerAddress ?? "");
+        if (readinessAddress !== undefined) {
+            const readiness = createServer((request, response) => {
+                this.answerReadiness(request, response);
+            });
+            this.store.defer(() => {
+                readiness.close();
+                readiness.closeAllConnections();
+            });
+            await listen(readiness, readinessAddress);
+        }
+        void this.links.run(this.stopping.signal);
+    }
+
+    /** Sends callers elsewhere, then finishes what runs, and cuts only what outlasts the time for it. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        const begunAt = this.clock.now();
+        const cutAt = begunAt + this.settings().bounds.shutdown * shutdownFraction;
+        this.isDraining = true;
+        this.links.beat(begunAt);
+        await this.clock.sleep(lameDuckTime);
+        this.server.close();
+        this.server.closeIdleConnections();
+        while (this.running.size > 0 && this.clock.now() < cutAt) {
+            await this.clock.sleep(shutdownLook);
+            this.server.closeIdleConnections();
+        }
+        this.links.beat(this.clock.now());
+        this.stopping.abort();
+        this.sockets.forEach(socket => socket.destroy());
+        await this.store.dispose();
+    }
+
+    private isReady(): boolean {
+        return !this.isDraining && this.fleet.isKnown && this.view.permits(this.suspension.now());
+    }
+
+    private createServer(): Server {
+        const server = createServer({ maxHeaderSize: largestHead, noDelay: true }, (request, response) => {
+            this.serve(request, response);
+        });
+        server.keepAliveTimeout = firstIdleTimeout;
+        server.requestTimeout = 0;
+        server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
+        return server;
+    }
+
+    private serve(request: IncomingMessage, response: ServerResponse): void {
+        this.applyLimits();
+        response.sendDate = false;
+        if (this.isDraining) {
+            response.shouldKeepAlive = false;
+        }
+        this.running.add(response);
+        response.once("close", () => {
+            this.running.delete(response);
+        });
+        new HostedCall(request, response, this.parts).run().catch((error: unknown) => {
+            const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+            this.parts.eventLog.write("taskFailed", { task: "call", reason });
+            response.destroy();
+        });
+    }
+
+    private applyLimits(): void {
+        const limits = this.view.current?.deployment.limits;
+        if (limits !== undefined) {
+            this.server.keepAliveTimeout = limits.idleTimeout;
+            this.server.headersTimeout = limits.headerTimeout;
+        }
+    }
+
+    private answerReadiness(request: IncomingMessage, response: ServerResponse): void {
+        request.resume();
+        const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
+        if (path !== servedCalls.readiness.path) {
+            answerFailure(response, failure("requestUnknown", { method: request.method ?? "?", path }));
+            return;
+        }
+        answerJson(response, this.isReady() ? 200 : 503, { isReady: this.isReady() });
+    }
+}
--- /dev/null
+++ b/src/process/hosted/hostedProcess.ts
@@ -0,0 +1,5 @@
+/** A program of a hosted installation that serves until it is stopped. */
+export interface HostedProcess extends AsyncDisposable {
+    /** Starts to serve. */
+    start(): Promise<void>;
+}
--- a/src/process/replicatedLog/joinTask.ts
+++ b/src/process/replicatedLog/joinTask.ts
@@ -6,6 +6,9 @@
 import type { Member } from "./membership.js";
 import type { Replica } from "./replica.js";
 
+/** Looks in a row, one in each longest election timeout, without a leader after which a member asks to be admitted again. */
+const looksUntilRejoin = 2;
+
 /** What a member with an empty log needs to become part of a group. */
 export interface JoinTaskParts {
     readonly replica: Replica;
@@ -17,6 +20,7 @@
     readonly operatorAddress: string;
     /** Addresses that the settings give to control processes, this one's included. */
     readonly expectedAddresses: readonly string[];
+    readonly mayForm?: boolean;
 }
 
 /** What another member said about itself. */
@@ -69,11 +73,40 @@
             if (formed.length > 0) {
                 await this.askToJoin(formed);
             }
-            else if (descriptions.length === others.length && this.isLowest() && this.agreesWithAll(descriptions)) {
+            else if (this.mayForm(descriptions, others.length)) {
                 await this.form(descriptions);
             }
             await clock.sleep(replica.timing.heartbeatInterval * 2, signal);
         }
+        await this.keepMembership(signal);
+    }
+
+    /**
+     * Asks to be admitted again while no leader is heard: the member may have been retired while it could not be reached.
+     *
+     * A leader that still counts it as a member ignores the request.
+     */
+    private async keepMembership(signal: AbortSignal): Promise<void> {
+        const { replica, clock, address, expectedAddresses } = this.parts;
+        let unheardLooks = 0;
+        while (!signal.aborted && replica.halted === undefined) {
+            await clock.sleep(replica.timing.electionTimeoutHighest, signal);
+            unheardLooks = replica.leaderId === undefined || clock.now() > replica.electionDeadline
+                ? unheardLooks + 1
+                : 0;
+            if (unheardLooks >= looksUntilRejoin) {
+                const known = replica.membership.members.map(member => member.address);
+                const others = [...new Set([...known, ...expectedAddresses])].filter(other => other !== address);
+                await this.askToJoin((await this.describe(others)).filter(({ response }) => response.formed));
+            }
+        }
+    }
+
+    private mayForm(descriptions: readonly Description[], expected: number): boolean {
+        return this.parts.mayForm !== false
+            && descriptions.length === expected
+            && this.isLowest()
+            && this.agreesWithAll(descriptions);
     }
 
     private haltIfOutdated(descriptions: readonly Description[]): void {
@@ -113,6 +146,9 @@
         const { replica, network, address, operatorAddress } = this.parts;
         const leaders = new Set(formed.flatMap(({ response }) => response.leaderAddress ?? []));
         for (const leader of leaders) {
+            if (leader === address) {
+                continue;
+            }
             const request = { kind: "join" as const, ...replica.envelope(""), address, operatorAddress };
             await network.request(leader, request, replica.timing.electionTimeoutLowest);
         }
--- a/src/process/replicatedLog/leaderLease.ts
+++ b/src/process/replicatedLog/leaderLease.ts
@@ -25,6 +25,11 @@
         this.contacts.set(memberId, Math.max(sentAt, this.contacts.get(memberId) ?? -Infinity));
     }
 
+    /** How long a member has answered nothing, counted at most from the election. */
+    silenceOf(memberId: string, now: Milliseconds): Milliseconds {
+        return now - Math.max(this.electedAt, this.contacts.get(memberId) ?? -Infinity);
+    }
+
     /** Gives the lease up for good. */
     release(): void {
         this.released = true;
--- a/src/process/replicatedLog/leadership.ts
+++ b/src/process/replicatedLog/leadership.ts
@@ -24,6 +24,7 @@
     readonly clock: Clock;
     /** Addresses that the settings give to control processes. */
     readonly expectedAddresses: readonly string[];
+    readonly admitsUnlisted?: boolean;
 }
 
 /** What exists while a member leads one term. */
@@ -51,7 +52,7 @@
         this.term = this.replica.term;
         this.openingPosition = this.replica.log.lastPosition + 1;
         this.lease = new LeaderLease(this.replica.timing, this.replica.memberId, electedAt);
-        this.admission = new MemberAdmission(parts.expectedAddresses);
+        this.admission = new MemberAdmission(parts.expectedAddresses, parts.admitsUnlisted === true);
         this.writer = new ProposalWriter(this.replica, this.term, () => {
             this.advance();
         });
@@ -204,7 +205,7 @@
                 mayAct = true;
                 this.replica.events.write("leaseObtained", { group: this.replica.group, term: this.term });
             }
-            this.admitNext();
+            this.admitNext(now);
             await this.clock.sleep(this.replica.timing.heartbeatInterval, this.ended.signal);
         }
     }
@@ -238,7 +239,7 @@
         }
     }
 
-    private admitNext(): void {
+    private admitNext(now: Milliseconds): void {
         if (this.checkNoChangePending() !== undefined || this.handingOver) {
             return;
         }
@@ -247,6 +248,7 @@
             membership,
             memberId,
             learnerId => this.durablePositionOf(learnerId) >= commitPosition,
+            otherId => otherId === memberId ? 0 : this.lease.silenceOf(otherId, now),
         );
         if (change === undefined) {
             return;
--- a/src/process/replicatedLog/replicatedLogOptions.ts
+++ b/src/process/replicatedLog/replicatedLogOptions.ts
@@ -24,6 +24,10 @@
     readonly operatorAddress: string;
     /** Addresses for peers of all control processes that the settings name, this one's included. */
     readonly expectedAddresses: readonly string[];
+    /** Whether members that the settings do not name are admitted, and lost ones retired in their favour; not by default. */
+    readonly admitsUnlisted?: boolean;
+    /** Whether this member may form the group; by default it may. */
+    readonly mayForm?: boolean;
     readonly timing: LogTiming;
     readonly clock: Clock;
     readonly random: RandomSource;
--- /dev/null
+++ b/src/request/hosted/callTraits.ts
@@ -0,0 +1,46 @@
+import type { Milliseconds } from "../../util/clock.js";
+
+/** A part of a prompt; parts with the same identity hold the same tokens. */
+export interface PromptPart {
+    readonly id: string;
+    readonly tokens: number;
+}
+
+/** What a caller says of its call. */
+export interface CallTraits {
+    /** Identity of the call; undefined where the caller sent none. */
+    readonly callId: string | undefined;
+    /** How long the caller waits, counted from when it sent the call; undefined where it did not say. */
+    readonly patience: Milliseconds | undefined;
+    readonly key: string | undefined;
+    readonly promptTokens: number;
+    /** Output tokens at most. */
+    readonly outputTokens: number;
+    /** Parts of the prompt in order; the last one belongs to this call or its session. */
+    readonly promptParts: readonly PromptPart[];
+    /** The last event of a stream that the caller has already; undefined for a call from the start. */
+    readonly lastEventId: number | undefined;
+}
+
+/** What an endpoint says in the head of its answer. */
+export interface AnswerTraits {
+    readonly status: number;
+    /** Identity of the call that is answered; undefined where the endpoint did not say. */
+    readonly callId: string | undefined;
+    /** Whether the answer proves to be an endpoint's own. */
+    readonly isProven: boolean;
+    /** Whether the endpoint says that the call did not run. */
+    readonly isNotRun: boolean;
+    /** Whether the address belongs to another endpoint than the one that was meant. */
+    readonly isMisdirected: boolean;
+    /** Whether the body was changed on its way by an encoding. */
+    readonly isEncoded: boolean;
+    readonly load: ReportedLoad | undefined;
+}
+
+/** The load that an endpoint reports of itself. */
+export interface ReportedLoad {
+    readonly running: number;
+    readonly waiting: number;
+    readonly slots: number;
+}
--- a/src/resultCode/resultCode.ts
+++ b/src/resultCode/resultCode.ts
@@ -1,5 +1,6 @@
 import { controlCodes } from "./controlCodes.js";
 import { entryCodes } from "./entryCodes.js";
+import { hostedCodes } from "./hostedCodes.js";
 import { manifestCodes } from "./manifestCodes.js";
 import { operatorCodes } from "./operatorCodes.js";
 import { platformCodes } from "./platformCodes.js";
@@ -36,6 +37,7 @@
     ...entryCodes,
     ...platformCodes,
     ...operatorCodes,
+    ...hostedCodes,
 } as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
 
 /** Identifier of a result code. */
