--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -31,8 +31,8 @@
 /** How long a connection may stay idle before the first configuration says it. */
 const firstIdleTimeout: Milliseconds = 15_000;
 
-/** How long a leaving entry goes on to take new connections: the answer which entries to use is kept for a while. */
-const lameDuckTime: Milliseconds = 4_500;
+/** How long a leaving entry takes new calls: callers keep the answer which entries to use for about as long. */
+const lameDuckTime: Milliseconds = 2_600;
 
 /** Part of the time for a shutdown after which what still runs is cut. */
 const shutdownFraction = 0.94;
--- a/src/request/hosted/endpointChooser.ts
+++ b/src/request/hosted/endpointChooser.ts
@@ -8,6 +8,8 @@
     readonly route: DeployedRoute;
     readonly service: DeployedService;
     readonly traits: CallTraits;
+    /** The shortest pause that any stream at the service may have; undefined where none is bounded. */
+    readonly shortestPause: Milliseconds | undefined;
     /** Endpoints that have failed or refused the call already. */
     readonly excluded: ReadonlySet<HostedEndpoint>;
 }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -73,6 +73,8 @@
     readonly service: DeployedService;
     readonly team: DeployedTeam | undefined;
     readonly body: Buffer | undefined;
+    /** The shortest pause that any stream at the service may have. */
+    readonly shortestPause: Milliseconds | undefined;
     /** 0 to 9; 0 goes first at the endpoints. */
     readonly urgency: number;
     readonly version: number;
@@ -203,7 +205,8 @@
         }
         const team = this.traits.key === undefined ? undefined : index.findTeam(this.traits.key);
         const urgency = index.urgencyOf(route, team);
-        const call = { route, service, team, body: undefined, urgency, version: index.version };
+        const shortestPause = index.shortestPauseAt(service.name);
+        const call = { route, service, team, body: undefined, shortestPause, urgency, version: index.version };
         return index.needsKey(route) && team === undefined
             ? Err({ reason: failure("callKeyUnknown"), call })
             : Ok(call);
@@ -233,8 +236,8 @@
         return chooser.choose(this.toPlace(call), fleet.serving(call.service.name), this.now());
     }
 
-    private toPlace({ route, service }: AdmittedCall): CallToPlace {
-        return { route, service, traits: this.traits, excluded: this.tried };
+    private toPlace({ route, service, shortestPause }: AdmittedCall): CallToPlace {
+        return { route, service, shortestPause, traits: this.traits, excluded: this.tried };
     }
 
     /** Whether another endpoint may be tried after an attempt that failed. */
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -4,6 +4,8 @@
 import type { PromptPart } from "./callTraits.js";
 import type { CallToPlace, Placement } from "./endpointChooser.js";
 import { EndpointChooser } from "./endpointChooser.js";
+import { LongPromptPartition } from "./longPromptPartition.js";
+import type { EngineGroup } from "./longPromptPartition.js";
 import { PrefixRecord } from "./prefixRecord.js";
 
 /** Tokens that an engine reads in a millisecond, until its own pace is known better. */
@@ -27,6 +29,12 @@
 /** Silence of an endpoint with calls under way that is not yet held against it. */
 const usualSilence: Milliseconds = 400;
 
+/** Time that an engine spends on each output token of a call, with the batch sizes at which engines work well. */
+const decodingTimePerToken: Milliseconds = 0.3;
+
+/** Wait in its own group that a call accepts before it goes to an engine of the other group. */
+const crossingDelay: Readonly<Record<EngineGroup, Milliseconds>> = { longPrompts: 1_500, shortPauses: 600 };
+
 /** Part of an unread shared prompt that is overlooked at its preferred endpoint, so that equal prefixes meet there. */
 const preferenceWeight = 0.8;
 
@@ -34,6 +42,7 @@
 export class PredictedStartChooser extends EndpointChooser {
     private readonly prefixes = new WeakMap<HostedEndpoint, PrefixRecord>();
     private readonly serviceTimes = new Map<string, Milliseconds>();
+    private readonly partitions = new Map<string, LongPromptPartition>();
 
     override choose(
         call: CallToPlace,
@@ -42,17 +51,25 @@
     ): Placement | undefined {
         const open = candidates.filter(endpoint => !call.excluded.has(endpoint));
         const healthy = open.filter(endpoint => !endpoint.isSetAside(now));
-        const preferred = preferredEndpoint(call.traits.promptParts, healthy);
+        const usable = healthy.length > 0 ? healthy : open;
+        const engines = call.service.engine === undefined ? undefined : this.enginesFor(call, usable, now);
+        const group = usable.filter(endpoint => engines?.members.has(endpoint) !== false);
+        const preferred = preferredEndpoint(call.traits.promptParts, group);
         let best: Placement | undefined;
         let bestCost = Infinity;
-        for (const endpoint of healthy.length > 0 ? healthy : open) {
+        for (const endpoint of usable) {
             const placement = this.predict(call, endpoint, now);
-            const cost = this.costOf(call, placement, endpoint === preferred, now);
+            const crossing = engines === undefined || engines.members.has(endpoint) ? 0 : crossingDelay[engines.group];
+            const cost = crossing + this.costOf(call, placement, endpoint === preferred, now);
             if (cost < bestCost) {
                 best = placement;
                 bestCost = cost;
             }
         }
+        if (best !== undefined && engines !== undefined) {
+            const work = best.unreadTokens / assumedReadingPace + call.traits.outputTokens * decodingTimePerToken;
+            this.partitionOf(call).note(engines.group, work, now);
+        }
         if (best !== undefined) {
             this.prefixesOf(best.endpoint).note(call.traits.promptParts);
         }
@@ -68,6 +85,24 @@
         this.serviceTimes.set(call.service.name, known + serviceTimeWeight * (ownTime - known));
     }
 
+    /** The group of engines that suits a call, and its members. */
+    private enginesFor(
+        call: CallToPlace,
+        endpoints: readonly HostedEndpoint[],
+        now: Milliseconds,
+    ): { readonly group: EngineGroup; readonly members: ReadonlySet<HostedEndpoint>; } {
+        const partition = this.partitionOf(call);
+        const readingTime = call.traits.promptTokens / assumedReadingPace;
+        const group = partition.groupOf(readingTime, call.shortestPause);
+        return { group, members: partition.members(group, endpoints, now) };
+    }
+
+    private partitionOf(call: CallToPlace): LongPromptPartition {
+        const known = this.partitions.get(call.service.name) ?? new LongPromptPartition();
+        this.partitions.set(call.service.name, known);
+        return known;
+    }
+
     private predict(call: CallToPlace, endpoint: HostedEndpoint, now: Milliseconds): Placement {
         const { service, traits } = call;
         if (service.engine === undefined) {
--- a/src/version/deploymentIndex.ts
+++ b/src/version/deploymentIndex.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from "../util/clock.js";
 import type { DeployedRoute, DeployedService, DeployedTeam, Deployment } from "./deployment.js";
 
 /** The least urgency that endpoints know. */
@@ -8,6 +9,7 @@
     private readonly routesByHost = new Map<string, readonly DeployedRoute[]>();
     private readonly teamsByKey = new Map<string, DeployedTeam>();
     private readonly services = new Map<string, DeployedService>();
+    private readonly shortestPauses = new Map<string, Milliseconds>();
     private readonly urgencies = new Map<string, number>();
 
     constructor(readonly deployment: Deployment) {
@@ -22,6 +24,11 @@
             team.keys.forEach(key => this.teamsByKey.set(key, team));
         }
         deployment.services.forEach(service => this.services.set(service.name, service));
+        for (const { targetPause = Infinity, targets } of deployment.routes) {
+            for (const { service } of targets) {
+                this.shortestPauses.set(service, Math.min(targetPause, this.shortestPauses.get(service) ?? Infinity));
+            }
+        }
         rankedTiers(deployment).forEach((tiers, rank) => this.urgencies.set(tiers, Math.min(rank, lowestUrgency)));
     }
 
@@ -44,6 +51,12 @@
         return this.services.get(name);
     }
 
+    /** The shortest pause between events that any route to a service allows; undefined where none bounds it. */
+    shortestPauseAt(service: string): Milliseconds | undefined {
+        const pause = this.shortestPauses.get(service) ?? Infinity;
+        return pause === Infinity ? undefined : pause;
+    }
+
     /**
      * The urgency that endpoints are told, from 0, the highest, to 9.
      *
