feat(hosted): order endpoints by need, spot ones first; keep prefixes together; take reset answers for broken

- Configurations that are applied together are told to entries as one; elections use the default timing.
- Tests of the adapter and of the decisions above.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -29,6 +29,8 @@
     readonly view: DeploymentView;
     readonly counts: CallCounts;
     readonly isReady: () => boolean;
+    /** Engine time that this entry's calls take of each service, in milliseconds a second. */
+    readonly work: (now: Milliseconds) => Readonly<Record<string, number>>;
     readonly onEndpoints: (endpoints: readonly EndpointRecord[], age: Milliseconds) => void;
     readonly onControlHosts: (hosts: readonly string[]) => void;
     readonly onEntryCount: (entries: number) => void;
@@ -103,6 +105,7 @@
             version: view.version,
             isReady: isReady(),
             wantsPermit,
+            work: this.context.work(now),
             ...tellsCounts ? { usage: counts.totals() } : {},
         });
     }
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -1,5 +1,6 @@
 import { request as httpRequest } from "node:http";
 import type { Agent, ClientRequest, IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import { readAnswerTraits } from "../../../platform/callHeaders.js";
 import type { AnswerTraits } from "../../request/hosted/callTraits.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -34,6 +35,7 @@
 export class EndpointExchange {
     private readonly outgoing: ClientRequest;
     private isConnected = false;
+    private hasConnectionFailed = false;
     private cancelReason: string | undefined;
 
     /** Sends the call. */
@@ -48,12 +50,11 @@
             headers: [...call.headers, ...length],
             setHost: false,
         });
-        this.outgoing.on("error", () => undefined);
+        this.outgoing.on("error", () => {
+            this.hasConnectionFailed = true;
+        });
         this.outgoing.once("socket", socket => {
-            this.watchConnection(socket.connecting);
-            socket.once("connect", () => {
-                this.isConnected = true;
-            });
+            this.watchConnection(socket);
         });
         this.outgoing.end(body);
     }
@@ -63,6 +64,15 @@
         return !this.outgoing.reusedSocket;
     }
 
+    /**
+     * Whether an answer that was read to its end is whole.
+     *
+     * The library takes an answer without a length for complete also when its connection was reset.
+     */
+    isWhole(message: IncomingMessage): boolean {
+        return message.complete && !this.hasConnectionFailed;
+    }
+
     /** Resolves when the head of the answer has come, or when none will. */
     head(): Promise<ExchangeHead> {
         return new Promise(resolve => {
@@ -84,18 +94,21 @@
         this.outgoing.destroy();
     }
 
-    private watchConnection(isConnecting: boolean): void {
-        this.isConnected = !isConnecting;
-        if (isConnecting) {
-            const timer = setTimeout(() => {
-                if (!this.isConnected) {
-                    this.cancel("no connection in time");
-                }
-            }, connectTimeout);
-            this.outgoing.once("close", () => {
-                clearTimeout(timer);
-            });
+    private watchConnection(socket: Socket): void {
+        if (!socket.connecting) {
+            this.isConnected = true;
+            return;
         }
+        const timer = setTimeout(() => {
+            this.cancel("no connection in time");
+        }, connectTimeout);
+        socket.once("connect", () => {
+            this.isConnected = true;
+            clearTimeout(timer);
+        });
+        this.outgoing.once("close", () => {
+            clearTimeout(timer);
+        });
     }
 
     private failed(message: string): ExchangeHead {
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -39,6 +39,8 @@
         isReady: z.boolean(),
         /** Whether the control process shall confirm with a quorum which configuration is the newest. */
         wantsPermit: z.boolean(),
+        /** Engine time that this entry's calls take of each service, in milliseconds a second. */
+        work: z.record(shortText, z.number().min(0)),
         /** Running totals; present when they have changed. */
         usage: usageSchema.optional(),
     }),
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -92,6 +92,12 @@
         text: "The entry has taken over a list of endpoints.",
         fields: ["endpoints", "added", "removed", "leaving", "age"],
     },
+    endpointsOrdered: {
+        number: 2434,
+        level: "info",
+        text: "The number of endpoints of a service in a failure domain was ordered.",
+        fields: ["service", "failureDomain", "kind", "count", "present", "status", "reason"],
+    },
     usageWindowSealed: {
         number: 2440,
         level: "info",
--- a/src/process/hosted/control/endpointWatch.ts
+++ b/src/process/hosted/control/endpointWatch.ts
@@ -8,7 +8,7 @@
 import type { EndpointRecord } from "../endpointRecord.js";
 
 /** Pause between two readings: a fraction of the time within which leaving endpoints must be left. */
-const readInterval: Milliseconds = 700;
+const readInterval: Milliseconds = 350;
 
 /** Longest wait for one page. */
 const pageTimeout: Milliseconds = 1_500;
--- a/src/process/hosted/control/entryRegistry.ts
+++ b/src/process/hosted/control/entryRegistry.ts
@@ -12,6 +12,7 @@
     readonly hello: EntryHello;
     readonly heardAt: Milliseconds;
     readonly isReady: boolean;
+    readonly work: Readonly<Record<string, number>>;
     readonly usage: Readonly<Record<string, TeamCounts>>;
 }
 
@@ -23,7 +24,7 @@
     note(hello: EntryHello, beat: EntryBeat, now: Milliseconds): void {
         const key = keyOf(hello);
         const usage = { ...this.known.get(key)?.usage, ...beat.usage };
-        this.known.set(key, { hello, heardAt: now, isReady: beat.isReady, usage });
+        this.known.set(key, { hello, heardAt: now, isReady: beat.isReady, work: beat.work, usage });
     }
 
     /** Notes that the link of an entry has ended; its counts stay. */
@@ -47,6 +48,12 @@
         return this.present(now).length;
     }
 
+    /** Engine time that the calls of all entries take of a service, in milliseconds a second. */
+    workOf(service: string, now: Milliseconds): number {
+        const heard = [...this.known.values()].filter(entry => now - entry.heardAt < presentWithin);
+        return heard.reduce((sum, entry) => sum + (entry.work[service] ?? 0), 0);
+    }
+
     /** Calls that began to run in a usage window, by team, over all entries. */
     usageOf(window: number): TeamCounts {
         const sums: Record<string, number> = {};
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -1,8 +1,10 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { inflateRawSync } from "node:zlib";
+import { readDesiredState } from "../../../../platform/desiredState.js";
 import { EntryLink } from "../../../connection/hosted/entryLink.js";
 import { createHostedControlServer } from "../../../connection/hosted/hostedControlServer.js";
-import { linkPortOffset, peerPortOffset } from "../../../connection/hosted/linkMessages.js";
+import { linkPortOffset } from "../../../connection/hosted/linkMessages.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import { describeFailure } from "../../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
@@ -10,12 +12,13 @@
 import { MedianClock } from "../../../util/medianClock.js";
 import { listen, splitAddress } from "../../../util/socketAddress.js";
 import { SuspensionWatch } from "../../../util/suspensionWatch.js";
+import type { DeployedService } from "../../../version/deployment.js";
 import { HttpLeasedCaller } from "../../platform/httpLeasedCaller.js";
 import { runWhileLeading } from "../../platform/platformDuties.js";
+import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import type { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
-import { hostedLogTiming } from "../hostedTiming.js";
 import { DocumentService } from "./documentService.js";
 import { DutyLease } from "./dutyLease.js";
 import { EndpointWatch } from "./endpointWatch.js";
@@ -23,6 +26,7 @@
 import { openHostedLog } from "./hostedLog.js";
 import { HostedState } from "./hostedState.js";
 import type { HostedCommand, HostedOutcome } from "./hostedState.js";
+import { OrderDuty } from "./orderDuty.js";
 import { SharedConfirmation } from "./sharedConfirmation.js";
 import { UsageDuty } from "./usageDuty.js";
 
@@ -30,7 +34,7 @@
 const openPause: Milliseconds = 500;
 
 /** Longest time of a call to the platform; with the margin it fits into what a lease leaves. */
-const callTimeLimit: Milliseconds = 700;
+const callTimeLimit: Milliseconds = 350;
 
 /** What must be left of the lease beyond the time limit of a call. */
 const leaseMargin: Milliseconds = 50;
@@ -45,9 +49,16 @@
     private readonly registry = new EntryRegistry();
     private readonly medianClock = new MedianClock();
     private readonly suspension: SuspensionWatch;
+    private knownServices: readonly DeployedService[] = [];
+    private servicesVersion = 0;
+    private pushing: NodeJS.Immediate | undefined;
     private readonly state = new HostedState(() => {
-        this.links.forEach(link => {
-            link.pushDocument();
+        // Changes that are applied together are told as one: entries need the newest alone.
+        this.pushing ??= setImmediate(() => {
+            this.pushing = undefined;
+            this.links.forEach(link => {
+                link.pushDocument();
+            });
         });
     });
 
@@ -76,7 +87,7 @@
                 await this.serve(createHostedControlServer({ documents, registry, clock, eventLog }), address);
             }
         }
-        this.runDuties(log);
+        this.runDuties(log, watch);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -146,6 +157,17 @@
         await this.serve(server, `${host}:${firstInternalPort + linkPortOffset}`);
     }
 
+    /** The services of the configuration in force; read anew only after a change. */
+    private services(): readonly DeployedService[] {
+        const { document } = this.state;
+        if (document !== undefined && document.version !== this.servicesVersion) {
+            const read = readDesiredState(inflateRawSync(document.body));
+            this.servicesVersion = document.version;
+            this.knownServices = read.ok ? read.val.services : [];
+        }
+        return this.knownServices;
+    }
+
     private async serve(server: Server, address: string): Promise<void> {
         const sockets = new Set<Socket>();
         server.on("connection", (socket: Socket) => {
@@ -160,11 +182,12 @@
     }
 
     /** Acts towards the platform whenever this process leads. */
-    private runDuties(log: HostedLog): void {
+    private runDuties(log: HostedLog, watch: EndpointWatch): void {
         const { state, registry, clock, eventLog, medianClock, suspension } = this;
         const { name, bounds, platform } = this.settings();
-        const duty = new DutyLease(log, suspension, bounds.dutyTurn, hostedLogTiming.leaseDuration);
+        const duty = new DutyLease(log, suspension, bounds.dutyTurn, defaultLogTiming.leaseDuration);
         const lease = { lease: (now: Milliseconds, room: Milliseconds) => duty.token(now, room) };
+        const caller = new HttpLeasedCaller(lease, clock, callTimeLimit, leaseMargin);
         const usage = new UsageDuty({
             holder: name,
             platformAddress: platform.address,
@@ -172,19 +195,27 @@
             log,
             state,
             registry,
-            caller: new HttpLeasedCaller(lease, clock, callTimeLimit, leaseMargin),
+            caller,
             clock,
             unixNow: () => medianClock.unixAt(clock),
             eventLog,
         });
         void runWhileLeading(log, clock, term => {
             duty.enterTerm(term, clock.now());
-            return platform.reportsUsage ? [signal => usage.run(signal)] : [];
+            const orders = new OrderDuty({
+                holder: name,
+                platformAddress: platform.address,
+                services: () => this.services(),
+                endpoints: () => watch.reading?.endpoints,
+                workOf: service => registry.workOf(service, clock.now()),
+                caller,
+                clock,
+                eventLog,
+            });
+            return [
+                ...platform.reportsUsage ? [(signal: AbortSignal) => usage.run(signal)] : [],
+                ...platform.ordersEndpoints ? [(signal: AbortSignal) => orders.run(signal)] : [],
+            ];
         }, this.stopping.signal);
     }
 }
-
-/** Address of a control process for its peers. */
-export function peerAddressOf(host: string, firstInternalPort: number): string {
-    return `${host}:${firstInternalPort + peerPortOffset}`;
-}
--- a/src/process/hosted/control/hostedLog.ts
+++ b/src/process/hosted/control/hostedLog.ts
@@ -11,10 +11,10 @@
 import type { Result } from "../../../util/result.js";
 import { splitAddress } from "../../../util/socketAddress.js";
 import { FileLogStorage } from "../../replicatedLog/fileLogStorage.js";
+import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import { loadIdentity } from "../../replicatedLog/memberIdentity.js";
 import { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
 import type { HostedSettings } from "../hostedSettings.js";
-import { hostedLogTiming } from "../hostedTiming.js";
 import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
 
 /** Name that identities on disk carry; an installation has one group of control processes. */
@@ -81,7 +81,7 @@
         expectedAddresses: settings.seedOperatorAddresses.map(seed => `${splitAddress(seed).host}:${peerPort}`),
         admitsUnlisted: true,
         mayForm: settings.isFirstStart,
-        timing: hostedLogTiming,
+        timing: defaultLogTiming,
         clock,
         random: new RandomSource(randomInt(seeds)),
         events: eventLog,
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -12,6 +12,9 @@
 /** Longest time for which an endpoint is set aside. */
 const longestSetAside: Milliseconds = 4_000;
 
+/** How long a closed connection is taken for a sign of leaving: the platform's list shows it by then. */
+const closingMemory: Milliseconds = 1_500;
+
 /** Weight of the newest outcome in the share of failures. */
 const outcomeWeight = 0.1;
 
@@ -31,6 +34,7 @@
     private othersWaiting = 0;
     private othersNotedAt: Milliseconds = -Infinity;
     private failuresInRow = 0;
+    private closingAt: Milliseconds = -Infinity;
     private heardAt: Milliseconds = -Infinity;
     private asideUntil: Milliseconds = -Infinity;
     private failures = 0;
@@ -87,6 +91,16 @@
         this.calls.delete(call);
     }
 
+    /** Notes that the endpoint closes a connection; it may be about to leave. */
+    noteClosing(now: Milliseconds): void {
+        this.closingAt = now;
+    }
+
+    /** Whether the endpoint may be leaving although the platform's list does not show it yet. */
+    mayBeLeaving(now: Milliseconds): boolean {
+        return now - this.closingAt < closingMemory;
+    }
+
     /** Notes that bytes have come from the endpoint. */
     noteHeard(now: Milliseconds): void {
         this.heardAt = now;
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -97,6 +97,7 @@
                 view: this.view,
                 counts,
                 isReady: () => this.isReady(),
+                work: now => this.parts.chooser.workPerSecond(now),
                 onEndpoints: (endpoints, age) => {
                     this.fleet.take(endpoints, age, clock.now());
                 },
--- a/src/request/hosted/callTraits.ts
+++ b/src/request/hosted/callTraits.ts
@@ -35,6 +35,8 @@
     readonly isMisdirected: boolean;
     /** Whether the body was changed on its way by an encoding. */
     readonly isEncoded: boolean;
+    /** Whether the endpoint closes the connection: a leaving one always does, others now and then. */
+    readonly closesConnection: boolean;
     readonly load: ReportedLoad | undefined;
 }
 
--- a/src/request/hosted/endpointChooser.ts
+++ b/src/request/hosted/endpointChooser.ts
@@ -36,6 +36,9 @@
         now: Milliseconds,
     ): Placement | undefined;
 
+    /** Engine time that the placed calls take of each service, in milliseconds a second. */
+    abstract workPerSecond(now: Milliseconds): Readonly<Record<string, number>>;
+
     /** Learns that a placed call has begun to run. */
     abstract noteBegun(call: CallToPlace, placement: Placement, waited: Milliseconds, now: Milliseconds): void;
 }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -377,6 +377,9 @@
         }
         const { message, traits } = head;
         placement.endpoint.noteHeard(this.now());
+        if (traits.closesConnection) {
+            placement.endpoint.noteClosing(this.now());
+        }
         if (traits.load !== undefined) {
             placement.endpoint.noteLoad(traits.load, this.now());
         }
@@ -408,9 +411,10 @@
         onBegun: () => void,
     ): Promise<AttemptOutcome> {
         const body = await readWhole(message);
+        const isWhole = this.exchange?.isWhole(message) === true;
         onBegun();
         this.noteBegun(call);
-        if (body === undefined) {
+        if (body === undefined || !isWhole) {
             return { kind: "lost", reason: "the answer broke off" };
         }
         if (!isSuccess) {
@@ -463,7 +467,7 @@
         finally {
             clearInterval(stall);
         }
-        if (!message.complete) {
+        if (this.exchange?.isWhole(message) !== true) {
             return { kind: "lost", reason: "the stream broke off" };
         }
         this.beginAnswer(message);
@@ -627,5 +631,5 @@
         // The caller of this function reports that the answer broke off.
         return undefined;
     }
-    return message.complete ? Buffer.concat(chunks) : undefined;
+    return Buffer.concat(chunks);
 }
--- a/src/request/hosted/longPromptPartition.ts
+++ b/src/request/hosted/longPromptPartition.ts
@@ -43,6 +43,11 @@
         rate.add(work, now);
     }
 
+    /** Engine time that all noted calls take, in milliseconds a second. */
+    workPerSecond(now: Milliseconds): number {
+        return this.longWork.perSecond(now) + this.otherWork.perSecond(now);
+    }
+
     /** The engines of a group; each group has one at least where there are two engines. */
     members(
         group: EngineGroup,
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -9,7 +9,7 @@
 import { PrefixRecord } from "./prefixRecord.js";
 
 /** Tokens that an engine reads in a millisecond, until its own pace is known better. */
-const assumedReadingPace = 50;
+const assumedReadingPace = 60;
 
 /** Time that a call of a plain service takes, until it is known better. */
 const assumedServiceTime: Milliseconds = 50;
@@ -26,17 +26,27 @@
 /** Penalty for each failure in a hundred recent calls. */
 const delayPerFailurePercent: Milliseconds = 10;
 
+/** Penalty for an endpoint that may be leaving. */
+const leavingDelay: Milliseconds = 300;
+
 /** Silence of an endpoint with calls under way that is not yet held against it. */
 const usualSilence: Milliseconds = 400;
 
 /** Time that an engine spends on each output token of a call, with the batch sizes at which engines work well. */
-const decodingTimePerToken: Milliseconds = 0.3;
+const decodingTimePerToken: Milliseconds = 0.1;
 
 /** Wait in its own group that a call accepts before it goes to an engine of the other group. */
 const crossingDelay: Readonly<Record<EngineGroup, Milliseconds>> = { longPrompts: 1_500, shortPauses: 600 };
 
-/** Part of an unread shared prompt that is overlooked at its preferred endpoint, so that equal prefixes meet there. */
-const preferenceWeight = 0.8;
+/**
+ * Delay that is accepted to spare an engine a shared token which another engine holds already.
+ *
+ * Reading a shared part again costs the operator more than a short wait costs the caller.
+ */
+const delayPerSharedToken: Milliseconds = 0.3;
+
+/** Weight of shared tokens at an endpoint that is neither first nor second in a prefix's preference. */
+const farEndpointWeight = 1.1;
 
 /** Chooses the endpoint that is expected to begin first: queue, prompt to be read, and signs of trouble. */
 export class PredictedStartChooser extends EndpointChooser {
@@ -54,13 +64,13 @@
         const usable = healthy.length > 0 ? healthy : open;
         const engines = call.service.engine === undefined ? undefined : this.enginesFor(call, usable, now);
         const group = usable.filter(endpoint => engines?.members.has(endpoint) !== false);
-        const preferred = preferredEndpoint(call.traits.promptParts, group);
+        const preferences = preferredEndpoints(call.traits.promptParts, group);
         let best: Placement | undefined;
         let bestCost = Infinity;
         for (const endpoint of usable) {
             const placement = this.predict(call, endpoint, now);
             const crossing = engines === undefined || engines.members.has(endpoint) ? 0 : crossingDelay[engines.group];
-            const cost = crossing + this.costOf(call, placement, endpoint === preferred, now);
+            const cost = crossing + this.costOf(call, placement, preferences, now);
             if (cost < bestCost) {
                 best = placement;
                 bestCost = cost;
@@ -85,6 +95,13 @@
         this.serviceTimes.set(call.service.name, known + serviceTimeWeight * (ownTime - known));
     }
 
+    override workPerSecond(now: Milliseconds): Readonly<Record<string, number>> {
+        const rates = [...this.partitions].map(([service, partition]) =>
+            [service, partition.workPerSecond(now)] as const
+        );
+        return Object.fromEntries(rates.map(([service, rate]) => [service, Math.round(rate)]));
+    }
+
     /** The group of engines that suits a call, and its members. */
     private enginesFor(
         call: CallToPlace,
@@ -119,20 +136,35 @@
         return { endpoint, predictedWait, unreadTokens: Math.max(0, unreadTokens) };
     }
 
-    private costOf(call: CallToPlace, placement: Placement, isPreferred: boolean, now: Milliseconds): number {
-        const { endpoint, predictedWait, unreadTokens } = placement;
-        const preference = isPreferred ? preferenceWeight * unreadTokens / assumedReadingPace : 0;
+    private costOf(
+        call: CallToPlace,
+        placement: Placement,
+        preferences: readonly HostedEndpoint[],
+        now: Milliseconds,
+    ): number {
+        const { endpoint, predictedWait } = placement;
+        const sharedTokens = this.unreadSharedTokens(call.traits.promptParts, endpoint);
+        const rank = preferences.indexOf(endpoint);
+        const weight = rank === 0 ? 0 : rank === 1 ? 1 : farEndpointWeight;
         const load = call.service.engine === undefined
             ? endpoint.estimatedCalls(now) / Math.max(1, endpoint.record.slots)
             : 0;
         return predictedWait
-            - preference
+            + sharedTokens * weight * delayPerSharedToken
             + load
             + endpoint.record.warmUpTime / 10
+            + (endpoint.mayBeLeaving(now) ? leavingDelay : 0)
             + endpoint.failureShare * 100 * delayPerFailurePercent
             + Math.max(0, endpoint.silence(now) - usualSilence);
     }
 
+    /** Tokens of the parts that other calls share and that the endpoint is not known to hold. */
+    private unreadSharedTokens(parts: readonly PromptPart[], endpoint: HostedEndpoint): number {
+        const shared = parts.slice(0, -1);
+        const total = shared.reduce((sum, part) => sum + part.tokens, 0);
+        return total - this.prefixesOf(endpoint).heldTokens(shared);
+    }
+
     private prefixesOf(endpoint: HostedEndpoint): PrefixRecord {
         const known = this.prefixes.get(endpoint) ?? new PrefixRecord();
         this.prefixes.set(endpoint, known);
@@ -140,25 +172,18 @@
     }
 }
 
-/** The endpoint that every entry prefers for a shared prompt, by rendezvous hashing (Thaler and Ravishankar, 1998). */
-function preferredEndpoint(
+/** The two endpoints that every entry prefers for a shared prompt, by rendezvous hashing (Thaler and Ravishankar, 1998). */
+function preferredEndpoints(
     parts: readonly PromptPart[],
     endpoints: readonly HostedEndpoint[],
-): HostedEndpoint | undefined {
+): readonly HostedEndpoint[] {
     // The last part belongs to the call alone.
     const shared = parts.at(-2);
     if (shared === undefined) {
-        return undefined;
+        return [];
     }
     const hash = textHash(shared.id);
-    let best: HostedEndpoint | undefined;
-    let bestScore = -1;
-    for (const endpoint of endpoints) {
-        const score = mixBits(hash ^ textHash(endpoint.id));
-        if (score > bestScore) {
-            best = endpoint;
-            bestScore = score;
-        }
-    }
-    return best;
+    const scores = new Map(endpoints.map(endpoint => [endpoint, mixBits(hash ^ textHash(endpoint.id))] as const));
+    const ranked = [...endpoints].sort((a, b) => (scores.get(b) ?? 0) - (scores.get(a) ?? 0));
+    return ranked.slice(0, 2);
 }
--- /dev/null
+++ b/tests/platform/bootSettings.test.ts
@@ -0,0 +1,50 @@
+import { readBootSettings } from "../../platform/bootSettings.js";
+import { describe, it } from "../describe.js";
+
+const settings = {
+    "node": "core-north-1",
+    "role": "control",
+    "ip-address": "10.1.0.22",
+    "zone": "north",
+    "listen-addresses": { "control-plane": "10.1.0.22:8229", "directory": "10.1.0.22:8224" },
+    "internal-ports": [7340, 7355],
+    "seeds": ["10.1.0.22:8229"],
+    "bootstrap": true,
+    "data-directory": "/data/control",
+    "bounds": { "revocation-ms": 4000, "grace-s": 6, "lease-ms": 2500, "report-window-s": 4, "another-bound": 1 },
+    "cloud-api": { "address": "10.200.0.61:8223", "duties": ["usage_reporting"] },
+    "unknown": {},
+};
+
+describe("settings of the platform", () => {
+    it("are decoded into fields with units", t => {
+        const read = readBootSettings(JSON.stringify(settings)).unwrap();
+        t.is(read.name, "core-north-1");
+        t.is(read.operatorAddress, "10.1.0.22:8229");
+        t.is(read.callerAddress, undefined);
+        t.true(read.isFirstStart);
+        t.is(read.bounds.keyWithdrawal, 4_000);
+        t.is(read.bounds.shutdown, 6_000);
+        t.is(read.bounds.usageWindow, 4_000);
+        t.true(read.platform.reportsUsage);
+        t.false(read.platform.ordersEndpoints);
+    });
+
+    it("may begin with a byte order mark", t => {
+        t.true(readBootSettings(`\uFEFF${JSON.stringify(settings)}`).ok);
+    });
+
+    for (
+        const [title, text] of [
+            ["no JSON", "{"],
+            ["a field of another type", JSON.stringify({ ...settings, seeds: 3 })],
+            ["a missing field", JSON.stringify({ ...settings, node: undefined })],
+        ] as const
+    ) {
+        it(`are refused with a reason: ${title}`, t => {
+            const read = readBootSettings(text);
+            t.true(read.err);
+            t.true(typeof read.val === "string" && read.val.length > 0);
+        });
+    }
+});
--- /dev/null
+++ b/tests/platform/callHeaders.test.ts
@@ -0,0 +1,52 @@
+import { headersTowardsEndpoint, readCallTraits } from "../../platform/callHeaders.js";
+import { describe, it } from "../describe.js";
+
+const routed = { endpointId: "i-1", team: "clinic", remainingTime: 900.7, urgency: 2, lastEventId: undefined };
+
+function asRecord(headers: readonly string[]): Readonly<Record<string, string>> {
+    const entries = headers.flatMap((name, index) =>
+        index % 2 === 0 ? [[name.toLowerCase(), headers[index + 1] ?? ""]] : []
+    );
+    return Object.fromEntries(entries) as Record<string, string>;
+}
+
+describe("headers of a call", () => {
+    it("never carry a key or what only the router may set", t => {
+        const sent = ["Host", "calls.example", "Api-Key", "secret", "Gullhall-Tenant", "other", "Gullhall-Hold", "h"];
+        const headers = asRecord(headersTowardsEndpoint(sent, routed));
+        t.false(JSON.stringify(headers).includes("secret"));
+        t.is(headers["gullhall-tenant"], "clinic");
+        t.is(headers["gullhall-hold"], undefined);
+        t.is(headers["gullhall-target-instance"], "i-1");
+        t.is(headers["gullhall-deadline-remaining"], "900");
+        t.is(headers["host"], "calls.example");
+    });
+
+    it("leave out what concerns one connection, also headers that the caller declares so", t => {
+        const sent = ["Connection", "close, X-Own", "X-Own", "1", "Transfer-Encoding", "chunked", "X-Other", "2"];
+        const headers = asRecord(headersTowardsEndpoint(sent, routed));
+        t.is(headers["x-own"], undefined);
+        t.is(headers["transfer-encoding"], undefined);
+        t.is(headers["x-other"], "2");
+        t.is(headers["connection"], "keep-alive");
+    });
+
+    it("continue a stream behind the last event that was passed on", t => {
+        const headers = headersTowardsEndpoint(["Last-Event-Id", "3"], { ...routed, lastEventId: 9 });
+        t.is(headers.filter(name => name.toLowerCase() === "last-event-id").length, 1);
+        t.is(asRecord(headers)["last-event-id"], "9");
+    });
+
+    it("are read into traits; values that make no sense count as not sent", t => {
+        const traits = readCallTraits({
+            "gullhall-attempt-id": "a1",
+            "gullhall-deadline-remaining": "soon",
+            "gullhall-token-counts": "1460,80",
+            "gullhall-prompt-prefix": "5c:800,noise,e4:250",
+        });
+        t.is(traits.callId, "a1");
+        t.is(traits.patience, undefined);
+        t.is(traits.promptTokens, 1_460);
+        t.deepEqual(traits.promptParts, [{ id: "5c", tokens: 800 }, { id: "e4", tokens: 250 }]);
+    });
+});
--- /dev/null
+++ b/tests/process/hosted/control/capacityNeed.test.ts
@@ -0,0 +1,30 @@
+import { CapacityNeed } from "../../../../src/process/hosted/control/capacityNeed.js";
+import { describe, it } from "../../../describe.js";
+
+describe("need of endpoints", () => {
+    it("keeps what serves until traffic has shown what is needed", t => {
+        const need = new CapacityNeed();
+        need.note(0, 4, 0);
+        need.note(0, 13, 1_000);
+        need.note(0, 12, 60_000);
+        t.is(need.endpoints, 13);
+    });
+
+    it("rises at once with a burst", t => {
+        const need = new CapacityNeed();
+        need.note(0, 4, 0);
+        need.note(6_000, 4, 1_000);
+        t.is(need.endpoints, 12);
+    });
+
+    it("falls one by one, and only after a lull that lasts", t => {
+        const need = new CapacityNeed();
+        need.note(6_000, 4, 0);
+        for (let now = 1_000; now <= 11_000; now += 1_000) {
+            need.note(1_000, 12, now);
+        }
+        t.is(need.endpoints, 11);
+        need.note(6_000, 12, 12_000);
+        t.is(need.endpoints, 12);
+    });
+});
--- /dev/null
+++ b/tests/process/hosted/control/domainPlan.test.ts
@@ -0,0 +1,45 @@
+import { planDomain, spreadOverDomains } from "../../../../src/process/hosted/control/domainPlan.js";
+import { describe, it } from "../../../describe.js";
+
+const scaling = { minimum: 1, maximum: 8, startupTime: 4_000, prices: { north: 1 }, spotPriceFraction: 0.2 };
+
+describe("plan of a failure domain", () => {
+    it("orders spot endpoints and keeps steady ones until those serve", t => {
+        const before = planDomain({ wanted: 6, present: { steady: 4, spot: 0 }, isSpotScarce: false, scaling });
+        t.deepEqual(before, { steady: 4, spot: 4 });
+        const after = planDomain({ wanted: 6, present: { steady: 4, spot: 5 }, isSpotScarce: false, scaling });
+        t.deepEqual(after, { steady: 1, spot: 5 });
+    });
+
+    it("fills half of the need with steady endpoints while spot ones are not to be had", t => {
+        const plan = planDomain({ wanted: 6, present: { steady: 1, spot: 0 }, isSpotScarce: true, scaling });
+        t.deepEqual(plan, { steady: 3, spot: 5 });
+    });
+
+    it("gives steady endpoints back step by step where the bound leaves no room beside them", t => {
+        let present = { steady: 8, spot: 0 };
+        for (let step = 0; step < 6; step++) {
+            present = planDomain({ wanted: 8, present, isSpotScarce: false, scaling });
+            t.true(present.steady + present.spot <= scaling.maximum);
+        }
+        t.deepEqual(present, { steady: 2, spot: 6 });
+    });
+
+    it("keeps to the bounds and to steady endpoints where there are no others", t => {
+        const steadyOnly = { ...scaling, spotPriceFraction: undefined };
+        const present = { steady: 4, spot: 0 };
+        t.deepEqual(planDomain({ wanted: 20, present, isSpotScarce: false, scaling: steadyOnly }), {
+            steady: 8,
+            spot: 0,
+        });
+        t.deepEqual(planDomain({ wanted: 0, present, isSpotScarce: false, scaling: steadyOnly }), {
+            steady: 1,
+            spot: 0,
+        });
+    });
+
+    it("spreads endpoints evenly, the rest where they are cheapest", t => {
+        const spread = spreadOverDomains(8, { north: 1.2, south: 0.8, west: 1 });
+        t.deepEqual(Object.fromEntries(spread), { south: 3, west: 3, north: 2 });
+    });
+});
--- /dev/null
+++ b/tests/process/hosted/control/dutyLease.test.ts
@@ -0,0 +1,40 @@
+import { DutyLease } from "../../../../src/process/hosted/control/dutyLease.js";
+import { SuspensionWatch } from "../../../../src/util/suspensionWatch.js";
+import { describe, it } from "../../../describe.js";
+import { SettableClock } from "../../../util/settableClock.js";
+
+function leaseOf(clock: SettableClock, term: () => number): DutyLease {
+    const lease = { lease: () => ({ fencingNumber: term() }) };
+    return new DutyLease(lease, new SuspensionWatch(clock), 3_000, 600);
+}
+
+describe("lease of a duty", () => {
+    it("begins only after a whole turn of the term", t => {
+        const clock = new SettableClock();
+        const lease = leaseOf(clock, () => 2);
+        lease.enterTerm(2, 0);
+        clock.advance(2_900);
+        t.is(lease.token(clock.now(), 400), undefined);
+        clock.advance(200);
+        t.is(lease.token(clock.now(), 400)?.fencingNumber, 2);
+    });
+
+    it("does not hold for another term than the one that was entered", t => {
+        const clock = new SettableClock();
+        const lease = leaseOf(clock, () => 3);
+        lease.enterTerm(2, 0);
+        clock.advance(10_000);
+        t.is(lease.token(clock.now(), 400), undefined);
+    });
+
+    it("must be earned anew after a time that the monotonic clock has not seen", t => {
+        const clock = new SettableClock();
+        const lease = leaseOf(clock, () => 2);
+        lease.enterTerm(2, 0);
+        clock.advance(10_000);
+        clock.unix += 5_000;
+        t.is(lease.token(clock.now(), 400), undefined);
+        clock.advance(700);
+        t.is(lease.token(clock.now(), 400)?.fencingNumber, 2);
+    });
+});
--- /dev/null
+++ b/tests/process/hosted/control/entryRegistry.test.ts
@@ -0,0 +1,41 @@
+import type { EntryBeat, EntryHello } from "../../../../src/connection/hosted/linkMessages.js";
+import { EntryRegistry } from "../../../../src/process/hosted/control/entryRegistry.js";
+import { describe, it } from "../../../describe.js";
+
+function helloOf(entry: string, failureDomain = "north"): EntryHello {
+    const callerAddress = `${entry}:80`;
+    return { kind: "hello", protocol: 1, entry, incarnation: "1", failureDomain, callerAddress, version: 1 };
+}
+
+function beatOf(changes: Partial<EntryBeat> = {}): EntryBeat {
+    const fields = { number: 1, unixTime: 0, version: 1, isReady: true, wantsPermit: false, work: {} };
+    return { kind: "beat", ...fields, ...changes };
+}
+
+describe("registry of entries", () => {
+    it("names entries that serve, near ones first", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("far", "south"), beatOf(), 0);
+        registry.note(helloOf("near"), beatOf(), 0);
+        registry.note(helloOf("leaving"), beatOf({ isReady: false }), 0);
+        t.deepEqual(registry.callerAddresses("north", 100), ["near:80", "far:80"]);
+    });
+
+    it("leaves out entries that are silent or whose link has ended", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("silent"), beatOf(), 0);
+        registry.note(helloOf("ended"), beatOf(), 2_000);
+        registry.disconnect(helloOf("ended"));
+        t.deepEqual(registry.callerAddresses("north", 2_100), []);
+    });
+
+    it("adds up the counts of a window, also those of an entry that has gone", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("a"), beatOf({ usage: { 7: { clinic: 2 } } }), 0);
+        registry.note(helloOf("a"), beatOf({ usage: { 7: { clinic: 5 } } }), 400);
+        registry.note(helloOf("b"), beatOf({ usage: { 7: { clinic: 1, desk: 1 }, 8: { desk: 4 } } }), 400);
+        registry.disconnect(helloOf("a"));
+        t.deepEqual(registry.usageOf(7), { clinic: 6, desk: 1 });
+        t.deepEqual(registry.windowsUpTo(7), [7]);
+    });
+});
--- /dev/null
+++ b/tests/request/hosted/eventSplitter.test.ts
@@ -0,0 +1,34 @@
+import { EventSplitter } from "../../../src/request/hosted/eventSplitter.js";
+import { describe, it } from "../../describe.js";
+
+const first = "id: 1\ndata: a\n\n";
+const second = "id: 2\ndata: b\n\n";
+
+describe("splitter of events", () => {
+    it("passes on whole events alone", t => {
+        const splitter = new EventSplitter(undefined);
+        t.is(splitter.push(Buffer.from("id: 1\nda")), undefined);
+        const events = splitter.push(Buffer.from(`ta: a\n\n${second}id: 3`));
+        t.is(events?.bytes.toString(), first + second);
+        t.is(events?.lastId, 2);
+        t.is(splitter.incomplete.toString(), "id: 3");
+    });
+
+    it("finds an end that is cut between two chunks", t => {
+        const splitter = new EventSplitter(undefined);
+        t.is(splitter.push(Buffer.from("id: 1\ndata: a\n")), undefined);
+        t.is(splitter.push(Buffer.from("\n"))?.bytes.toString(), first);
+    });
+
+    it("leaves out events that the caller has already", t => {
+        const splitter = new EventSplitter(1);
+        t.is(splitter.push(Buffer.from(first)), undefined);
+        const events = splitter.push(Buffer.from(first + second));
+        t.is(events?.bytes.toString(), second);
+    });
+
+    it("passes on events without an identity", t => {
+        t.is(new EventSplitter(4).push(Buffer.from("data: a\n\n"))?.lastId, undefined);
+        t.is(new EventSplitter(4).push(Buffer.from("data: a\n\n"))?.bytes.toString(), "data: a\n\n");
+    });
+});
--- /dev/null
+++ b/tests/request/hosted/longPromptPartition.test.ts
@@ -0,0 +1,42 @@
+import { LongPromptPartition } from "../../../src/request/hosted/longPromptPartition.js";
+import { describe, it } from "../../describe.js";
+import { endpointsOf } from "../../process/hosted/entry/testEndpoints.js";
+
+describe("partition of engines between long prompts and short pauses", () => {
+    it("takes a prompt for long when reading it would stretch the pauses beside it", t => {
+        const partition = new LongPromptPartition();
+        t.is(partition.groupOf(200, 250), "longPrompts");
+        t.is(partition.groupOf(20, 250), "shortPauses");
+        t.is(partition.groupOf(5_000, undefined), "shortPauses");
+    });
+
+    it("gives each group engines in proportion to its work, and each engine to one group", t => {
+        const endpoints = endpointsOf(12);
+        const partition = new LongPromptPartition();
+        for (let now = 0; now < 4_000; now += 100) {
+            partition.note("longPrompts", 300, now);
+            partition.note("shortPauses", 100, now);
+        }
+        const long = partition.members("longPrompts", endpoints, 4_000);
+        const short = partition.members("shortPauses", endpoints, 4_000);
+        t.is(long.size, 9);
+        t.true(endpoints.every(endpoint => long.has(endpoint) !== short.has(endpoint)));
+        t.is(long.size + short.size, 12);
+    });
+
+    it("divides alike at entries that see the engines in another order", t => {
+        const endpoints = endpointsOf(9);
+        const [one, other] = [new LongPromptPartition(), new LongPromptPartition()];
+        const ids = (partition: LongPromptPartition, listed: typeof endpoints): readonly string[] =>
+            [...partition.members("longPrompts", listed, 0)].map(endpoint => endpoint.id).sort();
+        t.deepEqual(ids(one, endpoints), ids(other, [...endpoints].reverse()));
+    });
+
+    it("leaves each group an engine, and a single engine to both", t => {
+        const partition = new LongPromptPartition();
+        partition.note("longPrompts", 1_000_000, 0);
+        t.is(partition.members("shortPauses", endpointsOf(2), 0).size, 1);
+        t.is(partition.members("shortPauses", endpointsOf(1), 0).size, 1);
+        t.is(partition.members("longPrompts", endpointsOf(1), 0).size, 1);
+    });
+});
--- /dev/null
+++ b/tests/request/hosted/predictedStartChooser.test.ts
@@ -0,0 +1,70 @@
+import { readCallTraits } from "../../../platform/callHeaders.js";
+import { readDesiredState } from "../../../platform/desiredState.js";
+import type { HostedEndpoint } from "../../../src/process/hosted/entry/hostedEndpoint.js";
+import type { CallToPlace } from "../../../src/request/hosted/endpointChooser.js";
+import { PredictedStartChooser } from "../../../src/request/hosted/predictedStartChooser.js";
+import { DeploymentIndex } from "../../../src/version/deploymentIndex.js";
+import { describe, it } from "../../describe.js";
+import { documentOf } from "../../platform/testDocument.js";
+import { endpointsOf } from "../../process/hosted/entry/testEndpoints.js";
+
+const index = new DeploymentIndex(readDesiredState(Buffer.from(JSON.stringify(documentOf(1)))).unwrap());
+
+function callOf(path: string, headers: object, excluded: ReadonlySet<HostedEndpoint> = new Set()): CallToPlace {
+    const route = index.findRoute("calls.example", path);
+    const service = route && index.findService(route.targets[0]?.service ?? "");
+    if (route === undefined || service === undefined) {
+        throw new Error(`no route for ${path}`);
+    }
+    const traits = readCallTraits({ ...headers });
+    return { route, service, traits, shortestPause: index.shortestPauseAt(service.name), excluded };
+}
+
+function prompt(subject: string): object {
+    return {
+        "gullhall-token-counts": "3000,60",
+        "gullhall-prompt-prefix": `common:100,${subject}:2500,own${Math.random()}:400`,
+    };
+}
+
+describe("choice by the predicted start", () => {
+    it("sends calls about one subject to one endpoint, also from entries that share no record", t => {
+        const endpoints = endpointsOf(9);
+        const chosen = Array.from(
+            Array(6).keys(),
+            () => new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)?.endpoint.id,
+        );
+        t.is(new Set(chosen).size, 1);
+    });
+
+    it("leaves the preferred endpoint when its queue is too long", t => {
+        const endpoints = endpointsOf(9);
+        const chooser = new PredictedStartChooser();
+        const preferred = chooser.choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)?.endpoint;
+        preferred?.begin({ pendingTokens: 500_000, isPauseSensitive: false }, 0);
+        const next = new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0);
+        t.not(next?.endpoint.id, preferred?.id);
+    });
+
+    it("spreads calls of a plain service over idle endpoints", t => {
+        const endpoints = endpointsOf(3);
+        const chooser = new PredictedStartChooser();
+        const chosen = Array.from(Array(3).keys(), () => {
+            const endpoint = chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint;
+            endpoint?.begin({ pendingTokens: 0, isPauseSensitive: false }, 0);
+            return endpoint?.id;
+        });
+        t.is(new Set(chosen).size, 3);
+    });
+
+    it("avoids endpoints that fail, are silent, or were tried", t => {
+        const endpoints = endpointsOf(3);
+        endpoints[0]?.noteFailure(0);
+        endpoints[1]?.begin({ pendingTokens: 0, isPauseSensitive: false }, -5_000);
+        const chooser = new PredictedStartChooser();
+        t.is(chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint.id, "e2");
+        const tried = new Set(endpoints.slice(2));
+        t.is(chooser.choose(callOf("/bookings/x", {}, tried), endpoints, 0)?.endpoint.id, "e1");
+        t.is(chooser.choose(callOf("/bookings/x", {}, new Set(endpoints)), endpoints, 0), undefined);
+    });
+});
--- /dev/null
+++ b/tests/util/settableClock.ts
@@ -0,0 +1,26 @@
+import { Clock } from "../../src/util/clock.js";
+
+/** A clock whose monotonic and wall-clock times a test sets independently. */
+export class SettableClock extends Clock {
+    constructor(public monotonic = 0, public unix = 1_000_000) {
+        super();
+    }
+
+    /** Lets the same time pass on both. */
+    advance(milliseconds: number): void {
+        this.monotonic += milliseconds;
+        this.unix += milliseconds;
+    }
+
+    override now(): number {
+        return this.monotonic;
+    }
+
+    override unixNow(): number {
+        return this.unix;
+    }
+
+    override async sleep(): Promise<void> {
+        await Promise.resolve();
+    }
+}
