fix(hosted): let answers without a length end with their connection

Tests start three control processes and an entry over loopback: group, configuration, keys, lost disks, unlisted members.

--- a/src/request/hosted/callerAnswer.ts
+++ b/src/request/hosted/callerAnswer.ts
@@ -9,6 +9,7 @@
 /** The answer of one call, as the caller gets it. */
 export class CallerAnswer {
     private isGone = false;
+    private isFramed = true;
     private passedId: number | undefined;
     private firstEventAfter: Milliseconds | undefined;
     private longestPause: Milliseconds = 0;
@@ -68,6 +69,11 @@
     /** Ends a stream that is complete. */
     endStream(message: IncomingMessage, rest: Buffer, attempts: number, endpointId: string): void {
         this.begin(message);
+        if (!isFramed(message) && this.isFramed) {
+            // Nothing tells whether the rest of the stream is whole, so that the framing must not say so.
+            this.response.destroy();
+            return;
+        }
         this.response.end(rest);
         this.noteDelivered(message.statusCode ?? 0, attempts, endpointId);
     }
@@ -79,7 +85,12 @@
             return;
         }
         const headers = withoutLength(headersTowardsCaller(message.rawHeaders));
-        headers.push("Content-Length", String(body.length));
+        if (isFramed(message)) {
+            headers.push("Content-Length", String(body.length));
+        }
+        else {
+            this.endByConnection();
+        }
         this.response.writeHead(message.statusCode ?? 502, headers);
         this.response.end(body);
         this.noteDelivered(message.statusCode ?? 0, attempts, endpointId);
@@ -125,10 +136,20 @@
     private begin(message: IncomingMessage): void {
         if (!this.response.headersSent) {
             const headers = withoutLength(headersTowardsCaller(message.rawHeaders));
+            this.isFramed = isFramed(message);
+            if (!this.isFramed) {
+                this.endByConnection();
+            }
             this.response.writeHead(message.statusCode ?? 200, headers);
         }
     }
 
+    /** Lets the answer end with its connection, as the endpoint's own does: a frame would say that it is whole. */
+    private endByConnection(): void {
+        this.response.shouldKeepAlive = false;
+        this.response.removeHeader("transfer-encoding");
+    }
+
     private noteDelivered(status: number, attempts: number, endpoint: string): void {
         this.parts.counters.count("answered");
         this.parts.counters.recordTime(this.elapsed());
@@ -144,6 +165,11 @@
     }
 }
 
+/** Whether the end of an answer can be told from its frame, not only from the end of its connection. */
+function isFramed(message: IncomingMessage): boolean {
+    return message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined;
+}
+
 function withoutLength(headers: readonly string[]): string[] {
     return headers.flatMap((name, index) =>
         index % 2 === 0 && name.toLowerCase() !== "content-length" ? [name, headers[index + 1] ?? ""] : []
--- /dev/null
+++ b/tests/process/hosted/hostedInstallation.test.ts
@@ -0,0 +1,103 @@
+import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { describe, itSerially } from "../../describe.js";
+import { documentOf } from "../../platform/testDocument.js";
+import { HostedInstallation } from "./hostedInstallation.js";
+import type { SeenCall } from "./hostedInstallation.js";
+
+/** Time within which a repaired member counts again; losses that come sooner may go beyond what the group bears. */
+const catchUpTime = 4_000;
+
+function echo(call: SeenCall, response: ServerResponse): void {
+    response.setHeader("gullhall-attempt-id", String(call.headers["gullhall-attempt-id"]));
+    response.setHeader("gullhall-response-signature", "proof");
+    response.end(`answer to ${call.body}`);
+}
+
+const bookingsOnly = {
+    routes: [{
+        "name": "bookings",
+        "host": "calls.example",
+        "path-prefix": "/bookings/",
+        "kind": "unsafe",
+        "timeout-ms": 1_200,
+        "service": "desk",
+    }],
+};
+
+function unframed(call: SeenCall, response: ServerResponse): void {
+    response.removeHeader("transfer-encoding");
+    response.shouldKeepAlive = false;
+    echo(call, response);
+}
+
+describe("hosted installation", () => {
+    itSerially("lets an answer without a length end with its connection alone", async t => {
+        await using installation = await HostedInstallation.start(15, (call, response) => {
+            response.useChunkedEncodingByDefault = false;
+            unframed(call, response);
+        });
+        await installation.submitUntilAccepted(documentOf(3, bookingsOnly));
+        await installation.callUntil(200, "/bookings/a");
+        const answer = await installation.call("/bookings/a", {}, "body");
+        t.is(answer.body.toString(), "answer to body");
+        t.is(answer.headers["content-length"], undefined);
+        t.is(answer.headers["transfer-encoding"], undefined);
+    });
+
+    itSerially("forms its group unasked, takes a configuration anywhere, and serves calls by it", async t => {
+        await using installation = await HostedInstallation.start(11, echo);
+        t.is((await installation.call("/bookings/a")).status, 503);
+        await installation.submitUntilAccepted(documentOf(3, bookingsOnly));
+        await installation.callUntil(200, "/bookings/a");
+        const answer = await installation.call("/bookings/b?x=1", {}, "body");
+        t.is(answer.body.toString(), "answer to body");
+        const seen = installation.seen.at(-1);
+        t.is(seen?.path, "/bookings/b?x=1");
+        t.is(seen?.headers["gullhall-tenant"], "clinic");
+        t.is(seen?.headers["api-key"], undefined);
+        t.is((await installation.call("/nowhere/")).status, 404);
+        t.is((await installation.call("/bookings/a", { "api-key": "unknown" })).status, 401);
+    });
+
+    itSerially("acknowledges old versions without going back, refuses invalid ones, and withdraws keys", async t => {
+        await using installation = await HostedInstallation.start(12, echo);
+        await installation.submitUntilAccepted(documentOf(7, bookingsOnly));
+        t.is(await installation.submit(2, documentOf(4, bookingsOnly)), 200);
+        t.is(await installation.submit(3, documentOf(9, { routes: [{}] })), 400);
+        t.is(await installation.fetchVersion(1), 7);
+        await installation.callUntil(200, "/bookings/a");
+        const withoutKeys = { ...bookingsOnly, tenants: [{ name: "clinic", keys: [] }] };
+        await installation.submitUntilAccepted(documentOf(10, withoutKeys));
+        await installation.callUntil(401, "/bookings/a");
+    });
+
+    itSerially("keeps what it acknowledged while control processes lose their disks one after the other", async t => {
+        await using installation = await HostedInstallation.start(13, echo);
+        await installation.submitUntilAccepted(documentOf(5, bookingsOnly));
+        for (const lost of [1, 2, 3]) {
+            await installation.stopControl(lost);
+            await installation.wipeControl(lost);
+            await installation.startControl(lost);
+            while (await installation.fetchVersion(lost) !== 5) {
+                await sleep(50);
+            }
+            await sleep(catchUpTime);
+        }
+        await installation.submitUntilAccepted(documentOf(6, bookingsOnly));
+        t.is(await installation.fetchVersion(2), 6);
+    });
+
+    itSerially("admits a control process that no seed names, and lives on without one that never returns", async t => {
+        await using installation = await HostedInstallation.start(14, echo);
+        await installation.submitUntilAccepted(documentOf(5, bookingsOnly));
+        await installation.stopControl(3);
+        await installation.startControl(4);
+        while (await installation.fetchVersion(4) !== 5) {
+            await sleep(50);
+        }
+        await installation.submitUntilAccepted(documentOf(6, bookingsOnly));
+        await installation.callUntil(200, "/bookings/a");
+        t.is(await installation.fetchVersion(4), 6);
+    });
+});
--- /dev/null
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -0,0 +1,241 @@
+import { mkdtemp, rm } from "node:fs/promises";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { httpCall } from "../../../src/connection/httpCall.js";
+import type { HttpCallAnswer } from "../../../src/connection/httpCall.js";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import { HostedControlProcess } from "../../../src/process/hosted/control/hostedControlProcess.js";
+import { HostedEntryProcess } from "../../../src/process/hosted/entry/hostedEntryProcess.js";
+import type { HostedSettings } from "../../../src/process/hosted/hostedSettings.js";
+import { freeAddresses } from "../../../src/quickstart/freeAddresses.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { listen, splitAddress } from "../../../src/util/socketAddress.js";
+
+const clock = new SystemClock();
+
+/** A control process and the folder that stands for its disk. */
+interface StartedControl {
+    readonly process: HostedControlProcess;
+    readonly folder: string;
+}
+
+/** What the stand-in endpoints have seen of one call. */
+export interface SeenCall {
+    readonly path: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+}
+
+/**
+ * Control processes, one entry, and stand-ins of the platform and of one endpoint, in the test's own process.
+ *
+ * Each VM has a loopback address of its own.
+ */
+export class HostedInstallation implements AsyncDisposable {
+    /** Calls that the endpoint has run, in order. */
+    readonly seen: SeenCall[] = [];
+    private readonly store = new DisposableStore();
+    private readonly controls = new Map<number, StartedControl>();
+    private listAddress = "";
+    private endpointAddress = "";
+    private firstInternalPort = 0;
+    private readonly operatorPort: number;
+    private readonly callerAddress: string;
+
+    private constructor(private readonly network: number, ports: readonly number[]) {
+        const [first = 0, operator = 0, caller = 0] = ports;
+        this.firstInternalPort = first;
+        this.operatorPort = operator;
+        this.callerAddress = `127.0.${network}.100:${caller}`;
+    }
+
+    /**
+     * Starts the stand-ins, three control processes that the seeds name, and an entry.
+     *
+     * @param network Third number of the loopback addresses, unique among tests that run beside each other.
+     * @param answer How the endpoint answers a call.
+     */
+    static async start(
+        network: number,
+        answer: (call: SeenCall, response: ServerResponse) => void,
+    ): Promise<HostedInstallation> {
+        const addresses = await freeAddresses(3);
+        const ports = addresses.map(address => splitAddress(address).port);
+        const installation = new HostedInstallation(network, ports);
+        await installation.startStandIns(answer);
+        await Promise.all([1, 2, 3].map(index => installation.startControl(index, true)));
+        await installation.startEntry();
+        return installation;
+    }
+
+    /** Starts a control process on a VM; its disk is empty unless it ran before. */
+    async startControl(index: number, isFirstStart = false): Promise<void> {
+        const folder = this.controls.get(index)?.folder ?? await mkdtemp(join(tmpdir(), "gullhall-hosted-"));
+        const settings = this.settingsOf(index, isFirstStart, folder);
+        const control = new HostedControlProcess(
+            () => settings,
+            clock,
+            new EventLog(settings.name, process.env["HOSTED_LOG"] === undefined ? "hidden" : "json"),
+        );
+        this.controls.set(index, { process: control, folder });
+        await control.start();
+    }
+
+    /** Stops a control process; its disk stays. */
+    async stopControl(index: number): Promise<void> {
+        await this.controls.get(index)?.process[Symbol.asyncDispose]();
+    }
+
+    /** Empties the disk of a control process that does not run. */
+    async wipeControl(index: number): Promise<void> {
+        await rm(this.controls.get(index)?.folder ?? "", { recursive: true, force: true });
+    }
+
+    /** Submits a configuration to a control process, and follows its redirections as operators do. */
+    async submit(index: number, document: object): Promise<number> {
+        let address = this.operatorAddress(index);
+        for (let hops = 0; hops < 3; hops++) {
+            const answer = await httpCall({
+                address,
+                method: "POST",
+                path: "/v1/configuration/replace",
+                body: JSON.stringify(document),
+                timeout: 2_000,
+            });
+            const { status = 0, headers = {} } = answer.ok ? answer.val : {};
+            if (status !== 307) {
+                return status;
+            }
+            address = new URL(headers.location ?? "").host;
+        }
+        return 0;
+    }
+
+    /** Submits until it is acknowledged. */
+    async submitUntilAccepted(document: object): Promise<void> {
+        for (let attempt = 0; await this.submit(1 + attempt % 3, document) !== 200; attempt++) {
+            await clock.sleep(50);
+        }
+    }
+
+    /** Version of the configuration that a control process gives back; undefined where it is not sure. */
+    async fetchVersion(index: number): Promise<number | undefined> {
+        const answer = await httpCall({
+            address: this.operatorAddress(index),
+            method: "GET",
+            path: "/v1/configuration/fetch",
+            timeout: 2_000,
+        });
+        return answer.ok && answer.val.status === 200
+            ? (JSON.parse(answer.val.body.toString("utf8")) as { readonly version: number; }).version
+            : undefined;
+    }
+
+    /** Makes a call at the entry. */
+    async call(path: string, headers: Readonly<Record<string, string>> = {}, body = ""): Promise<HttpCallAnswer> {
+        const answer = await httpCall({
+            address: this.callerAddress,
+            method: "POST",
+            path,
+            headers: { "host": "calls.example", "api-key": "key-1", "gullhall-attempt-id": "call-1", ...headers },
+            body,
+            timeout: 5_000,
+        });
+        return answer.unwrap();
+    }
+
+    /** Repeats a call until it gets a status. */
+    async callUntil(status: number, path: string, headers: Readonly<Record<string, string>> = {}): Promise<void> {
+        while ((await this.call(path, headers)).status !== status) {
+            await clock.sleep(50);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.store.dispose();
+        for (const { process, folder } of this.controls.values()) {
+            await process[Symbol.asyncDispose]();
+            await rm(folder, { recursive: true, force: true });
+        }
+    }
+
+    private async startStandIns(answer: (call: SeenCall, response: ServerResponse) => void): Promise<void> {
+        this.endpointAddress = await this.serve(createServer((request, response) => {
+            const chunks: Buffer[] = [];
+            request.on("data", (chunk: Buffer) => chunks.push(chunk));
+            request.on("end", () => {
+                const body = Buffer.concat(chunks).toString("utf8");
+                const call = { path: request.url ?? "", headers: request.headers, body };
+                this.seen.push(call);
+                answer(call, response);
+            });
+        }));
+        this.listAddress = await this.serve(createServer((request, response) => {
+            request.resume();
+            response.end(JSON.stringify({ instances: ["desk", "engines"].map(service => this.rowOf(service)) }));
+        }));
+    }
+
+    private rowOf(service: string): object {
+        const address = this.endpointAddress;
+        return { identifier: `i-${service}`, service, address, zone: "north", slots: 4, state: "ready" };
+    }
+
+    private async serve(server: Server): Promise<string> {
+        this.store.defer(() => {
+            server.close();
+            server.closeAllConnections();
+        });
+        return listen(server, "127.0.0.1:0");
+    }
+
+    private async startEntry(): Promise<void> {
+        const settings = { ...this.settingsOf(100, true, undefined), callerAddress: this.callerAddress };
+        const entry = new HostedEntryProcess(
+            () => settings,
+            clock,
+            new EventLog(settings.name, process.env["HOSTED_LOG"] === undefined ? "hidden" : "json"),
+        );
+        this.store.add(entry);
+        await entry.start();
+    }
+
+    private operatorAddress(index: number): string {
+        return `127.0.${this.network}.${index}:${this.operatorPort}`;
+    }
+
+    private settingsOf(index: number, isFirstStart: boolean, dataFolder: string | undefined): HostedSettings {
+        return {
+            name: `vm-${index}`,
+            host: `127.0.${this.network}.${index}`,
+            failureDomain: "north",
+            callerAddress: undefined,
+            readinessAddress: undefined,
+            operatorAddress: dataFolder === undefined ? undefined : this.operatorAddress(index),
+            resolutionAddress: undefined,
+            firstInternalPort: this.firstInternalPort,
+            seedOperatorAddresses: [1, 2, 3].map(seed => this.operatorAddress(seed)),
+            isFirstStart,
+            dataFolder,
+            bounds: {
+                keyWithdrawal: 5_000,
+                shutdown: 1_000,
+                dutyTurn: 3_000,
+                usageWindow: 5_000,
+                retryWindow: 10_000,
+                retryFraction: 0.2,
+                retryReserve: 20,
+                resolutionTimeToLive: 5_000,
+            },
+            platform: {
+                address: this.listAddress,
+                listCallsPerSecond: 40,
+                reportsUsage: false,
+                ordersEndpoints: false,
+            },
+        };
+    }
+}
