--- a/src/process/hosted/control/domainPlan.ts
+++ b/src/process/hosted/control/domainPlan.ts
@@ -50,14 +50,20 @@
     return { steady, spot: Math.min(total - floor, scaling.maximum - steady) };
 }
 
-/** Spreads endpoints evenly over failure domains, the cheapest ones first. */
+/**
+ * Spreads endpoints evenly over failure domains, the cheapest ones first.
+ *
+ * Where there are several domains, each gets so many that the others hold what is wanted when its spot endpoints are
+ * reclaimed: the spare ones cost little, and the wait for new ones would cost callers more.
+ */
 export function spreadOverDomains(
     wanted: number,
     prices: Readonly<Record<string, number>>,
 ): ReadonlyMap<string, number> {
     const domains = Object.entries(prices).sort(([, a], [, b]) => a - b).map(([domain]) => domain);
-    const share = Math.floor(wanted / Math.max(1, domains.length));
-    const rest = wanted - share * domains.length;
+    const total = domains.length > 1 ? Math.ceil(wanted * domains.length / (domains.length - 1)) : wanted;
+    const share = Math.floor(total / Math.max(1, domains.length));
+    const rest = total - share * domains.length;
     return new Map(domains.map((domain, index) => [domain, share + (index < rest ? 1 : 0)]));
 }
 
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -22,13 +22,22 @@
 export interface OutstandingCall {
     /** Prompt tokens that the endpoint must still read before the first event; 0 once it has come. */
     pendingTokens: number;
-    readonly isPauseSensitive: boolean;
+    /** 0 to 9; 0 goes first at the endpoint. */
+    readonly urgency: number;
+    readonly sentAt: Milliseconds;
+}
+
+/** A wait that was seen lately. */
+interface SeenWait {
+    readonly wait: Milliseconds;
+    readonly seenAt: Milliseconds;
 }
 
 /** One endpoint as this entry sees it. */
 export class HostedEndpoint implements Disposable {
     readonly agent = new EndpointAgent();
     private latestRecord: EndpointRecord;
+    private readonly waits = new Map<number, SeenWait>();
     private readonly calls = new Set<OutstandingCall>();
     private othersLoad = 0;
     private othersWaiting = 0;
@@ -68,11 +77,26 @@
         return tokens;
     }
 
-    /** This entry's streams here whose pauses must be short. */
-    get pauseSensitiveCalls(): number {
-        let count = 0;
-        this.calls.forEach(call => count += call.isPauseSensitive ? 1 : 0);
-        return count;
+    /** How long the oldest of this entry's calls waits that are at least as urgent and have not begun. */
+    pendingAge(urgency: number, now: Milliseconds): Milliseconds {
+        let age = 0;
+        for (const call of this.calls) {
+            if (call.pendingTokens > 0 && call.urgency <= urgency) {
+                age = Math.max(age, now - call.sentAt);
+            }
+        }
+        return age;
+    }
+
+    /** Notes how long a call waited in the endpoint's queue. */
+    noteWait(urgency: number, wait: Milliseconds, now: Milliseconds): void {
+        this.waits.set(urgency, { wait, seenAt: now });
+    }
+
+    /** The wait that calls of an urgency have seen lately; it fades with time. */
+    recentWait(urgency: number, now: Milliseconds): Milliseconds {
+        const seen = this.waits.get(urgency);
+        return seen === undefined ? 0 : seen.wait * Math.exp((seen.seenAt - now) / loadMemory);
     }
 
     /** Takes over what the platform lists now. */
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { CallParts } from "../../../request/hosted/callParts.js";
 import { HostedCall } from "../../../request/hosted/hostedCall.js";
+import { PatienceRecord } from "../../../request/hosted/patienceRecord.js";
 import { PredictedStartChooser } from "../../../request/hosted/predictedStartChooser.js";
 import { failure } from "../../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
@@ -75,6 +76,7 @@
             fleet: this.fleet,
             chooser: new PredictedStartChooser(),
             allowance: new RetryAllowance(bounds),
+            patience: new PatienceRecord(),
             counts,
             counters: new EntryCounters(),
             clock,
--- a/src/request/hosted/callParts.ts
+++ b/src/request/hosted/callParts.ts
@@ -11,6 +11,7 @@
 import type { SuspensionWatch } from "../../util/suspensionWatch.js";
 import type { DeployedRoute, DeployedService, DeployedTeam } from "../../version/deployment.js";
 import type { EndpointChooser } from "./endpointChooser.js";
+import type { PatienceRecord } from "./patienceRecord.js";
 
 /** What the calls of an entry share. */
 export interface CallParts {
@@ -18,6 +19,7 @@
     readonly fleet: EndpointFleet;
     readonly chooser: EndpointChooser;
     readonly allowance: RetryAllowance;
+    readonly patience: PatienceRecord;
     readonly counts: CallCounts;
     readonly counters: EntryCounters;
     readonly clock: Clock;
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -85,16 +85,11 @@
         }
     }
 
-    /** Waits for the head; a call that may move is taken away from an endpoint that stays silent. */
+    /** Waits for the head; a long wait alone is no fault of an endpoint that goes on answering other calls. */
     private async awaitHead(): Promise<ExchangeHead> {
-        const { mayMove, call: { route } } = this.attempt;
-        const timer = mayMove
-            ? setTimeout(() => {
-                this.cancel("no answer in time");
-            }, Math.max(leastStall, route.targetLatency))
-            : undefined;
+        const watch = this.watchSilence(Math.max(leastStall, this.attempt.call.route.targetLatency));
         const head = await this.exchange.head();
-        clearTimeout(timer);
+        clearInterval(watch);
         return head;
     }
 
@@ -151,7 +146,8 @@
     private async relayStream(message: IncomingMessage): Promise<AttemptOutcome> {
         const { answer, earlierRuns, placement: { endpoint } } = this.attempt;
         const splitter = new EventSplitter(answer.passedEventId);
-        const stall = this.watchPauses(() => endpoint.silence(this.parts.clock.now()));
+        const { targetPause = 0 } = this.attempt.call.route;
+        const stall = this.watchSilence(Math.max(leastStall, stalledPauses * targetPause));
         let hasBegun = false;
         try {
             for await (const chunk of message as AsyncIterable<Buffer>) {
@@ -180,14 +176,13 @@
         return { kind: "delivered" };
     }
 
-    /** Takes a stream that may move away from an endpoint that has fallen silent. */
-    private watchPauses(silence: () => Milliseconds): NodeJS.Timeout | undefined {
-        const { mayMove, call: { route } } = this.attempt;
-        const bound = Math.max(leastStall, stalledPauses * (route.targetPause ?? 0));
+    /** Takes a call that may move away from an endpoint of which nothing at all is heard for too long. */
+    private watchSilence(bound: Milliseconds): NodeJS.Timeout | undefined {
+        const { mayMove, placement: { endpoint } } = this.attempt;
         return mayMove
             ? setInterval(() => {
-                if (silence() > bound) {
-                    this.cancel("no event in time");
+                if (endpoint.silence(this.parts.clock.now()) > bound) {
+                    this.cancel("the endpoint is silent");
                 }
             }, leastStall / 4)
             : undefined;
--- a/src/request/hosted/endpointChooser.ts
+++ b/src/request/hosted/endpointChooser.ts
@@ -8,6 +8,8 @@
     readonly route: DeployedRoute;
     readonly service: DeployedService;
     readonly traits: CallTraits;
+    /** 0 to 9; 0 goes first at the endpoints. */
+    readonly urgency: number;
     /** The shortest pause that any stream at the service may have; undefined where none is bounded. */
     readonly shortestPause: Milliseconds | undefined;
     /** Endpoints that have failed or refused the call already. */
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -24,6 +24,12 @@
 /** Longest wait that a refused caller is asked for, as a fraction of its remaining patience. */
 const retryAfterFraction = 0.3;
 
+/** Predicted wait, as a multiple of the target, above which a call is refused: it would be late for sure. */
+const lateFactor = 1.25;
+
+/** Part of its remaining time that a call which comes back may wait; it has waited before. */
+const returningFraction = 0.5;
+
 /** An attempt that did not give the caller its answer. */
 type FailedOutcome = Exclude<AttemptOutcome, { kind: "delivered"; }>;
 
@@ -74,6 +80,11 @@
                 this.giveUp(call);
                 return;
             }
+            if (this.tried.size === 0 && this.isHopeless(call, placement)) {
+                this.rejections++;
+                this.giveUp(call);
+                return;
+            }
             const outcome = await this.attemptAt(call, placement);
             if (outcome.kind === "delivered" || this.answer.hasCallerLeft()) {
                 return;
@@ -85,6 +96,19 @@
         }
     }
 
+    /** Whether a call would only make others late: it is better tried again when the queue is shorter. */
+    private isHopeless(call: AdmittedCall, { predictedWait }: Placement): boolean {
+        const { patience, clock } = this.parts;
+        if (call.service.engine === undefined) {
+            return false;
+        }
+        const isReturning = patience.isReturning(call.route, this.traits.patience, clock.now());
+        const bound = isReturning
+            ? this.remaining(call.route) * returningFraction
+            : call.route.targetLatency * lateFactor;
+        return predictedWait > bound;
+    }
+
     /** Time until the caller or the route gives the call up. */
     private remaining(route: DeployedRoute): Milliseconds {
         const patience = Math.min(this.traits.patience ?? Infinity, route.timeout);
@@ -96,8 +120,8 @@
         return chooser.choose(this.toPlace(call), fleet.serving(call.service.name), clock.now());
     }
 
-    private toPlace({ route, service, shortestPause }: AdmittedCall): CallToPlace {
-        return { route, service, shortestPause, traits: this.traits, excluded: this.tried };
+    private toPlace({ route, service, urgency, shortestPause }: AdmittedCall): CallToPlace {
+        return { route, service, urgency, shortestPause, traits: this.traits, excluded: this.tried };
     }
 
     private async attemptAt(call: AdmittedCall, placement: Placement): Promise<AttemptOutcome> {
@@ -105,7 +129,7 @@
         const { clock, chooser } = this.parts;
         const { route } = call;
         const sentAt = clock.now();
-        const outstanding = { pendingTokens: unreadTokens, isPauseSensitive: route.targetPause !== undefined };
+        const outstanding = { pendingTokens: unreadTokens, urgency: call.urgency, sentAt };
         this.tried.add(endpoint);
         endpoint.begin(outstanding, sentAt);
         this.logDispatch(call, placement);
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -36,7 +36,7 @@
 const decodingTimePerToken: Milliseconds = 0.1;
 
 /** Wait in its own group that a call accepts before it goes to an engine of the other group. */
-const crossingDelay: Readonly<Record<EngineGroup, Milliseconds>> = { longPrompts: 1_500, shortPauses: 600 };
+const crossingDelay: Readonly<Record<EngineGroup, Milliseconds>> = { longPrompts: 3_000, shortPauses: 600 };
 
 /**
  * Delay that is accepted to spare an engine a shared token which another engine holds already.
@@ -86,8 +86,10 @@
         return best;
     }
 
-    override noteBegun(call: CallToPlace, placement: Placement, waited: Milliseconds): void {
+    override noteBegun(call: CallToPlace, placement: Placement, waited: Milliseconds, now: Milliseconds): void {
         if (call.service.engine !== undefined) {
+            const readingTime = placement.unreadTokens / assumedReadingPace;
+            placement.endpoint.noteWait(call.urgency, Math.max(0, waited - readingTime), now);
             return;
         }
         const ownTime = Math.max(1, waited - placement.predictedWait);
@@ -132,7 +134,10 @@
         const foreignTokens = endpoint.estimatedForeignWaiting(now) * assumedPromptTokens;
         const ahead = endpoint.pendingTokens + foreignTokens;
         const running = endpoint.estimatedCalls(now);
-        const predictedWait = (ahead + Math.max(0, unreadTokens)) / assumedReadingPace + running * delayPerRunningCall;
+        const modelled = ahead / assumedReadingPace + running * delayPerRunningCall;
+        // What calls have seen corrects the model, which knows the calls of other entries only by their number.
+        const seen = Math.max(endpoint.recentWait(call.urgency, now), endpoint.pendingAge(call.urgency, now));
+        const predictedWait = Math.max(modelled, seen) + Math.max(0, unreadTokens) / assumedReadingPace;
         return { endpoint, predictedWait, unreadTokens: Math.max(0, unreadTokens) };
     }
 
--- a/tests/process/hosted/control/domainPlan.test.ts
+++ b/tests/process/hosted/control/domainPlan.test.ts
@@ -38,8 +38,9 @@
         });
     });
 
-    it("spreads endpoints evenly, the rest where they are cheapest", t => {
-        const spread = spreadOverDomains(8, { north: 1.2, south: 0.8, west: 1 });
-        t.deepEqual(Object.fromEntries(spread), { south: 3, west: 3, north: 2 });
+    it("spreads endpoints evenly, the rest where they are cheapest, and bears the loss of one domain", t => {
+        const spread = spreadOverDomains(7, { north: 1.2, south: 0.8, west: 1 });
+        t.deepEqual(Object.fromEntries(spread), { south: 4, west: 4, north: 3 });
+        t.deepEqual(Object.fromEntries(spreadOverDomains(7, { north: 1 })), { north: 7 });
     });
 });
--- a/tests/request/hosted/predictedStartChooser.test.ts
+++ b/tests/request/hosted/predictedStartChooser.test.ts
@@ -17,7 +17,7 @@
         throw new Error(`no route for ${path}`);
     }
     const traits = readCallTraits({ ...headers });
-    return { route, service, traits, shortestPause: index.shortestPauseAt(service.name), excluded };
+    return { route, service, traits, urgency: 5, shortestPause: index.shortestPauseAt(service.name), excluded };
 }
 
 function prompt(subject: string): object {
@@ -41,17 +41,34 @@
         const endpoints = endpointsOf(9);
         const chooser = new PredictedStartChooser();
         const preferred = chooser.choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)?.endpoint;
-        preferred?.begin({ pendingTokens: 500_000, isPauseSensitive: false }, 0);
+        preferred?.begin({ pendingTokens: 500_000, urgency: 5, sentAt: 0 }, 0);
         const next = new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0);
         t.not(next?.endpoint.id, preferred?.id);
     });
 
+    it("learns from what calls have waited, by their urgency", t => {
+        const [slow, other] = endpointsOf(2);
+        const chooser = new PredictedStartChooser();
+        if (slow === undefined || other === undefined) {
+            t.fail();
+            return;
+        }
+        slow.noteWait(5, 3_000, 0);
+        const waitAt = (endpoint: HostedEndpoint, urgency: number): number =>
+            chooser.choose({ ...callOf("/drafts/x", {}), urgency }, [endpoint], 0)?.predictedWait ?? -1;
+        t.is(waitAt(slow, 5), 3_000);
+        t.is(waitAt(slow, 0), 0);
+        other.begin({ pendingTokens: 1, urgency: 2, sentAt: -900 }, -900);
+        t.is(waitAt(other, 5), 900);
+        t.is(Math.floor(waitAt(other, 1)), 2);
+    });
+
     it("spreads calls of a plain service over idle endpoints", t => {
         const endpoints = endpointsOf(3);
         const chooser = new PredictedStartChooser();
         const chosen = Array.from(Array(3).keys(), () => {
             const endpoint = chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint;
-            endpoint?.begin({ pendingTokens: 0, isPauseSensitive: false }, 0);
+            endpoint?.begin({ pendingTokens: 0, urgency: 5, sentAt: 0 }, 0);
             return endpoint?.id;
         });
         t.is(new Set(chosen).size, 3);
@@ -60,7 +77,7 @@
     it("avoids endpoints that fail, are silent, or were tried", t => {
         const endpoints = endpointsOf(3);
         endpoints[0]?.noteFailure(0);
-        endpoints[1]?.begin({ pendingTokens: 0, isPauseSensitive: false }, -5_000);
+        endpoints[1]?.begin({ pendingTokens: 0, urgency: 5, sentAt: 0 }, -5_000);
         const chooser = new PredictedStartChooser();
         t.is(chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint.id, "e2");
         const tried = new Set(endpoints.slice(2));
