--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -5,6 +5,7 @@
 import { EntryLink } from "../../../connection/hosted/entryLink.js";
 import { createHostedControlServer } from "../../../connection/hosted/hostedControlServer.js";
 import { linkPortOffset } from "../../../connection/hosted/linkMessages.js";
+import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import { describeFailure } from "../../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
@@ -13,12 +14,14 @@
 import { listen, splitAddress } from "../../../util/socketAddress.js";
 import { SuspensionWatch } from "../../../util/suspensionWatch.js";
 import type { DeployedService } from "../../../version/deployment.js";
+import { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import { HttpLeasedCaller } from "../../platform/httpLeasedCaller.js";
 import { runWhileLeading } from "../../platform/platformDuties.js";
 import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import type { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
+import { metricsPort } from "../metricsPort.js";
 import { DocumentService } from "./documentService.js";
 import { DutyLease } from "./dutyLease.js";
 import { EndpointWatch } from "./endpointWatch.js";
@@ -87,6 +90,7 @@
                 await this.serve(createHostedControlServer({ documents, registry, clock, eventLog }), address);
             }
         }
+        await this.serveMetrics(log, watch);
         this.runDuties(log, watch);
     }
 
@@ -157,6 +161,36 @@
         await this.serve(server, `${host}:${firstInternalPort + linkPortOffset}`);
     }
 
+    private async serveMetrics(log: HostedLog, watch: EndpointWatch): Promise<void> {
+        const { state, registry, clock } = this;
+        const figures = (): Readonly<Record<string, number>> => {
+            const { term, role, commitPosition, membership } = log.status();
+            return {
+                term,
+                leading: role === "leader" ? 1 : 0,
+                commit_position: commitPosition,
+                members: membership.members.length,
+                version: state.version,
+                entries: registry.count(clock.now()),
+                endpoints: watch.reading?.endpoints.length ?? 0,
+            };
+        };
+        const metrics = this.store.add(
+            new MetricsServer({
+                exposition: () => {
+                    const writer = new ExpositionWriter();
+                    for (const [name, value] of Object.entries(figures())) {
+                        writer.family(`gullhall_${name}`, "gauge", `The process's ${name.replace("_", " ")}.`);
+                        writer.sample(`gullhall_${name}`, {}, value);
+                    }
+                    return writer.toString();
+                },
+                state: figures,
+            }),
+        );
+        await metrics.start(`${this.settings().host}:${metricsPort}`);
+    }
+
     /** The services of the configuration in force; read anew only after a change. */
     private services(): readonly DeployedService[] {
         const { document } = this.state;
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -5,6 +5,7 @@
 import { servedCalls } from "../../../../platform/servedCalls.js";
 import { linkPortOffset } from "../../../connection/hosted/linkMessages.js";
 import { answerFailure, answerJson } from "../../../connection/httpAnswer.js";
+import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { CallParts } from "../../../request/hosted/callParts.js";
 import { HostedCall } from "../../../request/hosted/hostedCall.js";
@@ -17,8 +18,10 @@
 import { RandomSource } from "../../../util/randomSource.js";
 import { listen, splitAddress } from "../../../util/socketAddress.js";
 import { SuspensionWatch } from "../../../util/suspensionWatch.js";
+import { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
+import { metricsPort } from "../metricsPort.js";
 import { CallCounts } from "./callCounts.js";
 import { ControlLinks } from "./controlLinks.js";
 import { DeploymentView } from "./deploymentView.js";
@@ -126,9 +129,29 @@
             });
             await listen(readiness, readinessAddress);
         }
+        await this.serveMetrics();
         void this.links.run(this.stopping.signal);
     }
 
+    private async serveMetrics(): Promise<void> {
+        const { view, counters } = this.parts;
+        const metrics = this.store.add(
+            new MetricsServer({
+                exposition: () => {
+                    const writer = new ExpositionWriter();
+                    counters.write(writer);
+                    writer.family("gullhall_version", "gauge", "Version of the configuration in force.");
+                    writer.sample("gullhall_version", {}, view.version);
+                    writer.family("gullhall_running_calls", "gauge", "Calls that are under way.");
+                    writer.sample("gullhall_running_calls", {}, this.running.size);
+                    return writer.toString();
+                },
+                state: () => ({ version: view.version, isReady: this.isReady(), runningCalls: this.running.size }),
+            }),
+        );
+        await metrics.start(`${this.settings().host}:${metricsPort}`);
+    }
+
     /** Sends callers elsewhere, then finishes what runs, and cuts only what outlasts the time for it. */
     async [Symbol.asyncDispose](): Promise<void> {
         const begunAt = this.clock.now();
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -41,7 +41,7 @@
     private readonly controls = new Map<number, StartedControl>();
     private listAddress = "";
     private endpointAddress = "";
-    private firstInternalPort = 0;
+    private readonly firstInternalPort: number;
     private readonly operatorPort: number;
     private readonly callerAddress: string;
 
