--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -114,7 +114,17 @@
         number: 2460,
         level: "info",
         text: "A call was sent to an endpoint.",
-        fields: ["requestId", "attempt", "endpoint", "version", "outstanding", "predictedWait", "remaining"],
+        fields: [
+            "requestId",
+            "attempt",
+            "endpoint",
+            "version",
+            "outstanding",
+            "predictedWait",
+            "listAge",
+            "permitAge",
+            "remaining",
+        ],
     },
     callAttemptFailed: {
         number: 2461,
--- a/src/process/hosted/entry/deploymentView.ts
+++ b/src/process/hosted/entry/deploymentView.ts
@@ -51,6 +51,11 @@
         return now - this.confirmedAt;
     }
 
+    /** The age of the newest confirmation in whole milliseconds, for log lines; undefined before the first one. */
+    loggedPermitAge(now: Milliseconds): Milliseconds | undefined {
+        return this.confirmedAt === -Infinity ? undefined : Math.round(this.permitAge(now));
+    }
+
     /** Whether calls may be served now. */
     permits(now: Milliseconds): boolean {
         const isPermitted = this.index !== undefined
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -43,6 +43,11 @@
         this.eventLog.write("endpointListTaken", fields);
     }
 
+    /** Whole milliseconds since the list last changed, as it was read from the platform. */
+    age(now: Milliseconds): Milliseconds {
+        return Math.round(now - this.readAt);
+    }
+
     /** The endpoints of a service that take new work. */
     serving(service: string): readonly HostedEndpoint[] {
         return this.byService.get(service)?.filter(endpoint => !endpoint.record.isLeaving) ?? [];
--- a/src/request/hosted/callerAnswer.ts
+++ b/src/request/hosted/callerAnswer.ts
@@ -107,7 +107,7 @@
             route: call?.route.name,
             code: reason.code,
             version: view.version,
-            permitAge: Math.round(view.permitAge(suspension.now())),
+            permitAge: view.loggedPermitAge(suspension.now()),
             waited: this.elapsed(),
             retryAfter: seconds,
         });
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -235,14 +235,17 @@
     }
 
     private logDispatch(call: AdmittedCall, { endpoint, predictedWait }: Placement): void {
-        this.parts.counters.count("dispatched");
-        this.parts.eventLog.write("callDispatched", {
+        const { fleet, view, clock, suspension, counters, eventLog } = this.parts;
+        counters.count("dispatched");
+        eventLog.write("callDispatched", {
             requestId: this.traits.callId,
             attempt: this.tried.size,
             endpoint: endpoint.id,
             version: call.version,
             outstanding: endpoint.outstanding,
             predictedWait: Math.round(predictedWait),
+            listAge: fleet.age(clock.now()),
+            permitAge: view.loggedPermitAge(suspension.now()),
             remaining: Math.round(this.remaining(call.route)),
         });
     }
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -54,6 +54,11 @@
     private readonly serviceTimes = new Map<string, Milliseconds>();
     private readonly partitions = new Map<string, LongPromptPartition>();
 
+    /** @param entryCount Number of entries that serve at present. */
+    constructor(private readonly entryCount: () => number) {
+        super();
+    }
+
     override choose(
         call: CallToPlace,
         candidates: readonly HostedEndpoint[],
@@ -113,7 +118,7 @@
         const partition = this.partitionOf(call);
         const readingTime = call.traits.promptTokens / assumedReadingPace;
         const group = partition.groupOf(readingTime, call.shortestPause);
-        return { group, members: partition.members(group, endpoints, now) };
+        return { group, members: partition.members(group, endpoints, this.entryCount(), now) };
     }
 
     private partitionOf(call: CallToPlace): LongPromptPartition {
--- /dev/null
+++ b/tests/process/hosted/settingsFile.test.ts
@@ -0,0 +1,47 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import { SettingsFile } from "../../../src/process/hosted/settingsFile.js";
+import { describe, it } from "../../describe.js";
+
+const eventLog = new EventLog("vm", "hidden");
+
+function textOf(seeds: readonly string[]): string {
+    return JSON.stringify({
+        "node": "vm",
+        "ip-address": "10.0.0.1",
+        "zone": "north",
+        "listen-addresses": {},
+        "internal-ports": [7000, 7010],
+        "seeds": seeds,
+        "bounds": {},
+        "cloud-api": { address: "10.0.0.9:80" },
+    });
+}
+
+describe("settings file", () => {
+    it("is read anew when it has changed, and keeps what it had when the change cannot be used", async t => {
+        const folder = await mkdtemp(join(tmpdir(), "gullhall-settings-"));
+        const path = join(folder, "local.json");
+        const file = new SettingsFile(path);
+        t.is(typeof await file.load(), "string");
+        await writeFile(path, textOf(["10.0.0.2:80"]));
+        t.is(await file.load(), undefined);
+        let changes = 0;
+        const reload = (): Promise<void> =>
+            file.reload("test", eventLog, () => {
+                changes++;
+            });
+        await reload();
+        t.is(changes, 0);
+        await writeFile(path, "{");
+        await reload();
+        t.deepEqual(file.current.seedOperatorAddresses, ["10.0.0.2:80"]);
+        await writeFile(path, textOf(["10.0.0.3:80"]));
+        await reload();
+        t.deepEqual(file.current.seedOperatorAddresses, ["10.0.0.3:80"]);
+        t.is(changes, 1);
+        await rm(folder, { recursive: true });
+    });
+});
--- a/tests/request/hosted/predictedStartChooser.test.ts
+++ b/tests/request/hosted/predictedStartChooser.test.ts
@@ -32,23 +32,25 @@
         const endpoints = endpointsOf(9);
         const chosen = Array.from(
             Array(6).keys(),
-            () => new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)?.endpoint.id,
+            () =>
+                new PredictedStartChooser(() => 1).choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)
+                    ?.endpoint.id,
         );
         t.is(new Set(chosen).size, 1);
     });
 
     it("leaves the preferred endpoint when its queue is too long", t => {
         const endpoints = endpointsOf(9);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(() => 1);
         const preferred = chooser.choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)?.endpoint;
         preferred?.begin({ pendingTokens: 500_000, urgency: 5, sentAt: 0 }, 0);
-        const next = new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0);
+        const next = new PredictedStartChooser(() => 1).choose(callOf("/drafts/x", prompt("subject")), endpoints, 0);
         t.not(next?.endpoint.id, preferred?.id);
     });
 
     it("learns from what calls have waited, by their urgency", t => {
         const [slow, other] = endpointsOf(2);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(() => 1);
         if (slow === undefined || other === undefined) {
             t.fail();
             return;
@@ -65,7 +67,7 @@
 
     it("spreads calls of a plain service over idle endpoints", t => {
         const endpoints = endpointsOf(3);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(() => 1);
         const chosen = Array.from(Array(3).keys(), () => {
             const endpoint = chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint;
             endpoint?.begin({ pendingTokens: 0, urgency: 5, sentAt: 0 }, 0);
@@ -78,7 +80,7 @@
         const endpoints = endpointsOf(3);
         endpoints[0]?.noteFailure(0);
         endpoints[1]?.begin({ pendingTokens: 0, urgency: 5, sentAt: 0 }, -5_000);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(() => 1);
         t.is(chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint.id, "e2");
         const tried = new Set(endpoints.slice(2));
         t.is(chooser.choose(callOf("/bookings/x", {}, tried), endpoints, 0)?.endpoint.id, "e1");
