fix(hosted): divide engines in proportion again; predict waits behind like prompts

Waiting calls of other entries now count with prompts like the call's own, and a wait that lasts is taken to grow.

--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -77,7 +77,7 @@
         this.parts = {
             view: this.view,
             fleet: this.fleet,
-            chooser: new PredictedStartChooser(() => this.entryCount),
+            chooser: new PredictedStartChooser(),
             allowance: new RetryAllowance(bounds),
             patience: new PatienceRecord(),
             counts,
--- a/src/request/hosted/longPromptPartition.ts
+++ b/src/request/hosted/longPromptPartition.ts
@@ -12,9 +12,6 @@
 /** Work of each kind that is assumed before any was seen, in milliseconds a second. */
 const assumedWork = 1;
 
-/** Part of their time that engines of the streams with short pauses may be busy before long prompts must give way. */
-const tolerableUtilization = 0.6;
-
 /** Which part of a service's engines takes a call. */
 export type EngineGroup = "longPrompts" | "shortPauses";
 
@@ -51,24 +48,15 @@
         return this.longWork.perSecond(now) + this.otherWork.perSecond(now);
     }
 
-    /**
-     * The engines of a group; each group has one at least where there are two engines.
-     *
-     * Streams with short pauses get more than their share when it would crowd them: a long prompt that waits loses less.
-     *
-     * @param entries Number of entries that send like amounts of work.
-     */
+    /** The engines of a group; each group has one at least where there are two engines. */
     members(
         group: EngineGroup,
         endpoints: readonly HostedEndpoint[],
-        entries: number,
         now: Milliseconds,
     ): ReadonlySet<HostedEndpoint> {
         const long = this.longWork.perSecond(now) + assumedWork;
         const other = this.otherWork.perSecond(now) + assumedWork;
-        const proportional = Math.round(endpoints.length * long / (long + other));
-        const reserved = Math.ceil(other * entries / 1_000 / tolerableUtilization);
-        const wanted = Math.min(proportional, endpoints.length - reserved);
+        const wanted = Math.round(endpoints.length * long / (long + other));
         const count = Math.min(Math.max(wanted, 1), Math.max(endpoints.length - 1, 1));
         const ranked = [...endpoints].sort((a, b) => rankOf(a) - rankOf(b));
         const isDivided = endpoints.length > 1;
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -20,8 +20,11 @@
 /** Delay that each call under way adds for the next one at an engine: its share of a batch step. */
 const delayPerRunningCall: Milliseconds = 2;
 
-/** Prompt length that waiting calls of other entries are taken to have, in tokens. */
-const assumedPromptTokens = 1_000;
+/** Part of a call's own prompt length that waiting calls of other entries are taken to have: they are of its group. */
+const foreignPromptFraction = 0.7;
+
+/** Wait of a new call in relation to that of the oldest one that still waits. */
+const growingWait = 1.5;
 
 /** Penalty for each failure in a hundred recent calls. */
 const delayPerFailurePercent: Milliseconds = 10;
@@ -54,11 +57,6 @@
     private readonly serviceTimes = new Map<string, Milliseconds>();
     private readonly partitions = new Map<string, LongPromptPartition>();
 
-    /** @param entryCount Number of entries that serve at present. */
-    constructor(private readonly entryCount: () => number) {
-        super();
-    }
-
     override choose(
         call: CallToPlace,
         candidates: readonly HostedEndpoint[],
@@ -118,7 +116,7 @@
         const partition = this.partitionOf(call);
         const readingTime = call.traits.promptTokens / assumedReadingPace;
         const group = partition.groupOf(readingTime, call.shortestPause);
-        return { group, members: partition.members(group, endpoints, this.entryCount(), now) };
+        return { group, members: partition.members(group, endpoints, now) };
     }
 
     private partitionOf(call: CallToPlace): LongPromptPartition {
@@ -136,12 +134,13 @@
             return { endpoint, predictedWait, unreadTokens: 0 };
         }
         const unreadTokens = traits.promptTokens - this.prefixesOf(endpoint).heldTokens(traits.promptParts);
-        const foreignTokens = endpoint.estimatedForeignWaiting(now) * assumedPromptTokens;
+        const foreignTokens = endpoint.estimatedForeignWaiting(now) * traits.promptTokens * foreignPromptFraction;
         const ahead = endpoint.pendingTokens + foreignTokens;
         const running = endpoint.estimatedCalls(now);
         const modelled = ahead / assumedReadingPace + running * delayPerRunningCall;
         // What calls have seen corrects the model, which knows the calls of other entries only by their number.
-        const seen = Math.max(endpoint.recentWait(call.urgency, now), endpoint.pendingAge(call.urgency, now));
+        const pending = endpoint.pendingAge(call.urgency, now) * growingWait;
+        const seen = Math.max(endpoint.recentWait(call.urgency, now), pending);
         const predictedWait = Math.max(modelled, seen) + Math.max(0, unreadTokens) / assumedReadingPace;
         return { endpoint, predictedWait, unreadTokens: Math.max(0, unreadTokens) };
     }
--- a/tests/request/hosted/longPromptPartition.test.ts
+++ b/tests/request/hosted/longPromptPartition.test.ts
@@ -17,38 +17,26 @@
             partition.note("longPrompts", 300, now);
             partition.note("shortPauses", 100, now);
         }
-        const long = partition.members("longPrompts", endpoints, 1, 4_000);
-        const short = partition.members("shortPauses", endpoints, 1, 4_000);
+        const long = partition.members("longPrompts", endpoints, 4_000);
+        const short = partition.members("shortPauses", endpoints, 4_000);
         t.is(long.size, 9);
         t.true(endpoints.every(endpoint => long.has(endpoint) !== short.has(endpoint)));
         t.is(long.size + short.size, 12);
     });
 
-    it("does not let a burst of long prompts crowd the streams with short pauses", t => {
-        const endpoints = endpointsOf(12);
-        const partition = new LongPromptPartition();
-        for (let now = 0; now < 20_000; now += 100) {
-            partition.note("longPrompts", 2_000, now);
-            partition.note("shortPauses", 33, now);
-        }
-        // 330 ms a second at each of 8 entries: 2.64 engines, at 0.6 of their time.
-        t.is(partition.members("shortPauses", endpoints, 8, 20_000).size, 5);
-        t.is(partition.members("shortPauses", endpoints, 1, 20_000).size, 1);
-    });
-
     it("divides alike at entries that see the engines in another order", t => {
         const endpoints = endpointsOf(9);
         const [one, other] = [new LongPromptPartition(), new LongPromptPartition()];
         const ids = (partition: LongPromptPartition, listed: typeof endpoints): readonly string[] =>
-            [...partition.members("longPrompts", listed, 1, 0)].map(endpoint => endpoint.id).sort();
+            [...partition.members("longPrompts", listed, 0)].map(endpoint => endpoint.id).sort();
         t.deepEqual(ids(one, endpoints), ids(other, [...endpoints].reverse()));
     });
 
     it("leaves each group an engine, and a single engine to both", t => {
         const partition = new LongPromptPartition();
         partition.note("longPrompts", 1_000_000, 0);
-        t.is(partition.members("shortPauses", endpointsOf(2), 1, 0).size, 1);
-        t.is(partition.members("shortPauses", endpointsOf(1), 1, 0).size, 1);
-        t.is(partition.members("longPrompts", endpointsOf(1), 1, 0).size, 1);
+        t.is(partition.members("shortPauses", endpointsOf(2), 0).size, 1);
+        t.is(partition.members("shortPauses", endpointsOf(1), 0).size, 1);
+        t.is(partition.members("longPrompts", endpointsOf(1), 0).size, 1);
     });
 });
--- a/tests/request/hosted/predictedStartChooser.test.ts
+++ b/tests/request/hosted/predictedStartChooser.test.ts
@@ -33,7 +33,7 @@
         const chosen = Array.from(
             Array(6).keys(),
             () =>
-                new PredictedStartChooser(() => 1).choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)
+                new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)
                     ?.endpoint.id,
         );
         t.is(new Set(chosen).size, 1);
@@ -41,16 +41,16 @@
 
     it("leaves the preferred endpoint when its queue is too long", t => {
         const endpoints = endpointsOf(9);
-        const chooser = new PredictedStartChooser(() => 1);
+        const chooser = new PredictedStartChooser();
         const preferred = chooser.choose(callOf("/drafts/x", prompt("subject")), endpoints, 0)?.endpoint;
         preferred?.begin({ pendingTokens: 500_000, urgency: 5, sentAt: 0 }, 0);
-        const next = new PredictedStartChooser(() => 1).choose(callOf("/drafts/x", prompt("subject")), endpoints, 0);
+        const next = new PredictedStartChooser().choose(callOf("/drafts/x", prompt("subject")), endpoints, 0);
         t.not(next?.endpoint.id, preferred?.id);
     });
 
     it("learns from what calls have waited, by their urgency", t => {
         const [slow, other] = endpointsOf(2);
-        const chooser = new PredictedStartChooser(() => 1);
+        const chooser = new PredictedStartChooser();
         if (slow === undefined || other === undefined) {
             t.fail();
             return;
@@ -61,13 +61,13 @@
         t.is(waitAt(slow, 5), 3_000);
         t.is(waitAt(slow, 0), 0);
         other.begin({ pendingTokens: 1, urgency: 2, sentAt: -900 }, -900);
-        t.is(waitAt(other, 5), 900);
+        t.is(waitAt(other, 5), 1_350);
         t.is(Math.floor(waitAt(other, 1)), 2);
     });
 
     it("spreads calls of a plain service over idle endpoints", t => {
         const endpoints = endpointsOf(3);
-        const chooser = new PredictedStartChooser(() => 1);
+        const chooser = new PredictedStartChooser();
         const chosen = Array.from(Array(3).keys(), () => {
             const endpoint = chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint;
             endpoint?.begin({ pendingTokens: 0, urgency: 5, sentAt: 0 }, 0);
@@ -80,7 +80,7 @@
         const endpoints = endpointsOf(3);
         endpoints[0]?.noteFailure(0);
         endpoints[1]?.begin({ pendingTokens: 0, urgency: 5, sentAt: 0 }, -5_000);
-        const chooser = new PredictedStartChooser(() => 1);
+        const chooser = new PredictedStartChooser();
         t.is(chooser.choose(callOf("/bookings/x", {}), endpoints, 0)?.endpoint.id, "e2");
         const tried = new Set(endpoints.slice(2));
         t.is(chooser.choose(callOf("/bookings/x", {}, tried), endpoints, 0)?.endpoint.id, "e1");
