fix(hosted): do not order on top of what was just ordered before traffic has shown the need

Found by a test of the order duty: spare spot endpoints counted as present, so that the need rose with each order until the bound. The first fleet that is seen is kept until the entries tell of work.

--- a/src/process/hosted/control/capacityNeed.ts
+++ b/src/process/hosted/control/capacityNeed.ts
@@ -11,9 +11,14 @@
 
 /** Follows how many endpoints a service needs: up at once, down slowly. */
 export class CapacityNeed {
-    private wanted = 0;
+    private wanted: number;
     private lowerSince: Milliseconds | undefined;
 
+    /** @param present Endpoints that serve at first; they are kept until traffic has shown what is needed. */
+    constructor(present: number) {
+        this.wanted = present;
+    }
+
     /** Endpoints that are wanted. */
     get endpoints(): number {
         return this.wanted;
@@ -23,10 +28,9 @@
      * Takes what the entries tell.
      *
      * @param work Engine time that calls take, in milliseconds a second; without any, nothing is known of the need.
-     * @param present Endpoints that serve; they are kept until traffic has shown what is needed.
      */
-    note(work: number, present: number, now: Milliseconds): void {
-        const needed = work === 0 ? Math.max(present, this.wanted) : Math.ceil(work / 1_000 / targetUtilization);
+    note(work: number, now: Milliseconds): void {
+        const needed = work === 0 ? this.wanted : Math.ceil(work / 1_000 / targetUtilization);
         if (needed >= this.wanted) {
             this.wanted = needed;
             this.lowerSince = undefined;
--- a/src/process/hosted/control/domainPlan.ts
+++ b/src/process/hosted/control/domainPlan.ts
@@ -38,7 +38,7 @@
     if (scaling.spotPriceFraction === undefined) {
         return { steady: total, spot: 0 };
     }
-    const floor = Math.min(total, Math.ceil(total * steadyFraction));
+    const floor = Math.min(total, Math.max(1, Math.round(total * steadyFraction)));
     const missing = total - present.spot;
     if (isSpotScarce) {
         const steady = clamp(Math.ceil(total * scarceFraction) - present.spot, floor, scaling.maximum);
--- a/src/process/hosted/control/orderDuty.ts
+++ b/src/process/hosted/control/orderDuty.ts
@@ -86,9 +86,9 @@
             return;
         }
         const serving = endpoints.filter(endpoint => !endpoint.isLeaving);
-        const need = this.needs.get(name) ?? new CapacityNeed();
+        const need = this.needs.get(name) ?? new CapacityNeed(serving.length);
         this.needs.set(name, need);
-        need.note(this.parts.workOf(name), serving.length, this.parts.clock.now());
+        need.note(this.parts.workOf(name), this.parts.clock.now());
         for (const [domain, wanted] of spreadOverDomains(need.endpoints, scaling.prices)) {
             const here = endpoints.filter(endpoint => endpoint.failureDomain === domain);
             const plan = this.planOf(name, domain, wanted, here, scaling);
--- /dev/null
+++ b/tests/process/hosted/control/orderDuty.test.ts
@@ -0,0 +1,118 @@
+import { EventLog } from "../../../../src/logEvent/eventLog.js";
+import { OrderDuty } from "../../../../src/process/hosted/control/orderDuty.js";
+import type { EndpointRecord } from "../../../../src/process/hosted/endpointRecord.js";
+import { LeasedCaller } from "../../../../src/process/platform/leasedCaller.js";
+import type { CallAnswer, LeasedCall } from "../../../../src/process/platform/leasedCaller.js";
+import type { Failure } from "../../../../src/resultCode/resultCode.js";
+import { Clock } from "../../../../src/util/clock.js";
+import { Ok } from "../../../../src/util/result.js";
+import type { Result } from "../../../../src/util/result.js";
+import { describe, it } from "../../../describe.js";
+import { recordOf } from "../entry/testEndpoints.js";
+
+interface Order {
+    readonly zone: string;
+    readonly spot?: boolean;
+    readonly "desired-count": number;
+}
+
+/** Takes orders as the platform does, or refuses all for spot endpoints. */
+class RecordingCaller extends LeasedCaller {
+    readonly orders: Order[] = [];
+    refusesSpot = false;
+
+    override async call(call: LeasedCall): Promise<Result<CallAnswer, Failure>> {
+        const body = Buffer.from(call.content({ fencingNumber: 2 }).body ?? []).toString("utf8");
+        const order = JSON.parse(body) as Order;
+        this.orders.push(order);
+        const status = this.refusesSpot && order.spot === true ? 409 : 200;
+        return Promise.resolve(Ok({ status, retryAfter: undefined, body: undefined }));
+    }
+}
+
+/** Ends the duty after a number of plans. */
+class CountingClock extends Clock {
+    private time = 0;
+
+    constructor(private plans: number, private readonly end: () => void, private readonly onPlan: () => void) {
+        super();
+    }
+
+    override now(): number {
+        return this.time;
+    }
+
+    override unixNow(): number {
+        return this.time;
+    }
+
+    override async sleep(duration: number): Promise<void> {
+        this.time += duration;
+        this.onPlan();
+        this.plans--;
+        if (this.plans === 0) {
+            this.end();
+        }
+        await Promise.resolve();
+    }
+}
+
+const service = {
+    name: "engines",
+    connectionLimit: 100,
+    engine: undefined,
+    scaling: { minimum: 1, maximum: 8, startupTime: 4_000, prices: { north: 1 }, spotPriceFraction: 0.2 },
+};
+
+/** Runs the duty while each order is carried out before the next plan. */
+async function carriedOut(caller: RecordingCaller, plans: number, work: number): Promise<void> {
+    const ended = new AbortController();
+    let endpoints: readonly EndpointRecord[] = ["a", "b", "c"].map(id => recordOf(id));
+    const clock = new CountingClock(plans, () => {
+        ended.abort();
+    }, () => {
+        const counts = new Map(caller.orders.map(order => [order.spot === true, order["desired-count"]]));
+        const steady = counts.get(false) ?? 3;
+        const spot = caller.refusesSpot ? 0 : counts.get(true) ?? 0;
+        endpoints = [
+            ...Array.from(Array(steady).keys(), index => recordOf(`s${index}`)),
+            ...Array.from(Array(spot).keys(), index => recordOf(`p${index}`, { isSpot: true })),
+        ];
+    });
+    const duty = new OrderDuty({
+        holder: "vm-1",
+        platformAddress: "10.0.0.9:80",
+        services: () => [service],
+        endpoints: () => endpoints,
+        workOf: () => work,
+        caller,
+        clock,
+        eventLog: new EventLog("vm-1", "hidden"),
+    });
+    await duty.run(ended.signal);
+}
+
+describe("orders of endpoints", () => {
+    it("replace steady endpoints by spot ones, and end when the plan is carried out", async t => {
+        const caller = new RecordingCaller();
+        await carriedOut(caller, 20, 0);
+        const last = new Map(caller.orders.map(order => [order.spot === true, order["desired-count"]]));
+        t.is(last.get(true), 2);
+        t.is(last.get(false), 1);
+        t.true(caller.orders.length <= 4);
+    });
+
+    it("are not sent before the platform's list has settled", async t => {
+        const caller = new RecordingCaller();
+        await carriedOut(caller, 2, 0);
+        t.is(caller.orders.length, 0);
+    });
+
+    it("fall back to steady endpoints where spot ones are not to be had", async t => {
+        const caller = new RecordingCaller();
+        caller.refusesSpot = true;
+        await carriedOut(caller, 60, 4_000);
+        const steady = caller.orders.filter(order => order.spot !== true).map(order => order["desired-count"]);
+        t.is(Math.max(...steady), 4);
+    });
+});
