--- a/src/process/hosted/control/orderDuty.ts
+++ b/src/process/hosted/control/orderDuty.ts
@@ -24,6 +24,9 @@
 /** How long after an order it is repeated while the platform's list does not show what was ordered. */
 const repeatAfter: Milliseconds = 8_000;
 
+/** Longest wait for a list that stays the same: in a reclaim it changes all the time, and orders are needed most. */
+const longestSettling: Milliseconds = 4_000;
+
 /** Status by which the platform says that no endpoints of a kind are to be had now. */
 const noneToBeHad = 409;
 
@@ -53,6 +56,7 @@
     private readonly sent = new Map<string, SentOrder>();
     private readonly refusedAt = new Map<string, Milliseconds>();
     private readonly scarceSince = new Map<string, Milliseconds>();
+    private firstLookAt: Milliseconds | undefined;
     private listedCount = -1;
     private listedSince: Milliseconds = Infinity;
 
@@ -77,7 +81,8 @@
             this.listedCount = count;
             this.listedSince = now;
         }
-        return now - this.listedSince >= settledTime;
+        this.firstLookAt ??= now;
+        return now - this.listedSince >= settledTime || now - this.firstLookAt >= longestSettling;
     }
 
     private async planService({ name, scaling }: DeployedService, signal: AbortSignal): Promise<void> {
--- a/tests/process/hosted/control/orderDuty.test.ts
+++ b/tests/process/hosted/control/orderDuty.test.ts
@@ -65,8 +65,14 @@
 };
 
 /** Runs the duty while each order is carried out before the next plan. */
-async function carriedOut(caller: RecordingCaller, plans: number, work: number): Promise<void> {
+async function carriedOut(
+    caller: RecordingCaller,
+    plans: number,
+    work: number,
+    changing: readonly EndpointRecord[] = [],
+): Promise<void> {
     const ended = new AbortController();
+    let lists = 0;
     let endpoints: readonly EndpointRecord[] = ["a", "b", "c"].map(id => recordOf(id));
     const clock = new CountingClock(plans, () => {
         ended.abort();
@@ -83,7 +89,10 @@
         holder: "vm-1",
         platformAddress: "10.0.0.9:80",
         services: () => [service],
-        endpoints: () => endpoints,
+        endpoints: () => {
+            lists++;
+            return [...endpoints, ...changing.slice(lists % (changing.length + 1))];
+        },
         workOf: () => work,
         caller,
         clock,
@@ -108,6 +117,12 @@
         t.is(caller.orders.length, 0);
     });
 
+    it("wait no longer for a list that keeps changing, as it does in a reclaim", async t => {
+        const caller = new RecordingCaller();
+        await carriedOut(caller, 8, 4_000, ["x", "y", "z", "v"].map(id => recordOf(id, { failureDomain: "south" })));
+        t.true(caller.orders.length > 0);
+    });
+
     it("fall back to steady endpoints where spot ones are not to be had", async t => {
         const caller = new RecordingCaller();
         caller.refusesSpot = true;
