feat(hosted): divide engines by the work of all entries

Ruled out: crossing for want of room (predicted waits below 60 ms for most of them). Now the leader adds up what entries tell with their beats, and an engine moves only when the proportion has clearly changed.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -11,7 +11,7 @@
 import type { SuspensionWatch } from "../../util/suspensionWatch.js";
 import { MessageConnection } from "../messageConnection.js";
 import { controlMessageSchema, linkProtocolVersion } from "./linkMessages.js";
-import type { BeatAnswer, ControlMessage, EntryMessage } from "./linkMessages.js";
+import type { BeatAnswer, ControlMessage, EntryMessage, ServiceWork } from "./linkMessages.js";
 
 /** Silence after which a link is given up and opened anew: a partition may keep a connection from ever failing. */
 const longestSilence: Milliseconds = 1_500;
@@ -30,7 +30,9 @@
     readonly counts: CallCounts;
     readonly isReady: () => boolean;
     /** Engine time that this entry's calls take of each service, in milliseconds a second. */
-    readonly work: (now: Milliseconds) => Readonly<Record<string, number>>;
+    readonly work: (now: Milliseconds) => ServiceWork;
+    /** Called with the engine time that the calls of all entries take. */
+    readonly onWork: (work: ServiceWork) => void;
     readonly onEndpoints: (endpoints: readonly EndpointRecord[], age: Milliseconds) => void;
     readonly onControlHosts: (hosts: readonly string[]) => void;
     readonly onEntryCount: (entries: number) => void;
@@ -161,5 +163,9 @@
         }
         onControlHosts(answer.controlHosts);
         onEntryCount(answer.entryCount);
+        // The leader's answers alone, so that all entries divide engines by the same figures.
+        if (answer.isLeader) {
+            this.context.onWork(answer.work);
+        }
     }
 }
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -119,6 +119,7 @@
             isLeader: this.context.isLeader(),
             controlHosts: this.context.controlHosts(),
             entryCount: registry.count(clock.now()),
+            work: registry.work(clock.now()),
         });
     }
 
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -16,6 +16,12 @@
 /** Calls that began to run, by usage window and team. */
 const usageSchema = z.record(shortText, z.record(shortText, count));
 
+/** Engine time that calls take of each service, in milliseconds a second, apart for long prompts and all other calls. */
+const workSchema = z.record(shortText, z.object({ long: z.number().min(0), other: z.number().min(0) }).readonly());
+
+/** Engine time that calls take, by service. */
+export type ServiceWork = Readonly<z.output<typeof workSchema>>;
+
 /** Messages from an entry to a control process. */
 export const entryMessageSchema = z.discriminatedUnion("kind", [
     z.object({
@@ -39,8 +45,7 @@
         isReady: z.boolean(),
         /** Whether the control process shall confirm with a quorum which configuration is the newest. */
         wantsPermit: z.boolean(),
-        /** Engine time that this entry's calls take of each service, in milliseconds a second. */
-        work: z.record(shortText, z.number().min(0)),
+        work: workSchema,
         /** Running totals; present when they have changed. */
         usage: usageSchema.optional(),
     }),
@@ -87,6 +92,8 @@
         controlHosts: z.array(shortText).max(64).readonly(),
         /** Number of entries that serve. */
         entryCount: count,
+        /** Sums over all entries. */
+        work: workSchema,
     }),
     z.object({
         kind: z.literal("endpoints"),
--- a/src/process/hosted/control/entryRegistry.ts
+++ b/src/process/hosted/control/entryRegistry.ts
@@ -1,4 +1,4 @@
-import type { EntryBeat, EntryHello } from "../../../connection/hosted/linkMessages.js";
+import type { EntryBeat, EntryHello, ServiceWork } from "../../../connection/hosted/linkMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { TeamCounts } from "./hostedState.js";
 
@@ -12,7 +12,7 @@
     readonly hello: EntryHello;
     readonly heardAt: Milliseconds;
     readonly isReady: boolean;
-    readonly work: Readonly<Record<string, number>>;
+    readonly work: ServiceWork;
     readonly usage: Readonly<Record<string, TeamCounts>>;
 }
 
@@ -48,10 +48,16 @@
         return this.present(now).length;
     }
 
-    /** Engine time that the calls of all entries take of a service, in milliseconds a second. */
-    workOf(service: string, now: Milliseconds): number {
-        const heard = [...this.known.values()].filter(entry => now - entry.heardAt < presentWithin);
-        return heard.reduce((sum, entry) => sum + (entry.work[service] ?? 0), 0);
+    /** Engine time that the calls of all entries take. */
+    work(now: Milliseconds): ServiceWork {
+        const sums: Record<string, ServiceWork[string]> = {};
+        for (const entry of this.known.values()) {
+            for (const [service, work] of now - entry.heardAt < presentWithin ? Object.entries(entry.work) : []) {
+                const { long, other } = sums[service] ?? { long: 0, other: 0 };
+                sums[service] = { long: long + work.long, other: other + work.other };
+            }
+        }
+        return sums;
     }
 
     /** Calls that began to run in a usage window, by team, over all entries. */
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -241,7 +241,10 @@
                 platformAddress: platform.address,
                 services: () => this.services(),
                 endpoints: () => watch.reading?.endpoints,
-                workOf: service => registry.workOf(service, clock.now()),
+                workOf: service => {
+                    const { long, other } = registry.work(clock.now())[service] ?? { long: 0, other: 0 };
+                    return long + other;
+                },
                 caller,
                 clock,
                 eventLog,
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -103,6 +103,9 @@
                 counts,
                 isReady: () => this.isReady(),
                 work: now => this.parts.chooser.workPerSecond(now),
+                onWork: work => {
+                    this.parts.chooser.noteFleetWork(work, clock.now());
+                },
                 onEndpoints: (endpoints, age) => {
                     this.fleet.take(endpoints, age, clock.now());
                 },
--- a/src/request/hosted/endpointChooser.ts
+++ b/src/request/hosted/endpointChooser.ts
@@ -1,3 +1,4 @@
+import type { ServiceWork } from "../../connection/hosted/linkMessages.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { DeployedRoute, DeployedService } from "../../version/deployment.js";
@@ -39,7 +40,10 @@
     ): Placement | undefined;
 
     /** Engine time that the placed calls take of each service, in milliseconds a second. */
-    abstract workPerSecond(now: Milliseconds): Readonly<Record<string, number>>;
+    abstract workPerSecond(now: Milliseconds): ServiceWork;
+
+    /** Takes the engine time that the calls of all entries take. */
+    abstract noteFleetWork(work: ServiceWork, now: Milliseconds): void;
 
     /** Learns that a placed call has begun to run. */
     abstract noteBegun(call: CallToPlace, placement: Placement, waited: Milliseconds, now: Milliseconds): void;
--- a/src/request/hosted/longPromptPartition.ts
+++ b/src/request/hosted/longPromptPartition.ts
@@ -12,6 +12,18 @@
 /** Work of each kind that is assumed before any was seen, in milliseconds a second. */
 const assumedWork = 1;
 
+/** How long the work of all entries is taken to hold; without it the own calls decide. */
+const fleetWorkMemory: Milliseconds = 3_000;
+
+/** Engines by which the wanted number must differ from the present one: an engine that moves disturbs both groups. */
+const clearDifference = 0.8;
+
+/** Engine time that calls take, in milliseconds a second. */
+export interface GroupWork {
+    readonly long: number;
+    readonly other: number;
+}
+
 /** Which part of a service's engines takes a call. */
 export type EngineGroup = "longPrompts" | "shortPauses";
 
@@ -25,6 +37,10 @@
 export class LongPromptPartition {
     private readonly longWork = new DecayingRate(comparedSpan);
     private readonly otherWork = new DecayingRate(comparedSpan);
+    private fleetWork: GroupWork = { long: 0, other: 0 };
+    private fleetWorkAt: Milliseconds = -Infinity;
+    private count = 1;
+    private engines = 0;
 
     /** The group that a call belongs to, by the time that an engine reads its prompt. */
     groupOf(readingTime: Milliseconds, shortestPause: Milliseconds | undefined): EngineGroup {
@@ -43,9 +59,15 @@
         rate.add(work, now);
     }
 
-    /** Engine time that all noted calls take, in milliseconds a second. */
-    workPerSecond(now: Milliseconds): number {
-        return this.longWork.perSecond(now) + this.otherWork.perSecond(now);
+    /** Engine time that the noted calls take. */
+    ownWork(now: Milliseconds): GroupWork {
+        return { long: Math.round(this.longWork.perSecond(now)), other: Math.round(this.otherWork.perSecond(now)) };
+    }
+
+    /** Takes the engine time that the calls of all entries take. */
+    noteFleetWork(work: GroupWork, now: Milliseconds): void {
+        this.fleetWork = work;
+        this.fleetWorkAt = now;
     }
 
     /** The engines of a group; each group has one at least where there are two engines. */
@@ -54,14 +76,24 @@
         endpoints: readonly HostedEndpoint[],
         now: Milliseconds,
     ): ReadonlySet<HostedEndpoint> {
-        const long = this.longWork.perSecond(now) + assumedWork;
-        const other = this.otherWork.perSecond(now) + assumedWork;
-        const wanted = Math.round(endpoints.length * long / (long + other));
-        const count = Math.min(Math.max(wanted, 1), Math.max(endpoints.length - 1, 1));
+        const count = this.longCount(endpoints.length, now);
         const ranked = [...endpoints].sort((a, b) => rankOf(a) - rankOf(b));
         const isDivided = endpoints.length > 1;
         return new Set(group === "longPrompts" || !isDivided ? ranked.slice(0, count) : ranked.slice(count));
     }
+
+    /** Number of engines for long prompts; it follows the work only when that has clearly moved on. */
+    private longCount(engines: number, now: Milliseconds): number {
+        const isFleetKnown = now - this.fleetWorkAt < fleetWorkMemory;
+        const work = isFleetKnown ? this.fleetWork : this.ownWork(now);
+        const share = (work.long + assumedWork) / (work.long + work.other + 2 * assumedWork);
+        const exact = Math.min(Math.max(engines * share, 1), Math.max(engines - 1, 1));
+        if (Math.abs(exact - this.count) > clearDifference || this.engines !== engines) {
+            this.count = Math.round(exact);
+            this.engines = engines;
+        }
+        return this.count;
+    }
 }
 
 /** A rank that all entries share and that spreads each group over the failure domains. */
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -1,3 +1,4 @@
+import type { ServiceWork } from "../../connection/hosted/linkMessages.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { mixBits, textHash } from "../routing/textHash.js";
@@ -100,11 +101,18 @@
         this.serviceTimes.set(call.service.name, known + serviceTimeWeight * (ownTime - known));
     }
 
-    override workPerSecond(now: Milliseconds): Readonly<Record<string, number>> {
-        const rates = [...this.partitions].map(([service, partition]) =>
-            [service, partition.workPerSecond(now)] as const
-        );
-        return Object.fromEntries(rates.map(([service, rate]) => [service, Math.round(rate)]));
+    override workPerSecond(now: Milliseconds): ServiceWork {
+        const work = [...this.partitions].map(([service, partition]) => [service, partition.ownWork(now)] as const);
+        return Object.fromEntries(work);
+    }
+
+    override noteFleetWork(work: ServiceWork, now: Milliseconds): void {
+        for (const [service, partition] of this.partitions) {
+            const fleetWork = work[service];
+            if (fleetWork !== undefined) {
+                partition.noteFleetWork(fleetWork, now);
+            }
+        }
     }
 
     /** The group of engines that suits a call, and its members. */
--- a/tests/process/hosted/control/entryRegistry.test.ts
+++ b/tests/process/hosted/control/entryRegistry.test.ts
@@ -29,6 +29,18 @@
         t.deepEqual(registry.callerAddresses("north", 2_100), []);
     });
 
+    it("adds up the engine time that the calls of present entries take", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("a"), beatOf({ work: { engines: { long: 5, other: 1 } } }), 2_000);
+        registry.note(
+            helloOf("b"),
+            beatOf({ work: { engines: { long: 2, other: 2 }, desk: { long: 0, other: 3 } } }),
+            2_000,
+        );
+        registry.note(helloOf("silent"), beatOf({ work: { engines: { long: 9, other: 9 } } }), 0);
+        t.deepEqual(registry.work(2_100), { engines: { long: 7, other: 3 }, desk: { long: 0, other: 3 } });
+    });
+
     it("adds up the counts of a window, also those of an entry that has gone", t => {
         const registry = new EntryRegistry();
         registry.note(helloOf("a"), beatOf({ usage: { 7: { clinic: 2 } } }), 0);
--- a/tests/request/hosted/longPromptPartition.test.ts
+++ b/tests/request/hosted/longPromptPartition.test.ts
@@ -24,6 +24,20 @@
         t.is(long.size + short.size, 12);
     });
 
+    it("goes by the work of all entries, and moves no engine for a small change", t => {
+        const endpoints = endpointsOf(10);
+        const partition = new LongPromptPartition();
+        const longSize = (long: number, now: number): number => {
+            partition.noteFleetWork({ long, other: 5_000 }, now);
+            return partition.members("longPrompts", endpoints, now).size;
+        };
+        t.is(longSize(5_000, 0), 5);
+        t.is(longSize(6_500, 1_000), 5);
+        t.is(longSize(8_000, 2_000), 6);
+        partition.note("shortPauses", 10_000, 6_000);
+        t.is(partition.members("longPrompts", endpoints, 6_000).size, 1);
+    });
+
     it("divides alike at entries that see the engines in another order", t => {
         const endpoints = endpointsOf(9);
         const [one, other] = [new LongPromptPartition(), new LongPromptPartition()];
