--- a/src/connection/hosted/hostedControlServer.ts
+++ b/src/connection/hosted/hostedControlServer.ts
@@ -20,6 +20,8 @@
 export interface HostedControlServerParts {
     readonly documents: DocumentService;
     readonly registry: EntryRegistry;
+    /** Longest time for which callers may keep the answer which entries to use. */
+    readonly longestTimeToLive: Milliseconds;
     readonly clock: Clock;
     readonly eventLog: EventLog;
 }
@@ -65,7 +67,8 @@
         answerFailure(response, failure("noEntryKnown"));
         return;
     }
-    answerJson(response, 200, resolutionBody(addresses, resolutionTimeToLive));
+    const timeToLive = Math.min(resolutionTimeToLive, parts.longestTimeToLive);
+    answerJson(response, 200, resolutionBody(addresses, timeToLive));
 }
 
 async function replaceConfiguration(
--- a/src/process/hosted/control/endpointWatch.ts
+++ b/src/process/hosted/control/endpointWatch.ts
@@ -10,6 +10,9 @@
 /** Pause between two readings: a fraction of the time within which leaving endpoints must be left. */
 const readInterval: Milliseconds = 350;
 
+/** Part of the platform's call rate that reading takes at most; the rest is left to other readers while none leads. */
+const rateFraction = 0.5;
+
 /** Longest wait for one page. */
 const pageTimeout: Milliseconds = 1_500;
 
@@ -19,6 +22,8 @@
 /** What the watch works with. */
 export interface EndpointWatchParts {
     readonly platformAddress: string;
+    /** Calls that all processes together may make, a second. */
+    readonly callsPerSecond: number;
     readonly clock: Clock;
     readonly eventLog: EventLog;
     /** Whether this process reads the list at present; others spare the platform's call rate. */
@@ -39,6 +44,7 @@
     private latest: EndpointReading | undefined;
     private fingerprint = "";
     private isFailing = false;
+    private pages = 1;
 
     constructor(private readonly parts: EndpointWatchParts) {}
 
@@ -54,10 +60,16 @@
             if (isReader()) {
                 await this.read(signal);
             }
-            await clock.sleep(readInterval, signal);
+            await clock.sleep(this.interval(), signal);
         }
     }
 
+    /** Pause after a reading, so that its pages stay within the platform's call rate. */
+    private interval(): Milliseconds {
+        const pagesTime = this.pages * 1_000 / (this.parts.callsPerSecond * rateFraction);
+        return Math.max(readInterval, pagesTime);
+    }
+
     private async read(signal: AbortSignal): Promise<void> {
         const readAt = this.parts.clock.now();
         const endpoints = await this.readPages(signal);
@@ -99,6 +111,7 @@
             }
             endpoints.push(...read.endpoints);
             if (read.nextPage === undefined) {
+                this.pages = pages + 1;
                 return Ok(endpoints);
             }
             page = read.nextPage;
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -21,7 +21,7 @@
 import type { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
-import { metricsPort } from "../metricsPort.js";
+import { startMetrics } from "../startMetrics.js";
 import { DocumentService } from "./documentService.js";
 import { DutyLease } from "./dutyLease.js";
 import { EndpointWatch } from "./endpointWatch.js";
@@ -87,7 +87,16 @@
         await this.listenForEntries(log, confirmation, watch);
         for (const address of [operatorAddress, resolutionAddress]) {
             if (address !== undefined && address !== "") {
-                await this.serve(createHostedControlServer({ documents, registry, clock, eventLog }), address);
+                await this.serve(
+                    createHostedControlServer({
+                        documents,
+                        registry,
+                        clock,
+                        eventLog,
+                        longestTimeToLive: this.settings().bounds.resolutionTimeToLive,
+                    }),
+                    address,
+                );
             }
         }
         await this.serveMetrics(log, watch);
@@ -117,6 +126,7 @@
         const { clock, eventLog } = this;
         const watch = new EndpointWatch({
             platformAddress: this.settings().platform.address,
+            callsPerSecond: this.settings().platform.listCallsPerSecond,
             clock,
             eventLog,
             isReader: () => log.leadingTerm() !== undefined || log.leaderAddress() === undefined,
@@ -188,7 +198,7 @@
                 state: figures,
             }),
         );
-        await metrics.start(`${this.settings().host}:${metricsPort}`);
+        await startMetrics(metrics, this.settings().host, this.eventLog);
     }
 
     /** The services of the configuration in force; read anew only after a change. */
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -21,7 +21,7 @@
 import { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
-import { metricsPort } from "../metricsPort.js";
+import { startMetrics } from "../startMetrics.js";
 import { CallCounts } from "./callCounts.js";
 import { ControlLinks } from "./controlLinks.js";
 import { DeploymentView } from "./deploymentView.js";
@@ -152,7 +152,7 @@
                 state: () => ({ version: view.version, isReady: this.isReady(), runningCalls: this.running.size }),
             }),
         );
-        await metrics.start(`${this.settings().host}:${metricsPort}`);
+        await startMetrics(metrics, this.settings().host, this.parts.eventLog);
     }
 
     /** Sends callers elsewhere, then finishes what runs, and cuts only what outlasts the time for it. */
--- a/src/process/hosted/metricsPort.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Port on which hosted processes show their metrics; the deploy file names the same one. */
-export const metricsPort = 9464;
