feat(hosted): let entries learn of control processes by a change of settings

Found by reading the diff: changed settings were read and reached no running entry. Test: an entry whose seeds answer nobody serves after the change.

--- a/src/bin/runHosted.ts
+++ b/src/bin/runHosted.ts
@@ -18,8 +18,6 @@
 export interface HostedProgram {
     readonly role: string;
     readonly create: (settings: () => HostedSettings, clock: Clock, eventLog: EventLog) => HostedProcess;
-    /** Called after the settings have changed. */
-    readonly onSettings?: (process: HostedProcess, settings: HostedSettings) => void;
 }
 
 /** Runs a program of a hosted installation until SIGTERM, then stops it gracefully. */
@@ -61,7 +59,7 @@
     const clock = new SystemClock();
     const serving = program.create(() => file.current, clock, eventLog);
     const apply = (): void => {
-        program.onSettings?.(serving, file.current);
+        serving.applySettings();
     };
     hangUps.push(() => {
         void file.reload("SIGHUP", eventLog, apply);
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -103,6 +103,10 @@
         this.runDuties(log, watch);
     }
 
+    applySettings(): void {
+        // Each use reads the settings in force; members learn of each other from the log.
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopping.abort();
         await this.store.dispose();
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -114,7 +114,7 @@
                 },
             },
             firstInternalPort + linkPortOffset,
-            seedOperatorAddresses.map(address => splitAddress(address).host),
+            hostsOf(seedOperatorAddresses),
         );
         this.server = this.createServer();
     }
@@ -155,6 +155,10 @@
         await startMetrics(metrics, this.settings().host, this.parts.eventLog);
     }
 
+    applySettings(): void {
+        this.links.learn(hostsOf(this.settings().seedOperatorAddresses));
+    }
+
     /** Sends callers elsewhere, then finishes what runs, and cuts only what outlasts the time for it. */
     async [Symbol.asyncDispose](): Promise<void> {
         const begunAt = this.clock.now();
@@ -226,3 +230,7 @@
         answerJson(response, this.isReady() ? 200 : 503, { isReady: this.isReady() });
     }
 }
+
+function hostsOf(addresses: readonly string[]): readonly string[] {
+    return addresses.map(address => splitAddress(address).host);
+}
--- a/src/process/hosted/hostedProcess.ts
+++ b/src/process/hosted/hostedProcess.ts
@@ -2,4 +2,7 @@
 export interface HostedProcess extends AsyncDisposable {
     /** Starts to serve. */
     start(): Promise<void>;
+
+    /** Takes over settings that have changed while the process serves. */
+    applySettings(): void;
 }
--- a/tests/process/hosted/hostedInstallation.test.ts
+++ b/tests/process/hosted/hostedInstallation.test.ts
@@ -60,6 +60,16 @@
         t.is((await installation.call("/bookings/a", { "api-key": "unknown" })).status, 401);
     });
 
+    itSerially("lets an entry learn of control processes by a change of settings", async t => {
+        await using installation = await HostedInstallation.start(16, echo);
+        await installation.submitUntilAccepted(documentOf(3, bookingsOnly));
+        const call = await installation.startLostEntry();
+        while ((await call("/bookings/a")).status !== 200) {
+            await sleep(50);
+        }
+        t.is((await call("/bookings/a")).status, 200);
+    });
+
     itSerially("acknowledges old versions without going back, refuses invalid ones, and withdraws keys", async t => {
         await using installation = await HostedInstallation.start(12, echo);
         await installation.submitUntilAccepted(documentOf(7, bookingsOnly));
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -78,7 +78,7 @@
         const control = new HostedControlProcess(
             () => settings,
             clock,
-            new EventLog(settings.name, process.env["HOSTED_LOG"] === undefined ? "hidden" : "json"),
+            new EventLog(settings.name, "hidden"),
         );
         this.controls.set(index, { process: control, folder });
         await control.start();
@@ -135,9 +135,14 @@
     }
 
     /** Makes a call at the entry. */
-    async call(path: string, headers: Readonly<Record<string, string>> = {}, body = ""): Promise<HttpCallAnswer> {
+    async call(
+        path: string,
+        headers: Readonly<Record<string, string>> = {},
+        body = "",
+        address = this.callerAddress,
+    ): Promise<HttpCallAnswer> {
         const answer = await httpCall({
-            address: this.callerAddress,
+            address,
             method: "POST",
             path,
             headers: { "host": "calls.example", "api-key": "key-1", "gullhall-attempt-id": "call-1", ...headers },
@@ -192,12 +197,29 @@
         return listen(server, "127.0.0.1:0");
     }
 
+    /** Starts a second entry that knows none of the control processes, and tells it of them by a change of settings. */
+    async startLostEntry(): Promise<(path: string) => Promise<HttpCallAnswer>> {
+        const { port } = splitAddress(this.callerAddress);
+        const callerAddress = `127.0.${this.network}.101:${port}`;
+        const known = { ...this.settingsOf(101, true, undefined), callerAddress };
+        let settings: HostedSettings = {
+            ...known,
+            seedOperatorAddresses: [`127.0.${this.network}.250:${this.operatorPort}`],
+        };
+        const entry = new HostedEntryProcess(() => settings, clock, new EventLog(settings.name, "hidden"));
+        this.store.add(entry);
+        await entry.start();
+        settings = known;
+        entry.applySettings();
+        return path => this.call(path, {}, "", callerAddress);
+    }
+
     private async startEntry(): Promise<void> {
         const settings = { ...this.settingsOf(100, true, undefined), callerAddress: this.callerAddress };
         const entry = new HostedEntryProcess(
             () => settings,
             clock,
-            new EventLog(settings.name, process.env["HOSTED_LOG"] === undefined ? "hidden" : "json"),
+            new EventLog(settings.name, "hidden"),
         );
         this.store.add(entry);
         await entry.start();
