fix(hosted): forget old usage counts on every control process; tell of rows that cannot be read

Cause, found by reading the change: only the leader dropped old counts, so that a follower's registry grew by a window each five seconds and copied it with each beat; rows of the platform's list that cannot be read were counted and told nowhere. Ruled out: dropping by the windows that entries tell, since one wrong clock could then drop all counts. Now each control process drops them by the median clock, with about as many windows kept as before; event 2430 carries the number of unreadable rows. Test of what the registry keeps.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -72,7 +72,7 @@
         number: 2430,
         level: "info",
         text: "The platform's list of endpoints has changed.",
-        fields: ["endpoints", "leaving"],
+        fields: ["endpoints", "leaving", "unreadableRows"],
     },
     endpointListLost: {
         number: 2431,
--- a/src/process/hosted/control/endpointWatch.ts
+++ b/src/process/hosted/control/endpointWatch.ts
@@ -45,6 +45,7 @@
     private fingerprint = "";
     private isFailing = false;
     private pages = 1;
+    private unreadableRows = 0;
 
     constructor(private readonly parts: EndpointWatchParts) {}
 
@@ -86,13 +87,16 @@
         if (fingerprint !== this.fingerprint) {
             this.fingerprint = fingerprint;
             const leaving = endpoints.val.filter(endpoint => endpoint.isLeaving).length;
-            this.parts.eventLog.write("endpointListChanged", { endpoints: endpoints.val.length, leaving });
+            const { unreadableRows } = this;
+            const fields = { endpoints: endpoints.val.length, leaving, unreadableRows };
+            this.parts.eventLog.write("endpointListChanged", fields);
             this.parts.onChange();
         }
     }
 
     private async readPages(signal: AbortSignal): Promise<Result<readonly EndpointRecord[], string>> {
         const endpoints: EndpointRecord[] = [];
+        this.unreadableRows = 0;
         let page: string | undefined;
         for (let pages = 0; pages < maximumPages; pages++) {
             const answer = await httpCall({
@@ -110,6 +114,7 @@
                 return Err(`the answer with status ${answer.val.status} is no list`);
             }
             endpoints.push(...read.endpoints);
+            this.unreadableRows += read.unreadableRows;
             if (read.nextPage === undefined) {
                 this.pages = pages + 1;
                 return Ok(endpoints);
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -42,6 +42,9 @@
 /** What must be left of the lease beyond the time limit of a call. */
 const leaseMargin: Milliseconds = 50;
 
+/** Usage windows for which counts are kept, the present one not counted; a window is sealed long before. */
+const keptWindows = 14;
+
 type HostedLog = ReplicatedLog<HostedCommand, HostedOutcome>;
 
 /** A control process of a hosted installation: keeps the configuration, leads entries to it, and acts for all. */
@@ -101,6 +104,7 @@
         }
         await this.serveMetrics(log, watch);
         this.runDuties(log, watch);
+        void this.forgetOldCounts();
     }
 
     applySettings(): void {
@@ -229,6 +233,17 @@
         await listen(server, address);
     }
 
+    /** Drops old counts on every control process: each of them may lead next, and none may grow without bound. */
+    private async forgetOldCounts(): Promise<void> {
+        const { clock, medianClock, registry, stopping: { signal } } = this;
+        const { usageWindow } = this.settings().bounds;
+        while (!signal.aborted) {
+            await clock.sleep(usageWindow, signal);
+            const present = Math.floor(medianClock.unixAt(clock) / usageWindow);
+            registry.forgetBefore(present - keptWindows, clock.now());
+        }
+    }
+
     /** Acts towards the platform whenever this process leads. */
     private runDuties(log: HostedLog, watch: EndpointWatch): void {
         const { state, registry, clock, eventLog, medianClock, suspension } = this;
--- a/src/process/hosted/control/usageDuty.ts
+++ b/src/process/hosted/control/usageDuty.ts
@@ -13,9 +13,6 @@
 /** Pause between two looks at what is due. */
 const lookInterval: Milliseconds = 500;
 
-/** Windows for which late counts are kept. */
-const keptWindows = 12;
-
 /** What the duty works with. */
 export interface UsageDutyParts {
     readonly holder: string;
@@ -54,7 +51,7 @@
     }
 
     private async sealDue(signal: AbortSignal): Promise<void> {
-        const { registry, state, log, eventLog, clock } = this.parts;
+        const { registry, state, log, eventLog } = this.parts;
         const newest = this.newestDue();
         const newestSealed = state.windows.at(-1)?.window ?? -Infinity;
         for (const window of registry.windowsUpTo(newest)) {
@@ -69,7 +66,6 @@
             const calls = Object.values(counts).reduce((sum, count) => sum + count, 0);
             eventLog.write("usageWindowSealed", { window, calls, position: sealed.val.position });
         }
-        registry.forgetBefore(newest - keptWindows, clock.now());
     }
 
     private async reportDue(signal: AbortSignal): Promise<void> {
--- a/tests/process/hosted/control/entryRegistry.test.ts
+++ b/tests/process/hosted/control/entryRegistry.test.ts
@@ -41,6 +41,16 @@
         t.deepEqual(registry.work(2_100), { engines: { long: 7, other: 3 }, desk: { long: 0, other: 3 } });
     });
 
+    it("keeps no counts of old windows, and nothing of an entry that is gone", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("gone"), beatOf({ usage: { 3: { clinic: 2 } } }), 0);
+        registry.note(helloOf("present"), beatOf({ usage: { 3: { clinic: 2 }, 9: { clinic: 1 } } }), 5_000);
+        registry.forgetBefore(8, 5_000);
+        t.deepEqual(registry.windowsUpTo(9), [9]);
+        t.deepEqual(registry.usageOf(3), {});
+        t.is(registry.count(5_000), 1);
+    });
+
     it("adds up the counts of a window, also those of an entry that has gone", t => {
         const registry = new EntryRegistry();
         registry.note(helloOf("a"), beatOf({ usage: { 7: { clinic: 2 } } }), 0);
