--- a/src/process/hosted/control/documentService.ts
+++ b/src/process/hosted/control/documentService.ts
@@ -2,6 +2,7 @@
 import { readDesiredState } from "../../../../platform/desiredState.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
+import { withinTime } from "../../../util/withinTime.js";
 import { deploymentFaults } from "../../../version/deploymentFaults.js";
 import type { CommandLog } from "../../replicatedLog/commandLog.js";
 import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
@@ -73,13 +74,7 @@
 
     private async propose(command: HostedCommand): Promise<HostedOutcome | undefined> {
         const { log, clock } = this.parts;
-        const limit = new AbortController();
-        const ended = new AbortController();
-        void clock.sleep(longestCommit, ended.signal).then(() => {
-            limit.abort();
-        });
-        const committed = await log.propose(command, limit.signal);
-        ended.abort();
+        const committed = await withinTime(clock, longestCommit, signal => log.propose(command, signal));
         return committed.ok ? committed.val.outcome : undefined;
     }
 }
--- a/src/process/hosted/control/orderDuty.ts
+++ b/src/process/hosted/control/orderDuty.ts
@@ -96,8 +96,8 @@
         need.note(this.parts.workOf(name), this.parts.clock.now());
         for (const [domain, wanted] of spreadOverDomains(need.endpoints, scaling.prices)) {
             const here = endpoints.filter(endpoint => endpoint.failureDomain === domain);
-            const plan = this.planOf(name, domain, wanted, here, scaling);
             const present = fleetOf(here);
+            const plan = this.planOf(name, domain, wanted, present, scaling);
             await this.order(name, domain, "spot", plan.spot, present.spot, signal);
             await this.order(name, domain, "steady", plan.steady, present.steady, signal);
         }
@@ -107,10 +107,9 @@
         service: string,
         domain: string,
         wanted: number,
-        here: readonly EndpointRecord[],
+        present: DomainFleet,
         scaling: ServiceScaling,
     ): DomainFleet {
-        const present = fleetOf(here);
         const subject = `${service} ${domain}`;
         const now = this.parts.clock.now();
         const hasEnough = (present.spot + present.steady) * 2 >= wanted;
--- a/src/process/hosted/control/sharedConfirmation.ts
+++ b/src/process/hosted/control/sharedConfirmation.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from "../../../util/clock.js";
+import { withinTime } from "../../../util/withinTime.js";
 import type { CommandLog } from "../../replicatedLog/commandLog.js";
 import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
 
@@ -41,15 +42,11 @@
         return started;
     }
 
-    private async confirm(): Promise<number | undefined> {
-        const limit = new AbortController();
-        const ended = new AbortController();
-        void this.clock.sleep(longestWait, ended.signal).then(() => {
-            limit.abort();
+    private confirm(): Promise<number | undefined> {
+        return withinTime(this.clock, longestWait, async signal => {
+            const position = await this.log.confirmPosition(signal);
+            const reached = position.ok && await this.log.waitForPosition(position.val, signal);
+            return reached ? this.state.version : undefined;
         });
-        const position = await this.log.confirmPosition(limit.signal);
-        const reached = position.ok && await this.log.waitForPosition(position.val, limit.signal);
-        ended.abort();
-        return reached ? this.state.version : undefined;
     }
 }
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -16,7 +16,7 @@
 
 /** Links of this entry to all control processes that it has heard of. */
 export class ControlLinks {
-    private readonly links = new Map<string, ControlLink | undefined>();
+    private readonly links = new Map<string, ControlLink>();
     private readonly hosts: string[] = [];
     private isStopped = false;
 
@@ -32,7 +32,7 @@
         this.learn(seedHosts);
     }
 
-    /** Adds hosts of control processes; those heard of longest ago give way. */
+    /** Adds hosts of control processes; those that were learned first give way. */
     learn(hosts: readonly string[]): void {
         for (const host of hosts) {
             if (!this.hosts.includes(host)) {
@@ -52,14 +52,14 @@
         }
         this.isStopped = true;
         this.links.forEach(link => {
-            link?.close("the entry stops");
+            link.close("the entry stops");
         });
     }
 
     /** Tells all control processes at once how this entry stands. */
     beat(now: Milliseconds): void {
         const { view, suspension } = this.context;
-        const links = [...this.links.values()].filter(link => link !== undefined);
+        const links = [...this.links.values()];
         const isAnxious = view.permitAge(suspension.now()) > anxiousAge || !links.some(link => link.isLeader);
         links.forEach(link => {
             link.beat(isAnxious || link.isLeader, now);
@@ -69,7 +69,7 @@
     private openMissing(): void {
         for (const host of this.hosts) {
             const address = `${host}:${this.port}`;
-            if (this.links.get(address) === undefined) {
+            if (!this.links.has(address)) {
                 void this.keep(address);
             }
         }
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -1,5 +1,6 @@
 import { EndpointAgent } from "../../../connection/hosted/endpointAgent.js";
 import type { ReportedLoad } from "../../../request/hosted/callTraits.js";
+import { textHash } from "../../../request/routing/textHash.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 
@@ -36,6 +37,8 @@
 /** One endpoint as this entry sees it. */
 export class HostedEndpoint implements Disposable {
     readonly agent = new EndpointAgent();
+    /** A 32-bit hash of the identity, the same at all entries. */
+    readonly idHash: number;
     private latestRecord: EndpointRecord;
     private readonly waits = new Map<number, SeenWait>();
     private readonly calls = new Set<OutstandingCall>();
@@ -50,6 +53,7 @@
 
     constructor(record: EndpointRecord) {
         this.latestRecord = record;
+        this.idHash = textHash(record.id);
     }
 
     get record(): EndpointRecord {
--- a/src/request/hosted/callTraits.ts
+++ b/src/request/hosted/callTraits.ts
@@ -18,8 +18,6 @@
     readonly outputTokens: number;
     /** Parts of the prompt in order; the last one belongs to this call or its session. */
     readonly promptParts: readonly PromptPart[];
-    /** The last event of a stream that the caller has already; undefined for a call from the start. */
-    readonly lastEventId: number | undefined;
 }
 
 /** What an endpoint says in the head of its answer. */
--- a/src/request/hosted/callerAnswer.ts
+++ b/src/request/hosted/callerAnswer.ts
@@ -84,7 +84,7 @@
             this.response.destroy();
             return;
         }
-        const headers = withoutLength(headersTowardsCaller(message.rawHeaders));
+        const headers = headersTowardsCaller(message.rawHeaders);
         if (isFramed(message)) {
             headers.push("Content-Length", String(body.length));
         }
@@ -135,7 +135,7 @@
     /** Sends the head of a stream, once; a resumed one keeps the head of its first endpoint. */
     private begin(message: IncomingMessage): void {
         if (!this.response.headersSent) {
-            const headers = withoutLength(headersTowardsCaller(message.rawHeaders));
+            const headers = headersTowardsCaller(message.rawHeaders);
             this.isFramed = isFramed(message);
             if (!this.isFramed) {
                 this.endByConnection();
@@ -169,9 +169,3 @@
 function isFramed(message: IncomingMessage): boolean {
     return message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined;
 }
-
-function withoutLength(headers: readonly string[]): string[] {
-    return headers.flatMap((name, index) =>
-        index % 2 === 0 && name.toLowerCase() !== "content-length" ? [name, headers[index + 1] ?? ""] : []
-    );
-}
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -200,7 +200,7 @@
         return [];
     }
     const hash = textHash(shared.id);
-    const scores = new Map(endpoints.map(endpoint => [endpoint, mixBits(hash ^ textHash(endpoint.id))] as const));
+    const scores = new Map(endpoints.map(endpoint => [endpoint, mixBits(hash ^ endpoint.idHash)] as const));
     const ranked = [...endpoints].sort((a, b) => (scores.get(b) ?? 0) - (scores.get(a) ?? 0));
     return ranked.slice(0, 2);
 }
