--- a/src/bin/runHosted.ts
+++ b/src/bin/runHosted.ts
@@ -21,7 +21,7 @@
 }
 
 /** Runs a program of a hosted installation until SIGTERM, then stops it gracefully. */
-export async function runHosted(program: HostedProgram): Promise<void> {
+export async function runHosted(program: HostedProgram, clock: Clock = new SystemClock()): Promise<void> {
     const stopped = new Promise<string>(resolve => {
         process.once("SIGTERM", resolve);
         process.once("SIGINT", resolve);
@@ -56,7 +56,6 @@
     const eventLog = new EventLog(name, "json", line => {
         writer.write(line);
     });
-    const clock = new SystemClock();
     const serving = program.create(() => file.current, clock, eventLog);
     const apply = (): void => {
         serving.applySettings();
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -17,6 +17,7 @@
 import { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import { HttpLeasedCaller } from "../../platform/httpLeasedCaller.js";
 import { runWhileLeading } from "../../platform/platformDuties.js";
+import { FileLogStorage } from "../../replicatedLog/fileLogStorage.js";
 import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import type { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
 import type { HostedProcess } from "../hostedProcess.js";
@@ -27,6 +28,7 @@
 import { EndpointWatch } from "./endpointWatch.js";
 import { EntryRegistry } from "./entryRegistry.js";
 import { openHostedLog } from "./hostedLog.js";
+import type { OpenStorage } from "./hostedLog.js";
 import { HostedState } from "./hostedState.js";
 import type { HostedCommand, HostedOutcome } from "./hostedState.js";
 import { OrderDuty } from "./orderDuty.js";
@@ -72,6 +74,7 @@
         private readonly settings: () => HostedSettings,
         private readonly clock: Clock,
         private readonly eventLog: EventLog,
+        private readonly openStorage: OpenStorage = folder => FileLogStorage.open(folder),
     ) {
         this.suspension = new SuspensionWatch(clock);
     }
@@ -118,9 +121,16 @@
 
     /** Opens the log; tries again while the disk or the address cannot be used. */
     private async openLog(): Promise<HostedLog | undefined> {
-        const { state, clock, eventLog, store } = this;
+        const { state, clock, eventLog, store, openStorage } = this;
         while (!this.stopping.signal.aborted) {
-            const opened = await openHostedLog({ settings: this.settings(), state, clock, eventLog, store });
+            const opened = await openHostedLog({
+                settings: this.settings(),
+                state,
+                clock,
+                eventLog,
+                store,
+                openStorage,
+            });
             if (opened.ok) {
                 return opened.val;
             }
--- a/src/process/hosted/control/hostedLog.ts
+++ b/src/process/hosted/control/hostedLog.ts
@@ -10,7 +10,7 @@
 import { Err } from "../../../util/result.js";
 import type { Result } from "../../../util/result.js";
 import { splitAddress } from "../../../util/socketAddress.js";
-import { FileLogStorage } from "../../replicatedLog/fileLogStorage.js";
+import type { LogStorage } from "../../replicatedLog/logStorage.js";
 import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import { loadIdentity } from "../../replicatedLog/memberIdentity.js";
 import { ReplicatedLog } from "../../replicatedLog/replicatedLog.js";
@@ -39,17 +39,22 @@
     readonly eventLog: EventLog;
     /** Takes ownership of what is opened. */
     readonly store: DisposableStore;
+    /** Opens the files below a folder. */
+    readonly openStorage: OpenStorage;
 }
 
+/** Opens the files below a folder. */
+export type OpenStorage = (folder: string) => Promise<Result<LogStorage, Failure>>;
+
 /** Opens the replicated log over the data folder and the network of peers. */
 export async function openHostedLog(
     options: HostedLogOptions,
 ): Promise<Result<ReplicatedLog<HostedCommand, HostedOutcome>, Failure>> {
-    const { settings, state, clock, eventLog, store } = options;
+    const { settings, state, clock, eventLog, store, openStorage } = options;
     if (settings.dataFolder === undefined) {
         return Err(failure("startFailed", { reason: "the settings name no data folder" }));
     }
-    const storage = await FileLogStorage.open(settings.dataFolder);
+    const storage = await openStorage(settings.dataFolder);
     if (storage.err) {
         return storage;
     }
--- a/src/util/randomSource.ts
+++ b/src/util/randomSource.ts
@@ -21,6 +21,13 @@
         return uniformInt(this.generator, lowest, highest);
     }
 
+    /** One of the items, each as likely as the others. */
+    pick<T>(items: readonly [T, ...T[]]): T;
+    pick<T>(items: readonly T[]): T | undefined;
+    pick<T>(items: readonly T[]): T | undefined {
+        return items[this.integer(0, Math.max(0, items.length - 1))];
+    }
+
     /** An exponentially distributed number with the given mean. */
     exponential(mean: number): number {
         return -mean * Math.log(1 - this.float());
