fix(replicatedLog): take back a member that was retired while it was cut off

A member judged whether a leader is heard by its election deadline, which each refused attempt to stand moves forward, and by a leader that it never forgot. One that was retired behind a partition therefore never asked to be admitted again, and the group stayed smaller for good. Ruled out: a lost join request (none was sent). Change: a leader is heard while the promise to it lasts.

--- a/src/process/replicatedLog/joinTask.ts
+++ b/src/process/replicatedLog/joinTask.ts
@@ -91,9 +91,9 @@
         let unheardLooks = 0;
         while (!signal.aborted && replica.halted === undefined) {
             await clock.sleep(replica.timing.electionTimeoutHighest, signal);
-            unheardLooks = replica.leaderId === undefined || clock.now() > replica.electionDeadline
-                ? unheardLooks + 1
-                : 0;
+            // Not the election deadline: each attempt that the others refuse moves it.
+            const isHeard = replica.role === "leader" || clock.now() < replica.promiseUntil;
+            unheardLooks = isHeard ? 0 : unheardLooks + 1;
             if (unheardLooks >= looksUntilRejoin) {
                 const known = replica.membership.members.map(member => member.address);
                 const others = [...new Set([...known, ...expectedAddresses])].filter(other => other !== address);
--- a/tests/process/replicatedLog/mechanisms.test.ts
+++ b/tests/process/replicatedLog/mechanisms.test.ts
@@ -14,11 +14,11 @@
     return { cluster, leader: cluster.leaderSlot ?? 0 };
 }
 
-/** Cuts all wires of a member. */
-function isolate(cluster: VirtualCluster, slot: number): void {
+/** Cuts or mends all wires of a member. */
+function isolate(cluster: VirtualCluster, slot: number, cut = true): void {
     for (const other of cluster.disks.keys()) {
-        cluster.setCut(slot, other, true);
-        cluster.setCut(other, slot, true);
+        cluster.setCut(slot, other, cut);
+        cluster.setCut(other, slot, cut);
     }
 }
 
@@ -81,6 +81,24 @@
         t.is(cluster.members[slot]?.log?.status().halted?.code, "logFolderOutdated");
     });
 
+    it("takes a member back that was removed while it was cut off", async t => {
+        for (let seed = 10; seed < 20; seed++) {
+            const { cluster, leader } = await startCluster(seed);
+            const slot = (leader + 1) % 3;
+            const memberId = cluster.members[slot]?.log?.status().memberId ?? "";
+            isolate(cluster, slot);
+            await cluster.run(300);
+            void cluster.members[leader]?.log?.changeMembership({ kind: "remove", memberId });
+            await cluster.run(settlingTime);
+            isolate(cluster, slot, false);
+            cluster.propose(leader);
+            await cluster.run(2 * settlingTime);
+            const members = cluster.members[leader]?.log?.status().membership.members ?? [];
+            t.is(members.find(member => member.memberId === memberId)?.role, "voter", `seed ${seed}`);
+            t.deepEqual([cluster.violations, cluster.agrees], [[], true], `seed ${seed}`);
+        }
+    });
+
     it("steps down when its disk is full, and loses nothing", async t => {
         const { cluster, leader } = await startCluster(5);
         cluster.propose(leader);
