feat(hosted): let entries link to few control processes, which tell each other of entries

Each of 79 entries beat to each of 9 control processes 2.5 times a second, with running usage totals of eight windows each time. Change: above five control processes an entry links to the leader and two others, chosen by rendezvous hashing; control processes tell each other which entries are linked to them; a beat carries only windows that changed; with some hundred entries beats grow rarer, so that a leader takes 250 a second. Ruled out: aggregating usage at followers, which costs more at the size of today than it saves. Before: 711 links and 1,778 beats a second at 88 machines; after, by the same arithmetic: 237 and 593.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -12,10 +12,14 @@
 import { MessageConnection } from "../messageConnection.js";
 import { controlMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { BeatAnswer, ControlMessage, EntryMessage, ServiceWork } from "./linkMessages.js";
+import type { KeptLink } from "./linkSet.js";
 
 /** Silence after which a link is given up and opened anew: a partition may keep a connection from ever failing. */
 const longestSilence: Milliseconds = 1_500;
 
+/** Silence after which a link is given up, in pauses between beats, where these are long. */
+const silentBeats = 3;
+
 /** What the links of an entry work on. */
 export interface ControlLinkContext {
     readonly entry: string;
@@ -34,20 +38,22 @@
     /** Called with the engine time that the calls of all entries take. */
     readonly onWork: (work: ServiceWork) => void;
     readonly onEndpoints: (endpoints: readonly EndpointRecord[], age: Milliseconds) => void;
-    readonly onControlHosts: (hosts: readonly string[]) => void;
+    /** Called with the hosts of control processes, and of their leader where one is known. */
+    readonly onControlHosts: (hosts: readonly string[], leaderHost: string | undefined) => void;
     readonly onEntryCount: (entries: number) => void;
 }
 
 /** The link of this entry to one control process. */
-export class ControlLink {
+export class ControlLink implements KeptLink {
     private readonly socket: Socket;
     private readonly connection: MessageConnection;
     /** When beats that wait for an answer were sent, by their numbers. */
     private readonly sentAt = new Map<number, Milliseconds>();
     private nextNumber = 1;
-    private sentCounts = -1;
+    private sentCounts = 0;
     private heardAt: Milliseconds;
     private isGreeted = false;
+    private hasAnswered = false;
     private leads = false;
     private endReason = "the other side closed it";
 
@@ -59,9 +65,9 @@
         this.heardAt = context.clock.now();
     }
 
-    /** Whether the other side has answered lately. */
+    /** Whether the other side has answered, and the link stands. */
     get isUp(): boolean {
-        return this.isGreeted && !this.connection.closed;
+        return this.hasAnswered && !this.connection.closed;
     }
 
     /** Whether the other side leads the control processes. */
@@ -86,9 +92,13 @@
         }
     }
 
-    /** Tells how this entry stands; gives the link up when the other side has been silent for too long. */
-    beat(wantsPermit: boolean, now: Milliseconds): void {
-        if (now - this.heardAt > longestSilence) {
+    /**
+     * Tells how this entry stands; gives the link up when the other side has been silent for too long.
+     *
+     * @param interval Pause between two beats at present.
+     */
+    beat(wantsPermit: boolean, interval: Milliseconds, now: Milliseconds): void {
+        if (now - this.heardAt > Math.max(longestSilence, interval * silentBeats)) {
             this.close("it was silent");
             return;
         }
@@ -98,6 +108,7 @@
         const { clock, suspension, view, counts, isReady } = this.context;
         const number = this.nextNumber++;
         this.sentAt.set(number, suspension.now());
+        const usage = counts.totalsSince(this.sentCounts);
         const tellsCounts = counts.version !== this.sentCounts;
         this.sentCounts = counts.version;
         this.send({
@@ -106,9 +117,10 @@
             unixTime: clock.unixNow(),
             version: view.version,
             isReady: isReady(),
+            interval,
             wantsPermit,
             work: this.context.work(now),
-            ...tellsCounts ? { usage: counts.totals() } : {},
+            ...tellsCounts ? { usage } : {},
         });
     }
 
@@ -131,7 +143,7 @@
             version: view.version,
         });
         eventLog.write("controlLinkBegan", { address: this.address });
-        this.beat(true, this.context.clock.now());
+        this.beat(true, 0, this.context.clock.now());
     }
 
     private send(message: EntryMessage): void {
@@ -149,6 +161,9 @@
             .with({ kind: "beatAnswer" }, answer => {
                 this.takeAnswer(answer);
             })
+            .with({ kind: "presence" }, () => {
+                this.close("it tells what is for control processes alone");
+            })
             .exhaustive();
     }
 
@@ -156,12 +171,13 @@
         const { clock, medianClock, view, onControlHosts, onEntryCount } = this.context;
         const sentAt = this.sentAt.get(answer.number);
         this.sentAt.delete(answer.number);
+        this.hasAnswered = true;
         this.leads = answer.isLeader;
         medianClock.note(this.address, answer.unixTime, clock.now());
         if (answer.confirmedVersion !== undefined && sentAt !== undefined) {
             view.confirm(sentAt, answer.confirmedVersion);
         }
-        onControlHosts(answer.controlHosts);
+        onControlHosts(answer.controlHosts, answer.leaderHost);
         onEntryCount(answer.entryCount);
         // The leader's answers alone, so that all entries divide engines by the same figures.
         if (answer.isLeader) {
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -7,7 +7,7 @@
 import type { MedianClock } from "../../util/medianClock.js";
 import { MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
-import type { ControlMessage, EntryBeat, EntryHello } from "./linkMessages.js";
+import type { ControlMessage, EntryBeat, EntryHello, EntryMessage } from "./linkMessages.js";
 
 /** Largest frame that an entry may send, in bytes. */
 const entryFrameLimit = 1024 * 1024;
@@ -24,6 +24,7 @@
     readonly confirmVersion: () => Promise<number | undefined>;
     readonly isLeader: () => boolean;
     readonly controlHosts: () => readonly string[];
+    readonly leaderHost: () => string | undefined;
 }
 
 /** The link of one entry, as a control process sees it. */
@@ -31,6 +32,7 @@
     private readonly connection: MessageConnection;
     private hello: EntryHello | undefined;
     private sentVersion = 0;
+    private isObserver = false;
 
     constructor(socket: Socket, private readonly context: EntryLinkContext) {
         this.connection = new MessageConnection(socket, entryFrameLimit);
@@ -74,21 +76,34 @@
         }
     }
 
+    /** Tells another control process which entries are linked to this one. */
+    pushPresence(): void {
+        if (this.isObserver) {
+            this.send({ kind: "presence", entries: this.context.registry.linked(this.context.clock.now()) });
+        }
+    }
+
     /** Ends the link. */
     close(): void {
         this.connection[Symbol.dispose]();
     }
 
     /** @returns Whether the message is in order. */
-    private take(message: EntryHello | EntryBeat): boolean {
-        if (message.kind === "hello") {
-            return this.welcome(message);
+    private take(message: EntryMessage): boolean {
+        switch (message.kind) {
+            case "hello":
+                return this.welcome(message);
+            case "observe":
+                this.isObserver = this.hello === undefined && message.protocol === linkProtocolVersion;
+                this.pushPresence();
+                return this.isObserver;
+            case "beat":
+                if (this.hello === undefined) {
+                    return false;
+                }
+                void this.answer(message, this.hello);
+                return true;
         }
-        if (this.hello === undefined) {
-            return false;
-        }
-        void this.answer(message, this.hello);
-        return true;
     }
 
     private welcome(hello: EntryHello): boolean {
@@ -109,6 +124,7 @@
         const now = clock.now();
         registry.note(hello, beat, now);
         medianClock.note(hello.entry, beat.unixTime, now);
+        const leaderHost = this.context.leaderHost();
         const confirmedVersion = beat.wantsPermit ? await confirmVersion() : undefined;
         this.pushDocument();
         this.send({
@@ -118,6 +134,7 @@
             ...confirmedVersion === undefined ? {} : { confirmedVersion },
             isLeader: this.context.isLeader(),
             controlHosts: this.context.controlHosts(),
+            ...leaderHost === undefined ? {} : { leaderHost },
             entryCount: registry.count(clock.now()),
             work: registry.work(clock.now()),
         });
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
 import { bytesSchema } from "../../util/bytesSchema.js";
 
-/** Version of the protocol between hosted entries and control processes. */
-export const linkProtocolVersion = 1;
+/** Version of the protocol between hosted entries and control processes, and among these about entries. */
+export const linkProtocolVersion = 2;
 
 /** Offset of the port on which control processes take links of entries, from the first internal port. */
 export const linkPortOffset = 1;
@@ -22,7 +22,7 @@
 /** Engine time that calls take, by service. */
 export type ServiceWork = Readonly<z.output<typeof workSchema>>;
 
-/** Messages from an entry to a control process. */
+/** Messages to a control process from entries, and from other control processes that observe its entries. */
 export const entryMessageSchema = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("hello"),
@@ -43,12 +43,20 @@
         version: count,
         /** Whether callers may be sent to the entry. */
         isReady: z.boolean(),
+        /** Pause until the next beat, in milliseconds; 0 where the first beats follow at once. */
+        interval: z.number().min(0),
         /** Whether the control process shall confirm with a quorum which configuration is the newest. */
         wantsPermit: z.boolean(),
         work: workSchema,
-        /** Running totals; present when they have changed. */
+        /** Running totals of the windows that have changed since the last beat of this link. */
         usage: usageSchema.optional(),
     }),
+    z.object({
+        /** A control process asks to be told which entries are linked to this one. */
+        kind: z.literal("observe"),
+        protocol: z.int(),
+        control: shortText,
+    }),
 ]);
 
 /** A message from an entry to a control process. */
@@ -60,6 +68,21 @@
 /** What an entry tells at regular intervals. */
 export type EntryBeat = Extract<EntryMessage, { kind: "beat"; }>;
 
+/** An entry as the control process that it is linked to sees it. */
+const presentEntrySchema = z.object({
+    entry: shortText,
+    /** Differs at each start of the entry's process. */
+    incarnation: shortText,
+    failureDomain: shortText,
+    callerAddress: shortText,
+    isReady: z.boolean(),
+    /** How long the entry still counts as present unless it is heard, in milliseconds. */
+    remaining: z.number(),
+}).readonly();
+
+/** An entry as another control process tells of it. */
+export type PresentEntry = z.output<typeof presentEntrySchema>;
+
 const endpointSchema = z.object({
     id: z.string(),
     service: z.string(),
@@ -90,6 +113,8 @@
         isLeader: z.boolean(),
         /** Hosts of all control processes. */
         controlHosts: z.array(shortText).max(64).readonly(),
+        /** Host of the leader; absent where none is known. */
+        leaderHost: shortText.optional(),
         /** Number of entries that serve. */
         entryCount: count,
         /** Sums over all entries. */
@@ -101,6 +126,11 @@
         age: z.number(),
         endpoints: z.array(endpointSchema).readonly(),
     }),
+    z.object({
+        /** The entries that are linked to the control process; to other control processes alone. */
+        kind: z.literal("presence"),
+        entries: z.array(presentEntrySchema).readonly(),
+    }),
 ]);
 
 /** A message from a control process to an entry. */
--- /dev/null
+++ b/src/connection/hosted/presenceLink.ts
@@ -0,0 +1,63 @@
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { Clock, Milliseconds } from "../../util/clock.js";
+import { splitAddress } from "../../util/socketAddress.js";
+import { MessageConnection } from "../messageConnection.js";
+import { controlMessageSchema, linkProtocolVersion } from "./linkMessages.js";
+import type { PresentEntry } from "./linkMessages.js";
+import type { KeptLink } from "./linkSet.js";
+
+/** Silence after which a link is given up; the other side tells several times in this span. */
+const longestSilence: Milliseconds = 2_000;
+
+/** The link of this control process to another one, which tells which entries are linked to it. */
+export class PresenceLink implements KeptLink {
+    private readonly socket: Socket;
+    private readonly connection: MessageConnection;
+    private hasAnswered = false;
+
+    /**
+     * @param control Name of this control process.
+     * @param onPresence Called with the entries that are linked to the other one.
+     */
+    constructor(
+        address: string,
+        control: string,
+        private readonly clock: Clock,
+        private readonly onPresence: (entries: readonly PresentEntry[]) => void,
+    ) {
+        this.socket = connect(splitAddress(address), () => {
+            this.connection.send({ kind: "observe", protocol: linkProtocolVersion, control });
+        });
+        this.connection = new MessageConnection(this.socket);
+    }
+
+    get isUp(): boolean {
+        return this.hasAnswered && !this.connection.closed;
+    }
+
+    /** Reads until the link ends. */
+    async run(): Promise<void> {
+        let heardAt = this.clock.now();
+        const watch = setInterval(() => {
+            if (this.clock.now() - heardAt > longestSilence) {
+                this.close();
+            }
+        }, longestSilence / 2);
+        for await (const received of this.connection.messages()) {
+            const message = controlMessageSchema.safeParse(received);
+            if (!message.success || message.data.kind !== "presence") {
+                break;
+            }
+            heardAt = this.clock.now();
+            this.hasAnswered = true;
+            this.onPresence(message.data.entries);
+        }
+        clearInterval(watch);
+        this.close();
+    }
+
+    close(): void {
+        this.connection[Symbol.dispose]();
+    }
+}
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -32,6 +32,7 @@
 import { HostedState } from "./hostedState.js";
 import type { HostedCommand, HostedOutcome } from "./hostedState.js";
 import { OrderDuty } from "./orderDuty.js";
+import { PresenceLinks } from "./presenceLinks.js";
 import { SharedConfirmation } from "./sharedConfirmation.js";
 import { UsageDuty } from "./usageDuty.js";
 
@@ -54,12 +55,15 @@
     private readonly store = new DisposableStore();
     private readonly stopping = new AbortController();
     private readonly links = new Set<EntryLink>();
-    private readonly registry = new EntryRegistry();
+    private readonly registry = new EntryRegistry(() => {
+        this.tellPresence();
+    });
     private readonly medianClock = new MedianClock();
     private readonly suspension: SuspensionWatch;
     private knownServices: readonly DeployedService[] = [];
     private servicesVersion = 0;
     private pushing: NodeJS.Immediate | undefined;
+    private tellingPresence: NodeJS.Immediate | undefined;
     private readonly state = new HostedState(() => {
         // Changes that are applied together are told as one: entries need the newest alone.
         this.pushing ??= setImmediate(() => {
@@ -164,6 +168,12 @@
         watch: EndpointWatch,
     ): Promise<void> {
         const { clock, eventLog, medianClock, registry, state } = this;
+        const memberHosts = (): readonly string[] =>
+            log.status().membership.members.map(member => splitAddress(member.address).host);
+        const leaderHost = (): string | undefined => {
+            const leader = log.leaderAddress();
+            return leader === undefined ? undefined : splitAddress(leader).host;
+        };
         const context = {
             clock,
             eventLog,
@@ -173,7 +183,8 @@
             endpoints: () => watch.reading,
             confirmVersion: () => confirmation.version(),
             isLeader: () => log.leadingTerm() !== undefined,
-            controlHosts: () => log.status().membership.members.map(member => splitAddress(member.address).host),
+            controlHosts: memberHosts,
+            leaderHost,
         };
         const server = createServer(socket => {
             const link = new EntryLink(socket, context);
@@ -185,8 +196,23 @@
                 link.close();
             });
         });
-        const { host, firstInternalPort } = this.settings();
-        await this.serve(server, `${host}:${firstInternalPort + linkPortOffset}`);
+        const { name, host, firstInternalPort } = this.settings();
+        const port = firstInternalPort + linkPortOffset;
+        await this.serve(server, `${host}:${port}`);
+        const observed = new PresenceLinks({ control: name, host, port, clock, registry, memberHosts });
+        void observed.run(this.stopping.signal, () => {
+            this.tellPresence();
+        });
+    }
+
+    /** Tells the other control processes which entries are linked to this one; changes of one moment go together. */
+    private tellPresence(): void {
+        this.tellingPresence ??= setImmediate(() => {
+            this.tellingPresence = undefined;
+            this.links.forEach(link => {
+                link.pushPresence();
+            });
+        });
     }
 
     private async serveMetrics(log: HostedLog, watch: EndpointWatch): Promise<void> {
--- /dev/null
+++ b/src/process/hosted/entry/controlChoice.ts
@@ -0,0 +1,46 @@
+import { textHash } from "../../../request/routing/textHash.js";
+import type { Milliseconds } from "../../../util/clock.js";
+
+/** Up to so many control processes an entry links to all; more links would cost the leader more than they help. */
+const linkAllUpTo = 5;
+
+/** Links of an entry where there are more control processes: the leader's, and two for when that one is lost. */
+const linkedControls = 3;
+
+/** Shortest pause between two beats on a link. */
+const shortestBeatInterval: Milliseconds = 400;
+
+/** Longest pause between two beats: callers must leave a lost entry within seconds. */
+const longestBeatInterval: Milliseconds = 1_200;
+
+/** Beats that the leader takes in a second from all entries; at a millisecond each it keeps most of a small VM free. */
+const beatsPerSecond = 250;
+
+/** What an entry knows of the control processes. */
+export interface KnownControls {
+    readonly hosts: readonly string[];
+    /** Undefined while none is known to lead. */
+    readonly leaderHost: string | undefined;
+    /** Those that did not answer lately. */
+    readonly unreachable: ReadonlySet<string>;
+}
+
+/**
+ * The control processes that an entry links to, so that the links of an installation grow with its entries alone.
+ *
+ * Entries spread over the control processes by rendezvous hashing (Thaler and Ravishankar, 1998); each one also links to
+ * the leader, which adds up what entries tell.
+ */
+export function chooseControls(entry: string, { hosts, leaderHost, unreachable }: KnownControls): readonly string[] {
+    if (hosts.length <= linkAllUpTo) {
+        return hosts;
+    }
+    const preference = (host: string): number =>
+        (host === leaderHost ? 2 : 0) + (unreachable.has(host) ? -1 : 0) + textHash(`${entry} ${host}`) / 2 ** 32;
+    return [...hosts].sort((a, b) => preference(b) - preference(a)).slice(0, linkedControls);
+}
+
+/** Pause between two beats of an entry, by the number of all entries. */
+export function beatIntervalFor(entries: number): Milliseconds {
+    return Math.min(Math.max(entries * 1_000 / beatsPerSecond, shortestBeatInterval), longestBeatInterval);
+}
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -1,34 +1,45 @@
 import { ControlLink } from "../../../connection/hosted/controlLink.js";
 import type { ControlLinkContext } from "../../../connection/hosted/controlLink.js";
+import { LinkSet } from "../../../connection/hosted/linkSet.js";
 import type { Milliseconds } from "../../../util/clock.js";
+import { splitAddress } from "../../../util/socketAddress.js";
+import { beatIntervalFor, chooseControls } from "./controlChoice.js";
 
-/** Pause between two beats to each control process. */
-const beatInterval: Milliseconds = 400;
-
-/** Age of a confirmation above which every control process is asked for one, not the leader alone. */
+/** Age of a confirmation above which every linked control process is asked for one, not the leader alone. */
 const anxiousAge: Milliseconds = 1_000;
 
-/** Pause before a link that ended is opened again. */
-const reconnectInterval: Milliseconds = 200;
+/** Pauses between beats after which a confirmation is too old as well, where these are long. */
+const anxiousBeats = 1.5;
 
 /** Hosts of control processes that are remembered; far more than an installation has at any time. */
 const rememberedHosts = 24;
 
-/** Links of this entry to all control processes that it has heard of. */
+/** How long a control process whose link has ended gives way to others. */
+const avoidedTime: Milliseconds = 3_000;
+
+/** Links of this entry to the control processes that it has chosen. */
 export class ControlLinks {
-    private readonly links = new Map<string, ControlLink>();
+    private readonly links: LinkSet<ControlLink>;
     private readonly hosts: string[] = [];
-    private isStopped = false;
+    private readonly endedAt = new Map<string, Milliseconds>();
+    private leaderHost: string | undefined;
+    /** Hosts of the control processes that belong to the group, by the newest answer. */
+    private memberHosts: readonly string[] = [];
 
     /**
      * @param port Port on which control processes take links.
      * @param seedHosts Hosts of some control processes.
+     * @param entryCount Number of entries that serve.
      */
     constructor(
         private readonly context: Omit<ControlLinkContext, "onControlHosts">,
         private readonly port: number,
         seedHosts: readonly string[],
+        private readonly entryCount: () => number,
     ) {
+        this.links = new LinkSet(context.clock, address => this.open(address), address => {
+            this.endedAt.set(splitAddress(address).host, context.clock.now());
+        });
         this.learn(seedHosts);
     }
 
@@ -46,47 +57,44 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock } = this.context;
         while (!signal.aborted) {
-            this.openMissing();
-            this.beat(clock.now());
-            await clock.sleep(beatInterval, signal);
+            const now = clock.now();
+            this.links.keep(this.chosenHosts(now).map(host => `${host}:${this.port}`));
+            this.beat(now);
+            await clock.sleep(beatIntervalFor(this.entryCount()), signal);
         }
-        this.isStopped = true;
-        this.links.forEach(link => {
-            link.close("the entry stops");
-        });
+        this.links.close("the entry stops");
     }
 
-    /** Tells all control processes at once how this entry stands. */
+    /** Tells the linked control processes at once how this entry stands. */
     beat(now: Milliseconds): void {
         const { view, suspension } = this.context;
-        const links = [...this.links.values()];
-        const isAnxious = view.permitAge(suspension.now()) > anxiousAge || !links.some(link => link.isLeader);
+        const { links } = this.links;
+        const interval = beatIntervalFor(this.entryCount());
+        const oldAge = Math.max(anxiousAge, interval * anxiousBeats);
+        const isAnxious = view.permitAge(suspension.now()) > oldAge || !links.some(link => link.isLeader);
         links.forEach(link => {
-            link.beat(isAnxious || link.isLeader, now);
+            link.beat(isAnxious || link.isLeader, interval, now);
         });
     }
 
-    private openMissing(): void {
-        for (const host of this.hosts) {
-            const address = `${host}:${this.port}`;
-            if (!this.links.has(address)) {
-                void this.keep(address);
-            }
-        }
+    private chosenHosts(now: Milliseconds): readonly string[] {
+        const unreachable = this.hosts.filter(host => now - (this.endedAt.get(host) ?? -Infinity) < avoidedTime);
+        const isLinked = this.links.links.some(link => link.isUp);
+        return chooseControls(this.context.entry, {
+            hosts: isLinked ? this.memberHosts : this.hosts,
+            leaderHost: this.leaderHost,
+            unreachable: new Set(unreachable),
+        });
     }
 
-    private async keep(address: string): Promise<void> {
-        const link = new ControlLink(address, {
+    private open(address: string): ControlLink {
+        return new ControlLink(address, {
             ...this.context,
-            onControlHosts: hosts => {
+            onControlHosts: (hosts, leaderHost) => {
                 this.learn(hosts);
+                this.memberHosts = hosts;
+                this.leaderHost = leaderHost ?? this.leaderHost;
             },
         });
-        this.links.set(address, link);
-        await link.run();
-        await this.context.clock.sleep(reconnectInterval);
-        if (!this.isStopped) {
-            this.links.delete(address);
-        }
     }
 }
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -115,6 +115,7 @@
             },
             firstInternalPort + linkPortOffset,
             hostsOf(seedOperatorAddresses),
+            () => this.entryCount,
         );
         this.server = this.createServer();
     }
--- a/tests/process/hosted/control/entryRegistry.test.ts
+++ b/tests/process/hosted/control/entryRegistry.test.ts
@@ -1,4 +1,4 @@
-import type { EntryBeat, EntryHello } from "../../../../src/connection/hosted/linkMessages.js";
+import type { EntryBeat, EntryHello, PresentEntry } from "../../../../src/connection/hosted/linkMessages.js";
 import { EntryRegistry } from "../../../../src/process/hosted/control/entryRegistry.js";
 import { describe, it } from "../../../describe.js";
 
@@ -7,8 +7,13 @@
     return { kind: "hello", protocol: 1, entry, incarnation: "1", failureDomain, callerAddress, version: 1 };
 }
 
+function presentEntryOf(entry: string): PresentEntry {
+    const { incarnation, failureDomain, callerAddress } = helloOf(entry);
+    return { entry, incarnation, failureDomain, callerAddress, isReady: true, remaining: 1_000 };
+}
+
 function beatOf(changes: Partial<EntryBeat> = {}): EntryBeat {
-    const fields = { number: 1, unixTime: 0, version: 1, isReady: true, wantsPermit: false, work: {} };
+    const fields = { number: 1, unixTime: 0, version: 1, isReady: true, interval: 400, wantsPermit: false, work: {} };
     return { kind: "beat", ...fields, ...changes };
 }
 
@@ -29,6 +34,48 @@
         t.deepEqual(registry.callerAddresses("north", 2_100), []);
     });
 
+    it("waits longer for an entry that tells less often", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("often"), beatOf(), 0);
+        registry.note(helloOf("seldom"), beatOf({ interval: 1_200 }), 0);
+        t.deepEqual(registry.callerAddresses("north", 3_000), ["seldom:80"]);
+        t.deepEqual(registry.callerAddresses("north", 4_000), []);
+    });
+
+    it("names entries of which other control processes tell, until these no longer do", t => {
+        const registry = new EntryRegistry();
+        registry.noteRelayed("control-2", [presentEntryOf("a"), presentEntryOf("b")], 0);
+        t.deepEqual(registry.callerAddresses("north", 100), ["a:80", "b:80"]);
+        registry.noteRelayed("control-2", [presentEntryOf("b")], 200);
+        t.deepEqual(registry.callerAddresses("north", 300), ["b:80"]);
+        t.deepEqual(registry.callerAddresses("north", 1_300), []);
+    });
+
+    it("leaves out an entry that is leaving by the word of any control process", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("a"), beatOf(), 0);
+        registry.noteRelayed("control-2", [{ ...presentEntryOf("a"), isReady: false }], 0);
+        t.deepEqual(registry.callerAddresses("north", 100), []);
+    });
+
+    it("names an entry that has only moved its link to another control process", t => {
+        const registry = new EntryRegistry();
+        registry.note(helloOf("a"), beatOf(), 0);
+        registry.noteRelayed("control-2", [presentEntryOf("a")], 0);
+        registry.disconnect(helloOf("a"));
+        t.deepEqual(registry.callerAddresses("north", 100), ["a:80"]);
+        t.is(registry.count(100), 1);
+    });
+
+    it("tells at once when an entry becomes ready or ceases to be", t => {
+        let told = 0;
+        const registry = new EntryRegistry(() => told++);
+        registry.note(helloOf("a"), beatOf(), 0);
+        registry.note(helloOf("a"), beatOf(), 400);
+        registry.note(helloOf("a"), beatOf({ isReady: false }), 500);
+        t.is(told, 2);
+    });
+
     it("adds up the engine time that the calls of present entries take", t => {
         const registry = new EntryRegistry();
         registry.note(helloOf("a"), beatOf({ work: { engines: { long: 5, other: 1 } } }), 2_000);
--- /dev/null
+++ b/tests/process/hosted/entry/controlChoice.test.ts
@@ -0,0 +1,40 @@
+import { beatIntervalFor, chooseControls } from "../../../../src/process/hosted/entry/controlChoice.js";
+import { describe, it } from "../../../describe.js";
+
+const nine = [...Array(9).keys()].map(index => `control-${index}`);
+const entries = [...Array(300).keys()].map(index => `entry-${index}`);
+
+describe("choice of control processes", () => {
+    it("links to all where there are few", t => {
+        const hosts = nine.slice(0, 5);
+        t.deepEqual(chooseControls("entry-1", { hosts, leaderHost: undefined, unreachable: new Set() }), hosts);
+    });
+
+    it("links to the leader and to two others, spread over all of them", t => {
+        const links = entries.map(entry =>
+            chooseControls(entry, { hosts: nine, leaderHost: "control-4", unreachable: new Set() })
+        );
+        t.true(links.every(chosen => chosen.length === 3 && chosen[0] === "control-4"));
+        for (const host of nine.filter(other => other !== "control-4")) {
+            const share = links.filter(chosen => chosen.includes(host)).length;
+            // Two of eight others each: 75 of 300 entries on average.
+            t.true(share > 45 && share < 110, `${host} has ${share} links`);
+        }
+    });
+
+    it("turns to others while one does not answer, and chooses the same again afterwards", t => {
+        const before = chooseControls("entry-1", { hosts: nine, leaderHost: undefined, unreachable: new Set() });
+        const unreachable = new Set(before.slice(0, 1));
+        const meanwhile = chooseControls("entry-1", { hosts: nine, leaderHost: undefined, unreachable });
+        t.is(meanwhile.length, 3);
+        t.false(meanwhile.includes(before[0] ?? ""));
+        t.true(meanwhile.includes(before[1] ?? ""));
+    });
+
+    it("lets the beats that a leader takes grow no further above some hundred entries", t => {
+        t.is(beatIntervalFor(9), 400);
+        t.is(beatIntervalFor(79), 400);
+        t.true(300 * 1_000 / beatIntervalFor(300) <= 250);
+        t.is(beatIntervalFor(10_000), 1_200);
+    });
+});
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -8,13 +8,15 @@
 import { numbersFrom } from "./numbersFrom.js";
 import { runSoak } from "./soakRun.js";
 
-/** Second number of the loopback addresses of the first soak. */
-const firstNetwork = 40;
-
-const { seeds, from, jobs, seconds, controls, entries, engines, desks, callers } = yargs(hideBin(process.argv))
+const { seeds, from, jobs, network, seconds, controls, entries, engines, desks, callers } = yargs(hideBin(process.argv))
     .option("seeds", { type: "number", default: 10, describe: "Number of seeds to play." })
     .option("from", { type: "number", default: 1, describe: "First seed." })
     .option("jobs", { type: "number", default: 3, describe: "Seeds to play beside each other." })
+    .option("network", {
+        type: "number",
+        default: 40,
+        describe: "Second number of the loopback addresses; others follow.",
+    })
     .option("seconds", { type: "number", default: 20, describe: "How long faults begin." })
     .option("controls", { type: "number", default: usualSize.controls })
     .option("entries", { type: "number", default: usualSize.entries })
@@ -27,12 +29,12 @@
 const waiting = [...numbersFrom(from, seeds)];
 let failed = 0;
 
-async function playSeeds(network: number): Promise<void> {
+async function playSeeds(ownNetwork: number): Promise<void> {
     for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
         const folder = await mkdtemp(join(tmpdir(), `gullhall-soak-${seed}-`));
         const report = await runSoak({
             seed,
-            network,
+            network: ownNetwork,
             folder,
             size: { controls, entries, engines, desks },
             callers,
@@ -48,6 +50,6 @@
     }
 }
 
-await Promise.all(numbersFrom(firstNetwork, jobs).map(playSeeds));
+await Promise.all(numbersFrom(network, jobs).map(playSeeds));
 console.log(`${seeds - failed} seeds without findings, ${failed} with findings`);
 process.exit(failed > 0 ? 1 : 0);
