fix(hosted): count calls that other endpoints reject as misdirected among the repeats

While the list of endpoints was some seconds old, addresses belonged to new endpoints, which rejected calls as misdirected; each of these went to the next endpoint without drawing on the allowance, as if it had reached none. Ruled out: repeats of lost answers, which the allowance bounds. Change: the rule what may follow an attempt is a module of its own with a table of cases; only a call that reached no endpoint goes on freely, three rejections end a call. The cases of misdirected calls fail on the code before.

--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -15,17 +15,23 @@
 /** Pauses of the target's length without an event after which such a stream is moved. */
 const stalledPauses = 4;
 
+/** Why a call has not run: it did not reach the endpoint, which had no room, or was not the one that was meant. */
+export type NotRunCause = "unreached" | "full" | "misdirected";
+
 /** How an attempt at one endpoint ended. */
 export type AttemptOutcome =
     /** The caller has the whole answer. */
     | { readonly kind: "delivered"; }
     /** The call has not run there. */
-    | { readonly kind: "notRun"; readonly reason: string; readonly isFull: boolean; }
+    | { readonly kind: "notRun"; readonly reason: string; readonly cause: NotRunCause; }
     /** The endpoint ran the call and says that it failed. */
     | { readonly kind: "failedAnswer"; readonly message: IncomingMessage; readonly body: Buffer; }
     /** The call may have run, and its answer is lost. */
     | { readonly kind: "lost"; readonly reason: string; };
 
+/** An attempt that did not give the caller its answer. */
+export type FailedOutcome = Exclude<AttemptOutcome, { kind: "delivered"; }>;
+
 /** What an attempt works on. */
 export interface AttemptParts {
     readonly call: AdmittedCall;
@@ -95,7 +101,7 @@
 
     private async takeHead(head: ExchangeHead): Promise<AttemptOutcome> {
         if (head.kind === "notSent") {
-            return { kind: "notRun", reason: head.reason, isFull: false };
+            return { kind: "notRun", reason: head.reason, cause: "unreached" };
         }
         if (head.kind === "lost") {
             return head;
@@ -105,7 +111,8 @@
         const isForeign = traits.callId !== undefined && traits.callId !== this.attempt.traits.callId;
         if (traits.isNotRun && !isForeign) {
             message.resume();
-            return { kind: "notRun", reason: `status ${traits.status}`, isFull: !traits.isMisdirected };
+            const cause = traits.isMisdirected ? "misdirected" : "full";
+            return { kind: "notRun", reason: `status ${traits.status}`, cause };
         }
         const isSuccess = traits.status >= 200 && traits.status < 300;
         const fault = faultOf(traits, isForeign, isSuccess);
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -9,11 +9,9 @@
 import type { AdmittedCall, CallParts } from "./callParts.js";
 import type { CallTraits } from "./callTraits.js";
 import { EndpointAttempt } from "./endpointAttempt.js";
-import type { AttemptOutcome } from "./endpointAttempt.js";
+import type { AttemptOutcome, FailedOutcome } from "./endpointAttempt.js";
 import type { CallToPlace, Placement } from "./endpointChooser.js";
-
-/** Endpoints without room for a call after which it is refused. */
-const maximumRejections = 3;
+import { repeatAfter } from "./repeatRule.js";
 
 /** Least time that must be left for a further attempt. */
 const leastAttemptTime: Milliseconds = 50;
@@ -30,9 +28,6 @@
 /** Part of its remaining time that a call which comes back may wait; it has waited before. */
 const returningFraction = 0.5;
 
-/** An attempt that did not give the caller its answer. */
-type FailedOutcome = Exclude<AttemptOutcome, { kind: "delivered"; }>;
-
 /** One call of a caller, from its head to its final answer. */
 export class HostedCall {
     private readonly traits: CallTraits;
@@ -162,17 +157,10 @@
         if (!untried || this.remaining(route) < leastAttemptTime) {
             return false;
         }
-        if (outcome.kind === "notRun" && !outcome.isFull) {
-            return true;
-        }
-        if (outcome.kind === "notRun") {
-            this.rejections++;
-            return this.rejections < maximumRejections
-                && allowance.takeRepeat(service.name, entryCount(), clock.now());
-        }
-        return route.repeatRule === "repeatable"
-            && this.runs < route.maximumAttempts
-            && allowance.takeRepeat(service.name, entryCount(), clock.now());
+        this.rejections += outcome.kind === "notRun" && outcome.cause !== "unreached" ? 1 : 0;
+        const repeat = repeatAfter(outcome, route, this.runs, this.rejections);
+        return repeat === "free"
+            || (repeat === "counted" && allowance.takeRepeat(service.name, entryCount(), clock.now()));
     }
 
     /** Gives the caller the final answer after the last attempt. */
@@ -217,7 +205,7 @@
         if (outcome.kind === "failedAnswer") {
             endpoint.noteFailedAnswer();
         }
-        else if (outcome.kind === "notRun" && outcome.isFull) {
+        else if (outcome.kind === "notRun" && outcome.cause === "full") {
             endpoint.noteFull(now);
         }
         else {
