fix(hosted): link to all control processes while none of the chosen ones confirms

Cause: found by reading. An entry whose three links lead to the small side of a partition of the control processes would serve by an old configuration, and then refuse, although it reaches the majority; with links to all it did not. Change: above an age of the confirmation of 1.5 s an entry links to all known control processes. Test first failed.

--- a/src/process/hosted/entry/controlChoice.ts
+++ b/src/process/hosted/entry/controlChoice.ts
@@ -7,6 +7,12 @@
 /** Links of an entry where there are more control processes: the leader's, and two for when that one is lost. */
 const linkedControls = 3;
 
+/**
+ * Age of the confirmation above which an entry links to all: those that it has chosen may be on the small side of a
+ * partition. The rest of the time until a configuration must be in force everywhere covers the new links.
+ */
+const doubtfulAge: Milliseconds = 1_500;
+
 /** Shortest pause between two beats on a link. */
 const shortestBeatInterval: Milliseconds = 400;
 
@@ -23,6 +29,8 @@
     readonly leaderHost: string | undefined;
     /** Those that did not answer lately. */
     readonly unreachable: ReadonlySet<string>;
+    /** Time since a quorum last confirmed the configuration. */
+    readonly permitAge: Milliseconds;
 }
 
 /**
@@ -31,8 +39,9 @@
  * Entries spread over the control processes by rendezvous hashing (Thaler and Ravishankar, 1998); each one also links to
  * the leader, which adds up what entries tell.
  */
-export function chooseControls(entry: string, { hosts, leaderHost, unreachable }: KnownControls): readonly string[] {
-    if (hosts.length <= linkAllUpTo) {
+export function chooseControls(entry: string, known: KnownControls): readonly string[] {
+    const { hosts, leaderHost, unreachable, permitAge } = known;
+    if (hosts.length <= linkAllUpTo || permitAge > doubtfulAge) {
         return hosts;
     }
     const preference = (host: string): number =>
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -79,11 +79,13 @@
 
     private chosenHosts(now: Milliseconds): readonly string[] {
         const unreachable = this.hosts.filter(host => now - (this.endedAt.get(host) ?? -Infinity) < avoidedTime);
+        const { entry, view, suspension } = this.context;
         const isLinked = this.links.links.some(link => link.isUp);
-        return chooseControls(this.context.entry, {
+        return chooseControls(entry, {
             hosts: isLinked ? this.memberHosts : this.hosts,
             leaderHost: this.leaderHost,
             unreachable: new Set(unreachable),
+            permitAge: view.permitAge(suspension.now()),
         });
     }
 
--- a/tests/process/hosted/entry/controlChoice.test.ts
+++ b/tests/process/hosted/entry/controlChoice.test.ts
@@ -7,12 +7,15 @@
 describe("choice of control processes", () => {
     it("links to all where there are few", t => {
         const hosts = nine.slice(0, 5);
-        t.deepEqual(chooseControls("entry-1", { hosts, leaderHost: undefined, unreachable: new Set() }), hosts);
+        t.deepEqual(
+            chooseControls("entry-1", { hosts, leaderHost: undefined, unreachable: new Set(), permitAge: 0 }),
+            hosts,
+        );
     });
 
     it("links to the leader and to two others, spread over all of them", t => {
         const links = entries.map(entry =>
-            chooseControls(entry, { hosts: nine, leaderHost: "control-4", unreachable: new Set() })
+            chooseControls(entry, { hosts: nine, leaderHost: "control-4", unreachable: new Set(), permitAge: 0 })
         );
         t.true(links.every(chosen => chosen.length === 3 && chosen[0] === "control-4"));
         for (const host of nine.filter(other => other !== "control-4")) {
@@ -23,14 +26,25 @@
     });
 
     it("turns to others while one does not answer, and chooses the same again afterwards", t => {
-        const before = chooseControls("entry-1", { hosts: nine, leaderHost: undefined, unreachable: new Set() });
+        const before = chooseControls("entry-1", {
+            hosts: nine,
+            leaderHost: undefined,
+            unreachable: new Set(),
+            permitAge: 0,
+        });
         const unreachable = new Set(before.slice(0, 1));
-        const meanwhile = chooseControls("entry-1", { hosts: nine, leaderHost: undefined, unreachable });
+        const meanwhile = chooseControls("entry-1", { hosts: nine, leaderHost: undefined, unreachable, permitAge: 0 });
         t.is(meanwhile.length, 3);
         t.false(meanwhile.includes(before[0] ?? ""));
         t.true(meanwhile.includes(before[1] ?? ""));
     });
 
+    it("links to all while none of its own confirms: they may be cut off from the others", t => {
+        const known = { hosts: nine, leaderHost: "control-4", unreachable: new Set<string>(), permitAge: 2_000 };
+        t.deepEqual(chooseControls("entry-1", known), nine);
+        t.is(chooseControls("entry-1", { ...known, permitAge: 500 }).length, 3);
+    });
+
     it("lets the beats that a leader takes grow no further above some hundred entries", t => {
         t.is(beatIntervalFor(9), 400);
         t.is(beatIntervalFor(79), 400);
