fix(replicatedLog): commit by heartbeats only what the own disk holds

Entries are visible while they are being written, and removed when the disk refuses them. A heartbeat in between counted such an entry as committed; once the disk had room, the leader's entry at that position was taken for a contradiction of a committed one, and the member halted for good (logDiverged). Ruled out: two different entries at the position (all other logs agree), a damaged file. Change: a heartbeat commits up to the durable position at most. The virtual disk reports that it is full at the end of an operation; reporting it at once hid the fault.

--- a/src/process/replicatedLog/appendHandler.ts
+++ b/src/process/replicatedLog/appendHandler.ts
@@ -18,7 +18,8 @@
         replica.acknowledged.note(request.term, request.acknowledged);
         this.haltIfOutdated();
         if (replica.log.termAt(request.commitPosition) === request.commitTerm) {
-            replica.commit(request.commitPosition);
+            // Entries that are being written are visible already, and gone again if the disk refuses them.
+            replica.commit(Math.min(request.commitPosition, replica.log.syncedPosition));
         }
         return { kind: "heartbeat", term: request.term, accepted: true };
     }
--- a/tests/process/replicatedLog/mechanisms.test.ts
+++ b/tests/process/replicatedLog/mechanisms.test.ts
@@ -99,6 +99,20 @@
         }
     });
 
+    it("comes back after its disk was full while others committed", async t => {
+        for (let seed = 30; seed < 40; seed++) {
+            const { cluster, leader } = await startCluster(seed);
+            const slot = (leader + 1) % 3;
+            cluster.setFull(slot, true);
+            cluster.propose(leader);
+            await cluster.run(settlingTime);
+            cluster.setFull(slot, false);
+            cluster.propose(leader);
+            await cluster.run(settlingTime);
+            t.deepEqual([cluster.violations, cluster.agrees], [[], true], `seed ${seed}`);
+        }
+    });
+
     it("steps down when its disk is full, and loses nothing", async t => {
         const { cluster, leader } = await startCluster(5);
         cluster.propose(leader);
--- a/tests/process/replicatedLog/memoryLogStorage.ts
+++ b/tests/process/replicatedLog/memoryLogStorage.ts
@@ -112,10 +112,16 @@
         return Promise.resolve();
     }
 
+    /** A full disk says so when the operation ends, as a real one does. */
     private async grow(apply: (fraction: number) => void): Promise<Result<void, Failure>> {
-        return this.disk.full
-            ? Promise.resolve(Err(failure("storageFull", { operation: "write", name: "memory" })))
-            : this.operate(apply);
+        let isRefused = false;
+        await this.operate(fraction => {
+            isRefused = this.disk.full;
+            if (!isRefused) {
+                apply(fraction);
+            }
+        });
+        return isRefused ? Err(failure("storageFull", { operation: "write", name: "memory" })) : Ok(undefined);
     }
 
     private async operate(apply: (fraction: number) => void): Promise<Result<void, Failure>> {
--- a/tests/soak/failedSeeds.ts
+++ b/tests/soak/failedSeeds.ts
@@ -17,4 +17,11 @@
         faultTime: 15_000,
         cause: "a control process that was retired while it was cut off never asked to be admitted again",
     },
+    {
+        seed: 400,
+        size: usualSize,
+        callers: 12,
+        faultTime: 18_000,
+        cause: "a heartbeat committed an entry that the disk was about to refuse, and the member halted",
+    },
 ];
