feat(hosted): tell in the log when another control process begins or ceases to tell of entries

Cause: found by reading the change: the links by which control processes tell each other of entries began and ended without a line, although losing one hides entries from callers. Change: events 2424 and 2425.

--- a/src/connection/hosted/presenceLink.ts
+++ b/src/connection/hosted/presenceLink.ts
@@ -1,5 +1,6 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import type { EventLog } from "../../logEvent/eventLog.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import { MessageConnection } from "../messageConnection.js";
@@ -15,15 +16,17 @@
     private readonly socket: Socket;
     private readonly connection: MessageConnection;
     private hasAnswered = false;
+    private endReason = "the other side closed it";
 
     /**
      * @param control Name of this control process.
      * @param onPresence Called with the entries that are linked to the other one.
      */
     constructor(
-        address: string,
+        private readonly address: string,
         control: string,
         private readonly clock: Clock,
+        private readonly eventLog: EventLog,
         private readonly onPresence: (entries: readonly PresentEntry[]) => void,
     ) {
         this.socket = connect(splitAddress(address), () => {
@@ -41,23 +44,35 @@
         let heardAt = this.clock.now();
         const watch = setInterval(() => {
             if (this.clock.now() - heardAt > longestSilence) {
-                this.close();
+                this.close("it was silent");
             }
         }, longestSilence / 2);
         for await (const received of this.connection.messages()) {
             const message = controlMessageSchema.safeParse(received);
             if (!message.success || message.data.kind !== "presence") {
+                this.endReason = "a message is malformed";
                 break;
             }
             heardAt = this.clock.now();
-            this.hasAnswered = true;
-            this.onPresence(message.data.entries);
+            this.take(message.data.entries);
         }
         clearInterval(watch);
-        this.close();
+        this.connection[Symbol.dispose]();
+        if (this.hasAnswered) {
+            this.eventLog.write("presenceLinkEnded", { address: this.address, reason: this.endReason });
+        }
     }
 
-    close(): void {
+    close(reason: string): void {
+        this.endReason = reason;
         this.connection[Symbol.dispose]();
     }
+
+    private take(entries: readonly PresentEntry[]): void {
+        if (!this.hasAnswered) {
+            this.hasAnswered = true;
+            this.eventLog.write("presenceLinkBegan", { address: this.address, entries: entries.length });
+        }
+        this.onPresence(entries);
+    }
 }
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -68,6 +68,18 @@
         text: "The link to a control process has ended.",
         fields: ["address", "reason"],
     },
+    presenceLinkBegan: {
+        number: 2424,
+        level: "info",
+        text: "Another control process tells which entries are linked to it.",
+        fields: ["address", "entries"],
+    },
+    presenceLinkEnded: {
+        number: 2425,
+        level: "warn",
+        text: "Another control process no longer tells which entries are linked to it.",
+        fields: ["address", "reason"],
+    },
     endpointListChanged: {
         number: 2430,
         level: "info",
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -199,7 +199,7 @@
         const { name, host, firstInternalPort } = this.settings();
         const port = firstInternalPort + linkPortOffset;
         await this.serve(server, `${host}:${port}`);
-        const observed = new PresenceLinks({ control: name, host, port, clock, registry, memberHosts });
+        const observed = new PresenceLinks({ control: name, host, port, clock, eventLog, registry, memberHosts });
         void observed.run(this.stopping.signal, () => {
             this.tellPresence();
         });
--- a/src/process/hosted/control/presenceLinks.ts
+++ b/src/process/hosted/control/presenceLinks.ts
@@ -1,5 +1,6 @@
 import { LinkSet } from "../../../connection/hosted/linkSet.js";
 import { PresenceLink } from "../../../connection/hosted/presenceLink.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
 import type { EntryRegistry } from "./entryRegistry.js";
 
@@ -15,6 +16,7 @@
     /** Port on which control processes take links. */
     readonly port: number;
     readonly clock: Clock;
+    readonly eventLog: EventLog;
     readonly registry: EntryRegistry;
     /** Hosts of all control processes. */
     readonly memberHosts: () => readonly string[];
@@ -28,9 +30,9 @@
     private readonly links: LinkSet<PresenceLink>;
 
     constructor(private readonly parts: PresenceLinksParts) {
-        const { clock, control, registry } = parts;
+        const { clock, control, eventLog, registry } = parts;
         this.links = new LinkSet(clock, address =>
-            new PresenceLink(address, control, clock, entries => {
+            new PresenceLink(address, control, clock, eventLog, entries => {
                 registry.noteRelayed(address, entries, clock.now());
             }));
     }
--- a/tests/process/replicatedLog/memoryLogStorage.ts
+++ b/tests/process/replicatedLog/memoryLogStorage.ts
@@ -114,7 +114,7 @@
 
     /** A full disk says so when the operation ends, as a real one does. */
     private async grow(apply: (fraction: number) => void): Promise<Result<void, Failure>> {
-        let isRefused = false;
+        let isRefused = false as boolean;
         await this.operate(fraction => {
             isRefused = this.disk.full;
             if (!isRefused) {
