fix(hosted): keep links while a control process with an empty disk names no members

Cause: found by reading. A control process that is not in the group yet (fresh, or with an emptied disk) answers a beat with no members; the entry then wanted no links at all, closed all it had, and opened them again 0.2 s later. Change: an empty list changes nothing. Test first failed (the function did not exist; the links took any list).

--- a/src/process/hosted/entry/controlChoice.ts
+++ b/src/process/hosted/entry/controlChoice.ts
@@ -49,6 +49,15 @@
     return [...hosts].sort((a, b) => preference(b) - preference(a)).slice(0, linkedControls);
 }
 
+/**
+ * Hosts of the group's members after a control process has named them; one that is not in the group yet names none.
+ *
+ * @param known Hosts that were named before.
+ */
+export function membersAfter(known: readonly string[], named: readonly string[]): readonly string[] {
+    return named.length === 0 ? known : named;
+}
+
 /** Pause between two beats of an entry, by the number of all entries. */
 export function beatIntervalFor(entries: number): Milliseconds {
     return Math.min(Math.max(entries * 1_000 / beatsPerSecond, shortestBeatInterval), longestBeatInterval);
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -3,7 +3,7 @@
 import { LinkSet } from "../../../connection/hosted/linkSet.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import { splitAddress } from "../../../util/socketAddress.js";
-import { beatIntervalFor, chooseControls } from "./controlChoice.js";
+import { beatIntervalFor, chooseControls, membersAfter } from "./controlChoice.js";
 
 /** Age of a confirmation above which every linked control process is asked for one, not the leader alone. */
 const anxiousAge: Milliseconds = 1_000;
@@ -80,7 +80,7 @@
     private chosenHosts(now: Milliseconds): readonly string[] {
         const unreachable = this.hosts.filter(host => now - (this.endedAt.get(host) ?? -Infinity) < avoidedTime);
         const { entry, view, suspension } = this.context;
-        const isLinked = this.links.links.some(link => link.isUp);
+        const isLinked = this.memberHosts.length > 0 && this.links.links.some(link => link.isUp);
         return chooseControls(entry, {
             hosts: isLinked ? this.memberHosts : this.hosts,
             leaderHost: this.leaderHost,
@@ -94,7 +94,7 @@
             ...this.context,
             onControlHosts: (hosts, leaderHost) => {
                 this.learn(hosts);
-                this.memberHosts = hosts;
+                this.memberHosts = membersAfter(this.memberHosts, hosts);
                 this.leaderHost = leaderHost ?? this.leaderHost;
             },
         });
--- a/tests/process/hosted/entry/controlChoice.test.ts
+++ b/tests/process/hosted/entry/controlChoice.test.ts
@@ -1,4 +1,4 @@
-import { beatIntervalFor, chooseControls } from "../../../../src/process/hosted/entry/controlChoice.js";
+import { beatIntervalFor, chooseControls, membersAfter } from "../../../../src/process/hosted/entry/controlChoice.js";
 import { describe, it } from "../../../describe.js";
 
 const nine = [...Array(9).keys()].map(index => `control-${index}`);
@@ -45,6 +45,11 @@
         t.is(chooseControls("entry-1", { ...known, permitAge: 500 }).length, 3);
     });
 
+    it("goes on with the members that it knows where a control process with an empty disk names none", t => {
+        t.deepEqual(membersAfter(nine, []), nine);
+        t.deepEqual(membersAfter(nine, ["control-9"]), ["control-9"]);
+    });
+
     it("lets the beats that a leader takes grow no further above some hundred entries", t => {
         t.is(beatIntervalFor(9), 400);
         t.is(beatIntervalFor(79), 400);
