fix(bin): stop a hosted program that still waits for its disk or its address

The program waited for the end of its start before it heeded SIGTERM; a control process that cannot open its log starts for ever, and was killed after its time. Ruled out: the new links (they had ended at once), a slow machine (nothing ran for seconds). Starts that overlap are one now. Change: stopping does not wait for the start.

--- a/src/bin/runHosted.ts
+++ b/src/bin/runHosted.ts
@@ -67,9 +67,12 @@
     void file.watch(clock, eventLog, apply, watching.signal);
     eventLog.write("processStarted", { role: program.role, address: host, failureDomain, version: packageVersion() });
     try {
-        await serving.start();
+        const started = serving.start();
+        // A process may be told to stop while it still waits for its disk or its address.
+        await Promise.race([started, stopped]);
         eventLog.write("processStopping", { reason: await stopped });
         await serving[Symbol.asyncDispose]();
+        await started;
         eventLog.write("processStopped", {});
         process.exitCode = 0;
     }
--- a/src/process/hosted/entry/controlChoice.ts
+++ b/src/process/hosted/entry/controlChoice.ts
@@ -19,7 +19,7 @@
 /** Longest pause between two beats: callers must leave a lost entry within seconds. */
 const longestBeatInterval: Milliseconds = 1_200;
 
-/** Beats that the leader takes in a second from all entries; at a millisecond each it keeps most of a small VM free. */
+/** Beats that the leader takes in a second from all entries, so that its load does not grow with their number. */
 const beatsPerSecond = 250;
 
 /** What an entry knows of the control processes. */
--- a/tests/soak/soakVm.ts
+++ b/tests/soak/soakVm.ts
@@ -24,6 +24,7 @@
     /** Number of starts. */
     starts = 0;
     private child: ChildProcess | undefined;
+    private launching: Promise<void> | undefined;
     private isPaused = false;
 
     /**
@@ -52,10 +53,18 @@
         return join(this.folder, "data");
     }
 
+    /** Starts the process unless it runs; starts that overlap are one. */
     async start(isFirstStart = false): Promise<void> {
         if (this.child !== undefined) {
             return;
         }
+        this.launching ??= this.launch(isFirstStart).finally(() => {
+            this.launching = undefined;
+        });
+        await this.launching;
+    }
+
+    private async launch(isFirstStart: boolean): Promise<void> {
         await mkdir(this.dataFolder, { recursive: true });
         await this.writeSettings(isFirstStart);
         const output = openSync(join(this.folder, "log.jsonl"), "a");
