fix(quickstart): let no two processes take the same free port

Ports were tried, released, and bound by the started program later; another test could take one in between. Ruled out: ports of outgoing connections, which lie above the range. Change: a process holds the ports that it has taken on another loopback address for as long as it runs. Test first failed (600 addresses were not all different).

--- a/src/quickstart/freeAddresses.ts
+++ b/src/quickstart/freeAddresses.ts
@@ -12,6 +12,9 @@
 /** Ports that are tried for one address before it is given up. */
 const maximumAttempts = 100;
 
+/** Where a process listens on the ports that it has taken for as long as it runs, so that no other process takes them. */
+const reservationHost = "127.255.0.1";
+
 /**
  * Takes free loopback addresses, for processes that must know each other's addresses before they start.
  *
@@ -33,7 +36,9 @@
 async function listenSomewhere(server: Server): Promise<string> {
     for (let attempt = 1;; attempt++) {
         try {
-            return await listen(server, `127.0.0.1:${randomInt(lowestPort, portLimit)}`);
+            const port = randomInt(lowestPort, portLimit);
+            await listen(createServer().unref(), `${reservationHost}:${port}`);
+            return await listen(server, `127.0.0.1:${port}`);
         }
         catch (error) {
             if (attempt === maximumAttempts) {
