refactor(hosted): keep no state that links do not need

Cause: read of the change. LinkSet kept the wanted addresses between calls and nothing read them; PresenceLink kept a socket that its connection owns. Change: both are local now. Result: behaviour as before; lint, format and the 27 tests of links, entries and the hosted installation pass.

--- a/src/connection/hosted/linkSet.ts
+++ b/src/connection/hosted/linkSet.ts
@@ -15,7 +15,6 @@
 /** Links to a changing set of addresses, opened again whenever they end. */
 export class LinkSet<Link extends KeptLink> {
     private readonly opened = new Map<string, Link>();
-    private wanted: ReadonlySet<string> = new Set();
 
     /**
      * @param open Opens a link to an address.
@@ -33,15 +32,15 @@
 
     /** Opens links to the addresses; those to other ones are closed once all of these are up. */
     keep(addresses: readonly string[]): void {
-        this.wanted = new Set(addresses);
-        for (const address of this.wanted) {
+        const wanted = new Set(addresses);
+        for (const address of wanted) {
             if (!this.opened.has(address)) {
                 void this.hold(address);
             }
         }
         if (addresses.every(address => this.opened.get(address)?.isUp === true)) {
             for (const [address, link] of this.opened) {
-                if (!this.wanted.has(address)) {
+                if (!wanted.has(address)) {
                     link.close("another control process takes its place");
                 }
             }
@@ -50,7 +49,6 @@
 
     /** Closes all links. */
     close(reason: string): void {
-        this.wanted = new Set();
         this.opened.forEach(link => {
             link.close(reason);
         });
--- a/src/connection/hosted/presenceLink.ts
+++ b/src/connection/hosted/presenceLink.ts
@@ -1,5 +1,4 @@
 import { connect } from "node:net";
-import type { Socket } from "node:net";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
@@ -13,7 +12,6 @@
 
 /** The link of this control process to another one, which tells which entries are linked to it. */
 export class PresenceLink implements KeptLink {
-    private readonly socket: Socket;
     private readonly connection: MessageConnection;
     private hasAnswered = false;
     private endReason = "the other side closed it";
@@ -29,10 +27,10 @@
         private readonly eventLog: EventLog,
         private readonly onPresence: (entries: readonly PresentEntry[]) => void,
     ) {
-        this.socket = connect(splitAddress(address), () => {
+        const socket = connect(splitAddress(address), () => {
             this.connection.send({ kind: "observe", protocol: linkProtocolVersion, control });
         });
-        this.connection = new MessageConnection(this.socket);
+        this.connection = new MessageConnection(socket);
     }
 
     get isUp(): boolean {
