feat(metrics): tell how late an entry's event loop is, and whether a call that was left had been sent on

A call that reaches an endpoint after its caller has disconnected has one of three causes: the entry read the call late, it held the call after reading it, or the bytes left the VM late. The counter of such calls and event 2464 told nothing about which one it was, and the lines of single calls are often gone by the time somebody asks.

gullhall_event_loop_delay_seconds and its maximum show for how long received bytes waited unread. Event 2464 (callLeft) also has the number of attempts: waited near 0 with an attempt means read late, a long wait with one means held or sent early.

Checked by a test of the monitor, and the pages of both entries.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -166,6 +166,6 @@
         number: 2464,
         level: "info",
         text: "A caller disconnected before its response was complete.",
-        fields: ["requestId", "waited"],
+        fields: ["requestId", "waited", "attempts"],
     },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/process/entry/entryExposition.ts
+++ b/src/process/entry/entryExposition.ts
@@ -1,9 +1,14 @@
+import type { EventLoopDelayMonitor } from "../metrics/eventLoopDelayMonitor.js";
 import { ExpositionWriter } from "../metrics/expositionWriter.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntryStateReport, PoolReport } from "./entryStateReport.js";
 
 /** Formats the metrics of an entry in the Prometheus text exposition format. */
-export function formatEntryExposition(report: EntryStateReport, metrics: EntryMetrics): string {
+export function formatEntryExposition(
+    report: EntryStateReport,
+    metrics: EntryMetrics,
+    eventLoopDelay: EventLoopDelayMonitor,
+): string {
     const writer = new ExpositionWriter();
     writer.family("gullhall_entry_version", "gauge", "Version of the configuration in force.");
     writer.family("gullhall_entry_serves", "gauge", "1 while the permit to serve holds.");
@@ -18,6 +23,7 @@
         writePool(writer, pool);
     });
     metrics.write(writer);
+    eventLoopDelay.write(writer);
     return writer.toString();
 }
 
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -4,6 +4,7 @@
 import type { EntrySettings } from "../../settings/entrySettings.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { DisposableStore } from "../../util/disposableStore.js";
+import { EventLoopDelayMonitor } from "../metrics/eventLoopDelayMonitor.js";
 import { formatEntryExposition } from "./entryExposition.js";
 import { EntryProcessState } from "./entryProcessState.js";
 import { createEntryStateReport } from "./entryStateReport.js";
@@ -124,8 +125,10 @@
 
     private startMetricsServer(): Promise<string> {
         const { state, clock } = this;
+        const eventLoopDelay = this.store.add(new EventLoopDelayMonitor(clock));
         const server = new MetricsServer({
-            exposition: () => formatEntryExposition(createEntryStateReport(state, clock.now()), state.metrics),
+            exposition: () =>
+                formatEntryExposition(createEntryStateReport(state, clock.now()), state.metrics, eventLoopDelay),
             state: () => createEntryStateReport(state, clock.now()),
         });
         return this.store.add(server).start(this.settings.metricsAddress);
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -18,6 +18,7 @@
 import { RandomSource } from "../../../util/randomSource.js";
 import { listen, splitAddress } from "../../../util/socketAddress.js";
 import { SuspensionDetector } from "../../../util/suspensionDetector.js";
+import { EventLoopDelayMonitor } from "../../metrics/eventLoopDelayMonitor.js";
 import { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
@@ -141,11 +142,13 @@
 
     private async serveMetrics(): Promise<void> {
         const { view, counters } = this.callContext;
+        const eventLoopDelay = this.disposables.add(new EventLoopDelayMonitor(this.clock));
         const metrics = this.disposables.add(
             new MetricsServer({
                 exposition: () => {
                     const writer = new ExpositionWriter();
                     counters.write(writer);
+                    eventLoopDelay.write(writer);
                     writer.family("gullhall_version", "gauge", "Version of the configuration in force.");
                     writer.sample("gullhall_version", {}, view.version);
                     writer.family("gullhall_running_calls", "gauge", "Calls that are under way.");
--- a/src/process/metrics/timeHistogram.ts
+++ b/src/process/metrics/timeHistogram.ts
@@ -30,6 +30,11 @@
         return this.histogram.totalCount;
     }
 
+    /** Longest recorded time, or 0 without samples. */
+    get maximum(): Milliseconds {
+        return this.count === 0 ? 0 : this.histogram.maxValue / 1000;
+    }
+
     /** Records a duration; negative ones count as 0. */
     record(time: Milliseconds): void {
         this.histogram.recordValue(Math.min(maximumMicroseconds, Math.max(0, Math.round(time * 1000))));
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -73,6 +73,7 @@
             this.context.eventLog.write("callLeft", {
                 requestId: this.traits.callId,
                 waited: this.callerResponse.elapsedTime(),
+                attempts: this.triedEndpoints.size,
             });
         }
     }
