test(request): send requests whose callers leave before an entry reads them

The tests write a request and end its connection in the same turn, so that an entry in the same process finds both at once, as one does whose event loop was late.

--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -43,9 +43,14 @@
     private endpointAddress = "";
     private readonly firstInternalPort: number;
     private readonly operatorPort: number;
-    private readonly callerAddress: string;
+    /** Address at which the entry accepts calls. */
+    readonly callerAddress: string;
 
-    private constructor(private readonly network: number, ports: readonly number[]) {
+    private constructor(
+        private readonly network: number,
+        ports: readonly number[],
+        private readonly endpointsPerService: number,
+    ) {
         const [first = 0, operator = 0, caller = 0] = ports;
         this.firstInternalPort = first;
         this.operatorPort = operator;
@@ -57,14 +62,16 @@
      *
      * @param network Third octet of the loopback addresses, unique among tests that run concurrently.
      * @param respond Responds to a call at the endpoint.
+     * @param endpointsPerService Number of endpoints that the platform lists for each service, all at one address.
      */
     static async start(
         network: number,
         respond: (call: ReceivedCall, response: ServerResponse) => void,
+        endpointsPerService = 1,
     ): Promise<HostedInstallation> {
         const addresses = await allocateFreeAddresses(3);
         const ports = addresses.map(address => splitAddress(address).port);
-        const installation = new HostedInstallation(network, ports);
+        const installation = new HostedInstallation(network, ports, endpointsPerService);
         await installation.startSimulators(respond);
         await Promise.all([1, 2, 3].map(index => installation.startControl(index, true)));
         await installation.startEntry();
@@ -180,13 +187,16 @@
         }));
         this.platformAddress = await this.serve(createServer((request, response) => {
             request.resume();
-            response.end(JSON.stringify({ instances: ["desk", "engines"].map(service => this.listRowOf(service)) }));
+            const instances = ["desk", "engines"].flatMap(service => this.listRowsOf(service));
+            response.end(JSON.stringify({ instances }));
         }));
     }
 
-    private listRowOf(service: string): object {
+    private listRowsOf(service: string): readonly object[] {
         const address = this.endpointAddress;
-        return { identifier: `i-${service}`, service, address, zone: "north", slots: 4, state: "ready" };
+        return Array.from(Array(this.endpointsPerService).keys(), index => {
+            return { identifier: `i-${service}-${index}`, service, address, zone: "north", slots: 4, state: "ready" };
+        });
     }
 
     private async serve(server: Server): Promise<string> {
--- a/tests/request/model/modelRequest.test.ts
+++ b/tests/request/model/modelRequest.test.ts
@@ -4,6 +4,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { ask, chatCall, chatText, codeOf, collect, open, streamedText } from "../../connection/entry/testCaller.js";
 import { TestEntry } from "../../connection/entry/testEntry.js";
+import { disconnections, formatRequest, sendAndDisconnect } from "../../connection/leavingCaller.js";
 import { describe, it } from "../../describe.js";
 
 async function startEngines(store: DisposableStore, count: number, options: object = {}): Promise<ModelEngine[]> {
@@ -82,6 +83,24 @@
         t.deepEqual([status, headers["x-outcome"], codeOf({ body })], [502, "unknown", "endpointFailed"]);
     });
 
+    // Guards against requests that reach an engine although their callers left while the entry's event loop was late.
+    for (const disconnection of disconnections) {
+        it(`is not sent to an engine if its caller left before it was read (${disconnection})`, async t => {
+            await using store = new DisposableStore();
+            const [engine] = await startEngines(store, 1);
+            const entry = store.add(await TestEntry.start({ engines: [engine?.address ?? ""] }));
+            // Leaves an idle connection to the engine, on which a request would be written at once.
+            await ask(entry, chatCall(1, "first"));
+            const { path, body } = chatCall(1, "left");
+            const headers = { host: "calls.example", authorization: `Bearer ${entry.key}` };
+            await sendAndDisconnect(entry.address, formatRequest("POST", path, headers, body), disconnection);
+            for (let call = 0; call < 4; call++) {
+                await ask(entry, chatCall(1, "further"));
+            }
+            t.is(engine?.requestLog.listAfter().filter(({ target }) => target === path).length, 5);
+        });
+    }
+
     it("cancels the request at the engine when the caller disconnects", async t => {
         await using store = new DisposableStore();
         const [engine] = await startEngines(store, 1);
--- a/tests/request/service/serviceRequest.test.ts
+++ b/tests/request/service/serviceRequest.test.ts
@@ -3,6 +3,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { ask, codeOf } from "../../connection/entry/testCaller.js";
 import { TestEntry } from "../../connection/entry/testEntry.js";
+import { disconnections, formatRequest, sendAndDisconnect } from "../../connection/leavingCaller.js";
 import { describe, it } from "../../describe.js";
 
 async function withService(check: (entry: TestEntry, service: PlainService) => Promise<void>): Promise<void> {
@@ -47,4 +48,22 @@
             const response = await ask(entry, { method: "HEAD", path: "/bookings/17" });
             t.deepEqual([response.status, response.body], [200, ""]);
         }));
+
+    // Guards against requests that reach an endpoint although their callers left while the entry's event loop was late.
+    for (const method of ["GET", "POST"]) {
+        for (const disconnection of disconnections) {
+            it(`is not sent to an endpoint if its caller left before it was read (${method}, ${disconnection})`, t =>
+                withService(async (entry, service) => {
+                    const headers = { host: "calls.example", authorization: `Bearer ${entry.key}` };
+                    // Leaves an idle connection to the endpoint, on which a request would be written at once.
+                    await ask(entry, { method: "GET", path: "/bookings/first" });
+                    const request = formatRequest(method, "/bookings/left", headers);
+                    await sendAndDisconnect(entry.address, request, disconnection);
+                    for (let call = 0; call < 4; call++) {
+                        await ask(entry, { method, path: "/bookings/further" });
+                    }
+                    t.is(service.executions.all.length, 5);
+                }));
+        }
+    }
 });
