fix(request): do not send requests whose callers left before an entry read them

Cause: a request was sent on in the turn of the event loop in which it was read. libuv delivers the data of a connection in one poll and its end in the next one at the earliest, so an entry whose event loop was late sent on what it found, and learnt in the next turn that the caller had left. node:http tells of an ended connection by closing the response, which takes a further turn. Class of fault: a decision on what was known of a connection before a delay.

Change: a request is decided on after another poll of the sockets, and the end of the caller's connection counts as soon as it is read. Hosted installation: before the permit and the configuration are checked for the last time, and between two attempts. Own installation: when a request gets its endpoint, on arrival as after waiting in the queue and between attempts; its key and the permit are checked again in the turn in which it is sent. Tokens that were delivered before a caller left while its request waited to be resumed are now billed, as they are when it leaves at any other moment.

Why it works: whatever kept the entry from reading, the end of a connection that has reached the VM is read in the poll after the data at the latest.

--- a/src/connection/entry/requestAdmission.ts
+++ b/src/connection/entry/requestAdmission.ts
@@ -12,6 +12,7 @@
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import type { Identity, ResolvedRoute } from "../../version/compiledConfiguration.js";
+import { createCallerAbortSignal } from "../callerAbortSignal.js";
 import { readBody } from "../httpBody.js";
 import { parseRequestPath } from "./requestPath.js";
 
@@ -48,7 +49,7 @@
 
     /** Reads a request, including its body, and decides whether it is admitted. */
     async admit(request: IncomingMessage, response: ServerResponse): Promise<Result<AdmittedRequest, Failure>> {
-        const callerAbortSignal = createCallerAbortSignal(response);
+        const callerAbortSignal = createCallerAbortSignal(request, response);
         const path = this.checkHead(request);
         if (path.err) {
             return path;
@@ -189,18 +190,8 @@
             keyDigest: callerKeyDigest,
             isKeyValid: () =>
                 callerKeyDigest === undefined || state.configuration.current.identify(callerKeyDigest) !== undefined,
+            servingFailure: () => state.servingFailure(),
             callerAbortSignal,
         };
     }
 }
-
-/** Creates a signal that aborts if the caller closes its connection before the response has ended. */
-function createCallerAbortSignal(response: ServerResponse): AbortSignal {
-    const controller = new AbortController();
-    response.once("close", () => {
-        if (!response.writableFinished) {
-            controller.abort();
-        }
-    });
-    return controller.signal;
-}
--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import { waitForSocketPoll } from "../../util/waitForSocketPoll.js";
 import type { DeploymentIndex } from "../../version/deploymentIndex.js";
 import { selectService } from "../../version/deploymentIndex.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
@@ -37,15 +38,17 @@
         return Err({ reason: failure("callHeadersTooLarge", { limit: headerBytes }) });
     }
     const admitted = resolveCall(request, traits, indexBeforeBody, context.random.float());
-    if (admitted.err || !hasBody(request)) {
+    if (admitted.err) {
         return admitted;
     }
-    const body = await readBody(request, bodyBytes);
+    const body = hasBody(request) ? await readBody(request, bodyBytes) : Ok(undefined);
     if (body.err) {
         const reason = body.val.code === "bodyTooLarge" ? failure("callTooLarge", { limit: bodyBytes }) : body.val;
         return Err({ reason, call: admitted.val });
     }
-    // The configuration may have changed while the body was read.
+    // Only after another poll is known whether the caller is still connected.
+    await waitForSocketPoll();
+    // The configuration may have changed meanwhile.
     const indexAfterBody = await waitForPermittedIndex(context);
     if (indexAfterBody === undefined) {
         return Err({ reason: failure("entryNotPermitted"), call: admitted.val, retryAfter: permitRetryAfter });
@@ -63,6 +66,7 @@
     const deadline = clock.now() + permitWaitLimit;
     while (!view.permitsCalls(suspensionDetector.now()) && clock.now() < deadline) {
         await clock.sleep(permitPollInterval);
+        await waitForSocketPoll();
     }
     return view.permitsCalls(suspensionDetector.now()) ? view.current : undefined;
 }
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -8,7 +8,6 @@
 
 /** Writes the response to the caller of one call. */
 export class CallerResponse {
-    private isDisconnected = false;
     private isResponseFramed = true;
     private forwardedEventId: number | undefined;
     private timeToFirstEvent: Milliseconds | undefined;
@@ -17,26 +16,19 @@
 
     /**
      * @param arrivedAt Monotonic time at which the call arrived.
-     * @param onDisconnect Called if the caller disconnects before the response is complete.
+     * @param abortSignal Aborts if the caller disconnects before the response is complete.
      */
     constructor(
         private readonly response: ServerResponse,
         private readonly traits: CallTraits,
         private readonly context: CallContext,
         private readonly arrivedAt: Milliseconds,
-        onDisconnect: () => void,
-    ) {
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                this.isDisconnected = true;
-                onDisconnect();
-            }
-        });
-    }
+        private readonly abortSignal: AbortSignal,
+    ) {}
 
     /** Whether the caller disconnected before the response was complete. */
     hasCallerDisconnected(): boolean {
-        return this.isDisconnected;
+        return this.abortSignal.aborted;
     }
 
     /** Id of the last event that was forwarded to the caller; undefined if none had an id. */
@@ -61,7 +53,7 @@
         }
         this.lastEventAt = now;
         this.forwardedEventId = lastId ?? this.forwardedEventId;
-        if (!this.response.write(bytes) && !this.isDisconnected) {
+        if (!this.response.write(bytes) && !this.abortSignal.aborted) {
             await waitForDrain(this.response);
         }
     }
@@ -81,7 +73,7 @@
 
     /** Forwards a fully buffered response unchanged. */
     forwardBuffered(message: IncomingMessage, body: Buffer, attempts: number, endpointId: string): void {
-        if (this.response.headersSent || this.isDisconnected) {
+        if (this.response.headersSent || this.abortSignal.aborted) {
             this.response.destroy();
             return;
         }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readCallTraits } from "../../../platform/callHeaders.js";
+import { createCallerAbortSignal } from "../../connection/callerAbortSignal.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
+import { waitForSocketPoll } from "../../util/waitForSocketPoll.js";
 import type { DeployedRoute } from "../../version/deployment.js";
 import { admitCall } from "./callAdmission.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
@@ -52,9 +54,11 @@
     ) {
         this.traits = readCallTraits(request.headers);
         this.arrivedAt = context.clock.now();
-        this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, () => {
+        const abortSignal = createCallerAbortSignal(request, response);
+        this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, abortSignal);
+        abortSignal.addEventListener("abort", () => {
             this.attempt?.cancel("the caller disconnected");
-        });
+        }, { once: true });
     }
 
     /** Handles the call; resolves when the response is complete or aborted. */
@@ -91,7 +95,11 @@
                 return;
             }
             const outcome = await this.runAttempt(call, placement);
-            if (outcome.kind === "delivered" || this.callerResponse.hasCallerDisconnected()) {
+            if (outcome.kind === "delivered") {
+                return;
+            }
+            await waitForSocketPoll();
+            if (this.callerResponse.hasCallerDisconnected()) {
                 return;
             }
             if (!this.mayRetry(call, outcome)) {
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -7,6 +7,7 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { Result } from "../../util/result.js";
+import { confirmPlacement } from "../confirmPlacement.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { RequestContext } from "../requestContext.js";
 import { computePrefixDigests } from "../routing/prefixDigests.js";
@@ -80,6 +81,12 @@
         }
         while (placementResult.ok) {
             const placement = placementResult.val;
+            const refusal = await confirmPlacement(this.context);
+            if (refusal !== undefined) {
+                this.releasePlacement(placement, undefined);
+                this.handleRefusal(refusal);
+                return;
+            }
             const { context, body, pendingRequest, writer, progress } = this;
             const tokensBefore = progress.nextToken;
             const result = await new ModelAttempt({ context, body, pendingRequest, writer, progress }, placement).run();
@@ -230,13 +237,13 @@
      */
     private handleRefusal(refusal: DispatchRefusal): void {
         const { requestId, eventLog, metrics, callerAbortSignal } = this.context;
+        if (this.mayHaveRun) {
+            this.recordUsage(undefined);
+        }
         if (callerAbortSignal.aborted) {
             metrics.countEnd(this.labels, "callerLeft", false);
             return;
         }
-        if (this.mayHaveRun) {
-            this.recordUsage(undefined);
-        }
         const reportedFailure = this.consistentFailure(refusal.failure);
         this.writer.fail(reportedFailure, createRetryAfterHeader(refusal.retryAfter));
         metrics.countEnd(this.labels, this.mayHaveRun ? "failed" : "refused", false);
--- a/src/request/requestContext.ts
+++ b/src/request/requestContext.ts
@@ -5,6 +5,7 @@
 import type { EntryMetrics } from "../process/entry/entryMetrics.js";
 import type { PoolDispatcher } from "../process/entry/poolDispatcher.js";
 import type { UsageRecorder } from "../process/entry/usageRecorder.js";
+import type { Failure } from "../resultCode/resultCode.js";
 import type { Clock } from "../util/clock.js";
 import type { Identity, ResolvedRoute } from "../version/compiledConfiguration.js";
 import type { ClaimStore } from "./claims/claimStore.js";
@@ -34,6 +35,8 @@
     readonly keyDigest: string | undefined;
     /** Whether the key sent with the request is still valid; true if it has none. */
     readonly isKeyValid: () => boolean;
+    /** Why the entry must not send requests to endpoints now; undefined if it may. */
+    readonly servingFailure: () => Failure | undefined;
     /** Aborts when the caller closes its connection. */
     readonly callerAbortSignal: AbortSignal;
 }
--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -10,6 +10,7 @@
 import type { RequestUsage } from "../admissionQueue.js";
 import { callerReadTimeout } from "../callerReadTimeout.js";
 import { ServiceClaim } from "../claims/serviceClaim.js";
+import { confirmPlacement } from "../confirmPlacement.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { RequestContext } from "../requestContext.js";
 import { ServiceAttempt } from "./serviceAttempt.js";
@@ -106,6 +107,12 @@
         }
         for (let attempts = 1; placementResult.ok; attempts++) {
             const placement = placementResult.val;
+            const refusal = await confirmPlacement(this.context);
+            if (refusal !== undefined) {
+                dispatcher.abandon(placement);
+                this.handleRefusal(refusal);
+                return;
+            }
             const result = await this.runAttempt(placement);
             this.endpointTime += this.context.clock.now() - placement.startedAt;
             if (result.kind === "answered") {
