fix(connection): do not send requests that were cancelled while their connection was established

A request was written in the turn of the event loop in which its new connection was established. What had been received meanwhile, such as the end of the caller's connection, was read in the turn after.

Cause: node:http writes a request that has been ended as soon as its socket connects. The request is now ended after another poll of the sockets, and only if it has not been cancelled. A request that is cancelled before is reported as not sent, which is true and was not before.

Tests for the hosted and the own installation failed before: the endpoint's exchange ended as lost instead of not sent, and the client reported bytes as sent.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
+import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Maximum number of idle connections to one endpoint. */
 const maximumIdleConnections = 64;
@@ -65,30 +66,20 @@
             clientRequest.once("response", response => {
                 resolve({ kind: "answer", message: response });
             });
-            // Once connected, bytes may have been sent, since the request is written in the same turn of the event loop.
-            let connected = false;
-            const timer = setTimeout(() => {
-                if (!connected) {
+            let sent = false;
+            sendWhenConnected(clientRequest, {
+                body: call.body,
+                connectTimeout,
+                onConnectTimeout: () => {
                     clientRequest.destroy(new Error("the connection attempt timed out"));
-                }
-            }, connectTimeout);
-            const onConnected = (): void => {
-                connected = true;
-                clearTimeout(timer);
-            };
-            clientRequest.once("socket", socket => {
-                if (socket.connecting) {
-                    socket.once("connect", onConnected);
-                }
-                else {
-                    onConnected();
-                }
+                },
+                onSend: () => {
+                    sent = true;
+                },
             });
             clientRequest.on("error", error => {
-                clearTimeout(timer);
-                resolve({ kind: "error", error: { sent: connected, reason: error.message } });
+                resolve({ kind: "error", error: { sent, reason: error.message } });
             });
-            clientRequest.end(call.body);
         });
     }
 
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -1,10 +1,10 @@
 import { request as httpRequest } from "node:http";
 import type { Agent, ClientRequest, IncomingMessage } from "node:http";
-import type { Socket } from "node:net";
 import { readResponseTraits } from "../../../platform/callHeaders.js";
 import type { ResponseTraits } from "../../request/hosted/callTraits.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
+import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Timeout for opening a connection; many times the round-trip time, and short compared to latency targets. */
 const connectTimeout: Milliseconds = 400;
@@ -34,7 +34,7 @@
 /** One HTTP request to an endpoint and its response. */
 export class EndpointExchange {
     private readonly request: ClientRequest;
-    private isConnected = false;
+    private hasBeenSent = false;
     private hasConnectionFailed = false;
     private cancelReason: string | undefined;
 
@@ -53,10 +53,16 @@
         this.request.on("error", () => {
             this.hasConnectionFailed = true;
         });
-        this.request.once("socket", socket => {
-            this.startConnectTimeout(socket);
+        sendWhenConnected(this.request, {
+            body,
+            connectTimeout,
+            onConnectTimeout: () => {
+                this.cancel("the connection was not established within the timeout");
+            },
+            onSend: () => {
+                this.hasBeenSent = true;
+            },
         });
-        this.request.end(body);
     }
 
     /** Whether a new connection was opened for the request. */
@@ -94,25 +100,8 @@
         this.request.destroy();
     }
 
-    private startConnectTimeout(socket: Socket): void {
-        if (!socket.connecting) {
-            this.isConnected = true;
-            return;
-        }
-        const timer = setTimeout(() => {
-            this.cancel("the connection was not established within the timeout");
-        }, connectTimeout);
-        socket.once("connect", () => {
-            this.isConnected = true;
-            clearTimeout(timer);
-        });
-        this.request.once("close", () => {
-            clearTimeout(timer);
-        });
-    }
-
     private failedHead(message: string): ExchangeHead {
         const reason = this.cancelReason ?? message;
-        return this.isConnected ? { kind: "lost", reason } : { kind: "notSent", reason };
+        return this.hasBeenSent ? { kind: "lost", reason } : { kind: "notSent", reason };
     }
 }
--- /dev/null
+++ b/tests/connection/entry/endpointClient.test.ts
@@ -0,0 +1,51 @@
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { EndpointClient } from "../../../src/connection/entry/endpointClient.js";
+import type { EndpointCallResult } from "../../../src/connection/entry/endpointClient.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { listen } from "../../../src/util/socketAddress.js";
+import { describe, it } from "../../describe.js";
+
+/** Starts an endpoint that counts the requests that it receives. */
+function createEndpoint(store: DisposableStore): { readonly server: Server; readonly receivedRequests: () => number; } {
+    const sockets = new Set<Socket>();
+    let requests = 0;
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", () => {
+            requests++;
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+    });
+    store.defer(() => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    return { server, receivedRequests: () => requests };
+}
+
+describe("EndpointClient", () => {
+    // Guards against requests that are sent although their callers left while the connection was being established.
+    it("sends nothing if the call is aborted in the turn in which its connection was established", async t => {
+        await using store = new DisposableStore();
+        const { server, receivedRequests } = createEndpoint(store);
+        const client = store.add(new EndpointClient(await listen(server, "127.0.0.1:0")));
+        const send = (signal: AbortSignal): Promise<EndpointCallResult> =>
+            client.send({ method: "GET", path: "/", headers: {}, body: Buffer.alloc(0), signal });
+        const caller = new AbortController();
+        const abortOnceConnected = (message: unknown): void => {
+            void once((message as { readonly socket: Socket; }).socket, "connect").then(() => {
+                caller.abort();
+            });
+        };
+        subscribe("net.client.socket", abortOnceConnected);
+        const aborted = await send(caller.signal);
+        unsubscribe("net.client.socket", abortOnceConnected);
+        t.like(aborted, { kind: "error", error: { sent: false } });
+        t.is((await send(new AbortController().signal)).kind, "answer");
+        t.is(receivedRequests(), 1);
+    });
+});
--- a/tests/connection/hosted/endpointExchange.test.ts
+++ b/tests/connection/hosted/endpointExchange.test.ts
@@ -1,3 +1,4 @@
+import { EventEmitter, once } from "node:events";
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
 import { EndpointAgent } from "../../../src/connection/hosted/endpointAgent.js";
@@ -76,6 +77,25 @@
         t.is(head.kind, "notSent");
     });
 
+    // Guards against calls that are sent although their callers left while the connection was being established.
+    it("sends nothing if it is cancelled in the turn in which its connection was established", async t => {
+        await using store = new DisposableStore();
+        let requests = 0;
+        const address = await startEndpoint(store, socket => {
+            requests++;
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+        const agent = new EndpointAgent();
+        const cancelled = createExchange(store, address, agent);
+        const head = cancelled.head();
+        const [socket] = Object.values(agent.sockets).flat();
+        await once(socket ?? new EventEmitter(), "connect");
+        cancelled.cancel("the caller disconnected");
+        t.is((await head).kind, "notSent");
+        t.is(await readBody(await createExchange(store, address, agent).head()), "ok");
+        t.is(requests, 1);
+    });
+
     it("reports that the call may have run if its connection ends without a response", async t => {
         await using store = new DisposableStore();
         const address = await startEndpoint(store, socket => {
