test(soak): abandon calls at suspended entries

The soak never caught calls that are sent on after their callers have left: callers leave seldom and its faults suspend entries seldom, so both hardly ever met, and nothing compared the two. Each run now suspends each entry after the faults, sends it calls whose callers leave at once, and resumes it; none of these calls may reach an endpoint.

--- a/tests/soak/outside/soakCallers.ts
+++ b/tests/soak/outside/soakCallers.ts
@@ -5,7 +5,10 @@
 import type { Milliseconds } from "../../../src/util/clock.js";
 import type { RandomSource } from "../../../src/util/randomSource.js";
 import { splitAddress } from "../../../src/util/socketAddress.js";
+import { formatRequest, sendAndDisconnect } from "../../connection/leavingCaller.js";
+import { privateAddressOf } from "../network/vmHosts.js";
 import type { SoakInstallation } from "../soakInstallation.js";
+import type { SoakVm } from "../soakVm.js";
 import type { CallKind, Findings } from "./callTracker.js";
 import { describeBodyMismatch } from "./soakEndpoint.js";
 
@@ -96,6 +99,17 @@
         return call;
     }
 
+    /** Sends a call to an entry, not through its proxy, and ends the connection at once; returns the call's id. */
+    async abandonCall(entry: SoakVm, kind: CallKind, key: string): Promise<string> {
+        const id = `call-${this.nextId++}`;
+        const { vmNumber: entryVmNumber } = entry;
+        this.installation.callTracker.recordSent({ id, kind, key, sentAt: performance.now(), entryVmNumber });
+        const headers = { "host": "calls.example", "api-key": key, "gullhall-attempt-id": id };
+        const address = privateAddressOf(this.installation.callerAddress(entry));
+        await sendAndDisconnect(address, formatRequest("POST", `${callPathPrefixes[kind]}${id}`, headers, id), "end");
+        return id;
+    }
+
     [Symbol.dispose](): void {
         this.stopping.abort();
         this.agent.destroy();
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -22,6 +22,9 @@
 /** Time between two changes of the configuration. */
 const configurationChangeInterval: Milliseconds = 800;
 
+/** Number of calls that are abandoned at each suspended entry. */
+const abandonedCallCount = 10;
+
 /** Time without faults before the graceful stops, so that only their effect is observed. */
 const quietPeriod: Milliseconds = 4_000;
 
@@ -112,6 +115,7 @@
         }
         await this.injectFaults();
         const recovery = await this.waitUntilServing(this.options.maximumRecoveryTime);
+        await this.abandonCallsAtSuspendedEntries();
         await this.stopProcessesInTurn();
         this.stopping.abort();
         callers[Symbol.dispose]();
@@ -200,6 +204,23 @@
         await sleep(recoveryTimeBound / 3);
     }
 
+    /** Abandons calls at entries that are suspended; they must not reach an endpoint when the entries resume. */
+    private async abandonCallsAtSuspendedEntries(): Promise<void> {
+        const { entries, callTracker } = this.installation;
+        const ids: string[] = [];
+        for (const entry of entries) {
+            entry.pause();
+            for (let call = 0; call < abandonedCallCount; call++) {
+                ids.push(await this.callers.abandonCall(entry, "repeatable", this.operator.validKey));
+            }
+            entry.resume();
+        }
+        await this.waitUntilServing(undefined);
+        for (const id of ids.filter(each => callTracker.wasExecuted(each))) {
+            this.findings.add("calls of callers that left are not executed", id);
+        }
+    }
+
     /** Gracefully stops two entries and a control process in turn; calls that an endpoint executes must not break. */
     private async stopProcessesInTurn(): Promise<void> {
         await sleep(quietPeriod);
