test(request): bill the tokens of a request whose caller left before it was resumed

Covers the order of billing and of the check for the caller that changed: a preempted request whose caller leaves while it waits is billed for the tokens that it delivered.

--- a/tests/request/model/modelRequest.test.ts
+++ b/tests/request/model/modelRequest.test.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import type { UsageRecord } from "../../../src/process/usage/usageCommand.js";
 import type { FaultInput } from "../../../src/standIn/fault.js";
 import { ModelEngine } from "../../../src/standIn/modelEngine/modelEngine.js";
 import { SystemClock } from "../../../src/util/clock.js";
@@ -139,6 +141,23 @@
         t.is(streamedText(await collect(low)), chatText(150, "low"));
         t.true(entry.state.metrics.counters.countOf("preemptions") >= 1);
     });
+
+    // Guards against tokens that are not billed because their caller left before the request was resumed.
+    it("bills the tokens of a preempted request whose caller left before it was resumed", async t => {
+        await using store = new DisposableStore();
+        const [engine] = await startEngines(store, 1, { maximumRunning: 1, stepMilliseconds: 10 });
+        const entry = store.add(await TestEntry.start({ engines: [engine?.address ?? ""], slots: 1 }));
+        const low = await open(entry, chatCall(150, "low", "summaries"));
+        await once(low, "data");
+        const high = await open(entry, chatCall(1_000, "high"));
+        t.true(entry.state.metrics.counters.countOf("preemptions") >= 1);
+        low.destroy();
+        const records = (): readonly UsageRecord[] => entry.state.usageRecorder.nextDelivery()?.records ?? [];
+        await entry.waitUntil(() => records().length > 0);
+        t.like(records()[0], { requestClass: "summaries", outcome: "cut" });
+        t.true((records()[0]?.outputTokens ?? 0) > 0);
+        high.destroy();
+    });
 });
 
 function longChatBody(text: string): string {
