test(hosted): let operators repeat what a control process cannot tell yet

Cause: the check, not the code. A control process that knows no leader cannot tell whether a version is old and answers 503, upon which operators submit again; it must never refuse an old version. The configuration before had been acknowledged by the two other processes, which are a quorum, so the second one may have known no leader yet. Blocking the event loop for 0.1 to 3 s before the submission did not bring 503.

The test now repeats a submission while it gets 503, and no other status than 200 passes; the new test holds the same for a process that knows nothing.

--- a/tests/process/hosted/hostedInstallation.test.ts
+++ b/tests/process/hosted/hostedInstallation.test.ts
@@ -76,7 +76,7 @@
     itSerially("acknowledges old versions without applying them, rejects invalid ones, and withdraws keys", async t => {
         await using installation = await HostedInstallation.start(12, echo);
         await installation.submitUntilAccepted(documentOf(7, bookingsRouteOnly));
-        t.is(await installation.submit(2, documentOf(4, bookingsRouteOnly)), 200);
+        t.is((await installation.submitUntilAnswered(2, documentOf(4, bookingsRouteOnly))).at(-1), 200);
         t.is(await installation.submit(3, documentOf(9, { routes: [{}] })), 400);
         t.is(await installation.fetchVersion(1), 7);
         await installation.callUntil(200, "/bookings/a");
@@ -85,6 +85,17 @@
         await installation.callUntil(401, "/bookings/a");
     });
 
+    itSerially("never refuses an old version, also at a control process that knows nothing yet", async t => {
+        await using installation = await HostedInstallation.start(17, echo);
+        await installation.submitUntilAccepted(documentOf(7, bookingsRouteOnly));
+        await installation.stopControl(2);
+        await installation.wipeControl(2);
+        await installation.startControl(2);
+        const statuses = await installation.submitUntilAnswered(2, documentOf(4, bookingsRouteOnly));
+        t.is(statuses.at(-1), 200, statuses.join(" "));
+        t.is(await installation.fetchVersion(1), 7);
+    });
+
     itSerially(
         "keeps acknowledged configurations while control processes lose their disks one after the other",
         async t => {
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -121,6 +121,21 @@
         return 0;
     }
 
+    /**
+     * Submits a configuration to a control process as operators do: again while the process cannot tell whether it will
+     * be accepted (503).
+     *
+     * @returns All statuses that the process returned; the last one is the answer.
+     */
+    async submitUntilAnswered(index: number, document: object): Promise<readonly number[]> {
+        const statuses = [await this.submit(index, document)];
+        while (statuses.at(-1) === 503) {
+            await clock.sleep(50);
+            statuses.push(await this.submit(index, document));
+        }
+        return statuses;
+    }
+
     /** Submits a configuration to the control processes in turn until one acknowledges it. */
     async submitUntilAccepted(document: object): Promise<void> {
         for (let attempt = 0; await this.submit(1 + attempt % 3, document) !== 200; attempt++) {
