--- a/tests/connection/entry/endpointClient.test.ts
+++ b/tests/connection/entry/endpointClient.test.ts
@@ -8,7 +8,7 @@
 import { listen } from "../../../src/util/socketAddress.js";
 import { describe, it } from "../../describe.js";
 
-/** Starts an endpoint that counts the requests that it receives. */
+/** Creates an endpoint that counts the requests that it receives. */
 function createEndpoint(store: DisposableStore): { readonly server: Server; readonly receivedRequests: () => number; } {
     const sockets = new Set<Socket>();
     let requests = 0;
--- a/tests/process/hosted/hostedInstallation.test.ts
+++ b/tests/process/hosted/hostedInstallation.test.ts
@@ -85,6 +85,7 @@
         await installation.callUntil(401, "/bookings/a");
     });
 
+    // Guards against a final refusal of an old version by a process that cannot tell whether it is old.
     itSerially("never refuses an old version, also at a control process that knows nothing yet", async t => {
         await using installation = await HostedInstallation.start(17, echo);
         await installation.submitUntilAccepted(documentOf(7, bookingsRouteOnly));
