--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -166,6 +166,6 @@
         number: 2464,
         level: "info",
         text: "A caller disconnected before its response was complete.",
-        fields: ["requestId", "waited", "attempts"],
+        fields: ["requestId", "waited", "attempts", "sinceDispatch"],
     },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -42,6 +42,8 @@
     private readonly callerResponse: CallerResponse;
     private readonly triedEndpoints = new Set<HostedEndpoint>();
     private attempt: EndpointAttempt | undefined;
+    /** When the newest attempt began; undefined before the first one. */
+    private dispatchedAt: Milliseconds | undefined;
     /** Number of attempts in which the call may have run. */
     private executions = 0;
     /** Number of attempts that an endpoint rejected; also counts a refusal because of the predicted wait. */
@@ -78,6 +80,9 @@
                 requestId: this.traits.callId,
                 waited: this.callerResponse.elapsedTime(),
                 attempts: this.triedEndpoints.size,
+                sinceDispatch: this.dispatchedAt === undefined
+                    ? undefined
+                    : Math.round(this.context.clock.now() - this.dispatchedAt),
             });
         }
     }
@@ -155,6 +160,7 @@
         const { route } = call;
         const sentAt = clock.now();
         const outstandingCall = { pendingPrefillTokens: uncachedTokens, urgency: call.urgency, sentAt };
+        this.dispatchedAt = sentAt;
         this.triedEndpoints.add(endpoint);
         endpoint.addCall(outstandingCall, sentAt);
         this.logDispatch(call, placement);
