--- a/tests/connection/entry/endpointClient.test.ts
+++ b/tests/connection/entry/endpointClient.test.ts
@@ -7,6 +7,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { describe, it } from "../../describe.js";
+import { stalledBodyBytes, StalledEndpoint } from "../stalledEndpoint.js";
 
 /** Creates an endpoint that counts the requests that it receives. */
 function createEndpoint(store: DisposableStore): { readonly server: Server; readonly receivedRequests: () => number; } {
@@ -48,4 +49,23 @@
         t.is((await send(new AbortController().signal)).kind, "answer");
         t.is(receivedRequests(), 1);
     });
+
+    // Guards against requests that engines receive after their callers left, because their bytes waited in a send buffer.
+    it("withdraws what the endpoint has not received if the call is aborted", async t => {
+        await using store = new DisposableStore();
+        const endpoint = await StalledEndpoint.start(store);
+        const client = store.add(new EndpointClient(endpoint.address));
+        const caller = new AbortController();
+        const result = client.send({
+            method: "POST",
+            path: "/",
+            headers: {},
+            body: Buffer.alloc(stalledBodyBytes),
+            signal: caller.signal,
+        });
+        await endpoint.waitForStall();
+        caller.abort();
+        t.like(await result, { kind: "error", error: { sent: true } });
+        t.true(await endpoint.readToEnd() < stalledBodyBytes);
+    });
 });
--- a/tests/connection/hosted/endpointExchange.test.ts
+++ b/tests/connection/hosted/endpointExchange.test.ts
@@ -7,6 +7,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { describe, it } from "../../describe.js";
+import { stalledBodyBytes, StalledEndpoint } from "../stalledEndpoint.js";
 
 /** Starts an endpoint that handles each request with a function; returns its address. */
 async function startEndpoint(store: DisposableStore, respond: (socket: Socket) => void): Promise<string> {
@@ -96,6 +97,29 @@
         t.is(requests, 1);
     });
 
+    // Guards against calls that endpoints receive after their callers left, because their bytes waited in a send buffer.
+    it("withdraws what the endpoint has not received if it is cancelled", async t => {
+        await using store = new DisposableStore();
+        const endpoint = await StalledEndpoint.start(store);
+        const agent = new EndpointAgent();
+        store.defer(() => {
+            agent.destroy();
+        });
+        const exchange = new EndpointExchange({
+            agent,
+            address: endpoint.address,
+            method: "POST",
+            target: "/",
+            headers: ["Host", "calls.example"],
+            body: Buffer.alloc(stalledBodyBytes),
+        });
+        const head = exchange.head();
+        await endpoint.waitForStall();
+        exchange.cancel("the caller disconnected");
+        t.deepEqual(await head, { kind: "lost", reason: "the caller disconnected" });
+        t.true(await endpoint.readToEnd() < stalledBodyBytes);
+    });
+
     it("reports that the call may have run if its connection ends without a response", async t => {
         await using store = new DisposableStore();
         const address = await startEndpoint(store, socket => {
