fix(connection): withdraw the unsent part of cancelled calls

Callers saw nothing: they had left.

Cause: a cancelled call's connection was closed in order. TCP still delivers what waits in the send buffer, then the end, so that a call that waited behind a link or an endpoint that does not read arrives whole after its caller left. Class of fault: taking an action for withdrawn whose bytes have only been handed over.

The record shows the end of the connection 5 ms behind a call that was sent two seconds before.

Change: calls to endpoints (hosted and own) and calls of control processes reset their connection when they are cancelled, which discards the send buffer. Calls to the platform under a lease already did; they share the function now. A request that has ended is left alone, since its connection may serve the next one. What is in the endpoint's receive buffer cannot be withdrawn.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
+import { cancelOnAbort } from "../cancelRequest.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Maximum number of idle connections to one endpoint. */
@@ -16,7 +17,7 @@
     readonly path: string;
     readonly headers: OutgoingHttpHeaders;
     readonly body: Buffer;
-    /** Aborts the call and closes its connection. */
+    /** Aborts the call and resets its connection. */
     readonly signal: AbortSignal;
     /**
      * Whether to open a new connection instead of reusing one.
@@ -61,8 +62,8 @@
                 method: call.method,
                 path: call.path,
                 headers: { ...call.headers, "content-length": call.body.length },
-                signal: call.signal,
             });
+            cancelOnAbort(clientRequest, call.signal);
             clientRequest.once("response", response => {
                 resolve({ kind: "answer", message: response });
             });
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -4,6 +4,7 @@
 import type { ResponseTraits } from "../../request/hosted/callTraits.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
+import { cancelRequest } from "../cancelRequest.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Timeout for opening a connection; many times the round-trip time, and short compared to latency targets. */
@@ -94,10 +95,10 @@
         });
     }
 
-    /** Aborts the request by closing its connection, upon which the endpoint stops processing the call. */
+    /** Aborts the request by resetting its connection, upon which the endpoint stops processing the call. */
     cancel(reason: string): void {
         this.cancelReason = reason;
-        this.request.destroy();
+        cancelRequest(this.request);
     }
 
     private failedHead(message: string): ExchangeHead {
--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -4,6 +4,7 @@
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { splitAddress } from "../util/socketAddress.js";
+import { cancelOnAbort, cancelRequest } from "./cancelRequest.js";
 
 /** Maximum size of the body of a response, in bytes. */
 const maximumResponseBytes = 64 * 1024 * 1024;
@@ -39,11 +40,17 @@
             method: call.method,
             path: call.path,
             headers: { ...call.headers, "content-length": Buffer.byteLength(call.body ?? "") },
-            ...call.signal === undefined ? {} : { signal: call.signal },
         });
+        const cancel = (reason: string): void => {
+            resolve(Err(reason));
+            cancelRequest(clientRequest);
+        };
+        if (call.signal !== undefined) {
+            cancelOnAbort(clientRequest, call.signal);
+        }
         // Not AbortSignal.timeout: a timeout signal that is referenced only by AbortSignal.any can be garbage-collected.
         const timer = setTimeout(() => {
-            clientRequest.destroy(new Error("the call timed out"));
+            cancel("the call timed out");
         }, call.timeout);
         clientRequest.once("close", () => {
             clearTimeout(timer);
@@ -58,7 +65,7 @@
                 chunks.push(chunk);
                 byteCount += chunk.length;
                 if (byteCount > maximumResponseBytes) {
-                    clientRequest.destroy(new Error("the response is too large"));
+                    cancel("the response is too large");
                 }
             });
             response.once("error", error => {
--- a/src/process/platform/httpLeasedCaller.ts
+++ b/src/process/platform/httpLeasedCaller.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { resetConnection } from "../../connection/resetConnection.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -63,7 +64,7 @@
         }
         const socket = connected.val;
         const reset = (): void => {
-            closeImmediately(socket);
+            resetConnection(socket);
         };
         const token = this.leaseSource.lease(this.clock.now(), this.timeLimit + this.margin);
         if (token === undefined || cancelSignal.aborted) {
@@ -140,19 +141,6 @@
     }
 }
 
-/**
- * Closes a connection immediately.
- *
- * After `end` it is destroyed without a reset, because a reset would then block the event loop of Node.js 20.
- */
-function closeImmediately(socket: Socket): void {
-    if (socket.writableEnded || socket.destroyed) {
-        socket.destroy();
-        return;
-    }
-    socket.resetAndDestroy();
-}
-
 function responseOf(clientRequest: ClientRequest): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
         clientRequest.once("response", resolve);
--- a/tests/connection/hosted/endpointExchange.test.ts
+++ b/tests/connection/hosted/endpointExchange.test.ts
@@ -120,6 +120,27 @@
         t.true(await endpoint.readToEnd() < stalledBodyBytes);
     });
 
+    // Guards against a late cancellation that resets the connection of the next call.
+    it("does not affect the next call on its connection if it is cancelled after its response", async t => {
+        await using store = new DisposableStore();
+        let requests = 0;
+        const address = await startEndpoint(store, socket => {
+            setTimeout(() => {
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }, 50 * requests++);
+        });
+        const agent = new EndpointAgent();
+        const first = createExchange(store, address, agent);
+        t.is(await readBody(await first.head()), "ok");
+        await new Promise(resolve => setTimeout(resolve, 20));
+        const second = createExchange(store, address, agent);
+        const head = second.head();
+        await new Promise(resolve => setTimeout(resolve, 20));
+        first.cancel("the caller disconnected");
+        t.is(await readBody(await head), "ok");
+        t.false(second.isNewConnection);
+    });
+
     it("reports that the call may have run if its connection ends without a response", async t => {
         await using store = new DisposableStore();
         const address = await startEndpoint(store, socket => {
--- /dev/null
+++ b/tests/request/hosted/callServer.ts
@@ -0,0 +1,90 @@
+import { createServer } from "node:http";
+import { deflateRawSync } from "node:zlib";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
+import { DeploymentView } from "../../../src/process/hosted/entry/deploymentView.js";
+import { EndpointFleet } from "../../../src/process/hosted/entry/endpointFleet.js";
+import { EntryCounters } from "../../../src/process/hosted/entry/entryCounters.js";
+import { HostedRetryBudget } from "../../../src/process/hosted/entry/hostedRetryBudget.js";
+import { UsageCounts } from "../../../src/process/hosted/entry/usageCounts.js";
+import type { CallContext } from "../../../src/request/hosted/callContext.js";
+import { HostedCall } from "../../../src/request/hosted/hostedCall.js";
+import { PredictedStartChooser } from "../../../src/request/hosted/predictedStartChooser.js";
+import { RetryDetector } from "../../../src/request/hosted/retryDetector.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { MedianClock } from "../../../src/util/medianClock.js";
+import { RandomSource } from "../../../src/util/randomSource.js";
+import { listen } from "../../../src/util/socketAddress.js";
+import { SuspensionDetector } from "../../../src/util/suspensionDetector.js";
+
+/** Version of the configuration that a {@link CallServer} applies. */
+const version = 3;
+
+const bounds = {
+    keyWithdrawal: 5_000,
+    shutdown: 8_000,
+    dutyHandoverDelay: 3_000,
+    usageWindow: 5_000,
+    retryWindow: 10_000,
+    retryFraction: 0.2,
+    retryReserve: 100,
+    resolutionTimeToLive: 2_000,
+};
+
+/** Serves calls like an entry, without control processes: the test gives permits and lists endpoints. */
+export class CallServer implements AsyncDisposable {
+    private readonly store = new DisposableStore();
+    readonly clock = new SystemClock();
+    readonly context: CallContext;
+    callerAddress = "";
+
+    private constructor(eventLog: EventLog) {
+        const { clock, store } = this;
+        this.context = {
+            view: new DeploymentView(bounds.keyWithdrawal, eventLog),
+            fleet: store.add(new EndpointFleet(eventLog)),
+            chooser: new PredictedStartChooser(),
+            retryBudget: new HostedRetryBudget(bounds),
+            retryDetector: new RetryDetector(),
+            usageCounts: new UsageCounts(bounds.usageWindow),
+            counters: new EntryCounters(),
+            clock,
+            suspensionDetector: new SuspensionDetector(clock),
+            medianClock: new MedianClock(),
+            random: new RandomSource(1),
+            eventLog,
+            entryCount: () => 1,
+        };
+    }
+
+    /** Starts a server with a configuration and endpoints, which has no permit yet. */
+    static async start(
+        document: object,
+        endpoints: readonly EndpointRecord[],
+        eventLog = new EventLog("test", "hidden"),
+    ): Promise<CallServer> {
+        const callServer = new CallServer(eventLog);
+        const { clock, context: { fleet, view }, store } = callServer;
+        view.applyConfiguration(version, deflateRawSync(JSON.stringify(document)));
+        fleet.applyList(endpoints, 0, clock.now());
+        const server = createServer((request, response) => {
+            void new HostedCall(request, response, callServer.context).run();
+        });
+        store.defer(() => {
+            server.close();
+            server.closeAllConnections();
+        });
+        callServer.callerAddress = await listen(server, "127.0.0.1:0");
+        return callServer;
+    }
+
+    /** Confirms the configuration, which permits calls until its age exceeds the limit. */
+    givePermit(): void {
+        this.context.view.recordConfirmation(this.clock.now(), version);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.store.dispose();
+    }
+}
