feat(platform): read and log the rate limits that endpoints state

Change: Server-Limit is decoded in platform/ with a meaning for values that are no number, negative, zero, huge or stated twice; event 2466 logs each change. No call is placed otherwise.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -168,4 +168,10 @@
         text: "A caller disconnected before its response was complete.",
         fields: ["requestId", "waited", "attempts", "sinceDispatch"],
     },
+    endpointLimitStated: {
+        number: 2466,
+        level: "info",
+        text: "An endpoint stated another limit of its calls per second than in its previous response to this entry.",
+        fields: ["endpoint", "stated", "callsPerSecond", "isAmbiguous"],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/request/hosted/callTraits.ts
+++ b/src/request/hosted/callTraits.ts
@@ -37,8 +37,17 @@
     /** Whether the endpoint closes the connection; one that is shutting down always does, others occasionally. */
     readonly closesConnection: boolean;
     readonly load: ReportedLoad | undefined;
+    readonly rateLimit: StatedRateLimit;
 }
 
+/** What a response states about the rate of calls that its endpoint takes from all entries together. */
+export type StatedRateLimit =
+    | { readonly kind: "unlimited"; }
+    /** A limit is stated, but its value cannot be parsed. */
+    | { readonly kind: "malformed"; }
+    /** `isAmbiguous`: the response states several values, of which this is the smallest valid one. */
+    | { readonly kind: "limited"; readonly callsPerSecond: number; readonly isAmbiguous: boolean; };
+
 /** Load that an endpoint reports in a response header, in numbers of calls. */
 export interface ReportedLoad {
     readonly running: number;
--- a/tests/platform/callHeaders.test.ts
+++ b/tests/platform/callHeaders.test.ts
@@ -1,4 +1,4 @@
-import { readCallTraits, requestHeadersForEndpoint } from "../../platform/callHeaders.js";
+import { readCallTraits, readResponseTraits, requestHeadersForEndpoint } from "../../platform/callHeaders.js";
 import { describe, it } from "../describe.js";
 
 const routed = { endpointId: "i-1", team: "clinic", remainingTime: 900.7, urgency: 2, lastEventId: undefined };
@@ -49,4 +49,35 @@
         t.is(traits.promptTokens, 1_460);
         t.deepEqual(traits.promptSegments, [{ id: "5c", tokens: 800 }, { id: "e4", tokens: 250 }]);
     });
+
+    const unlimited = { kind: "unlimited" };
+    const malformed = { kind: "malformed" };
+    const limitedTo = (callsPerSecond: number, isAmbiguous = false): object => ({
+        kind: "limited",
+        callsPerSecond,
+        isAmbiguous,
+    });
+    for (
+        const [value, expected] of [
+            [undefined, unlimited],
+            ["1.5", limitedTo(1.5)],
+            ["0", limitedTo(0)],
+            [" 12 ", limitedTo(12)],
+            ["999999999999", limitedTo(999_999_999_999)],
+            ["3, 1.5", limitedTo(1.5, true)],
+            ["soon, 1.5", limitedTo(1.5, true)],
+            ["", malformed],
+            ["soon", malformed],
+            ["-1", malformed],
+            ["NaN", malformed],
+            ["1e3", malformed],
+            ["0x10", malformed],
+            ["9".repeat(400), malformed],
+        ] as const
+    ) {
+        it(`state a rate limit of ${value?.slice(0, 20) ?? "nothing"} as ${JSON.stringify(expected)}`, t => {
+            const headers = value === undefined ? {} : { "server-limit": value };
+            t.deepEqual<unknown>(readResponseTraits({ headers, statusCode: 200 }).rateLimit, expected);
+        });
+    }
 });
