--- a/tests/platform/callHeaders.test.ts
+++ b/tests/platform/callHeaders.test.ts
@@ -77,7 +77,7 @@
     ) {
         it(`state a rate limit of ${value?.slice(0, 20) ?? "nothing"} as ${JSON.stringify(expected)}`, t => {
             const headers = value === undefined ? {} : { "server-limit": value };
-            t.deepEqual<unknown>(readResponseTraits({ headers, statusCode: 200 }).rateLimit, expected);
+            t.deepEqual(readResponseTraits({ headers, statusCode: 200 }).rateLimit as unknown, expected);
         });
     }
 });
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -242,8 +242,16 @@
         return path => this.call(path, {}, "", callerAddress);
     }
 
-    private async startEntry(): Promise<void> {
-        const settings = { ...this.settingsOf(100, true, undefined), callerAddress: this.callerAddress };
+    /** Starts a further entry; returns the address at which it accepts calls. */
+    async startFurtherEntry(index: number): Promise<string> {
+        const { port } = splitAddress(this.callerAddress);
+        const callerAddress = `127.0.${this.network}.${index}:${port}`;
+        await this.startEntry(index, callerAddress);
+        return callerAddress;
+    }
+
+    private async startEntry(index = 100, callerAddress = this.callerAddress): Promise<void> {
+        const settings = { ...this.settingsOf(index, true, undefined), callerAddress };
         const entry = new HostedEntryProcess(
             () => settings,
             clock,
