feat(hosted): keep to the rate limits of endpoints over all entries

Callers saw nothing: other endpoints had room.

Cause: entries did not read the limit that an endpoint states, and had no way to count calls together. Class of fault: a bound on a sum that no one keeps. Evidence: the header stood nowhere in the code; entries chose the two endpoints as often after they had stated limits as before; none of these calls was a second attempt.

Change: entries tell what they read; the leader, under its lease, grants each call to a limited endpoint from one bucket. A call that is denied goes elsewhere, waits for a grant in advance as long as its urgency allows, or is refused with the time at which an endpoint can take it. Without a leader, entries send at random times half of the limit together. A limit that ends is raised gradually; an endpoint without calls is probed.

Why it works: one process counts, and a grant lapses when it is late, so that the sum holds however many entries there are.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -4,6 +4,8 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EndpointRecord } from "../../process/hosted/endpointRecord.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
+import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
+import type { Grant } from "../../process/hosted/entry/grantSource.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
@@ -13,6 +15,7 @@
 import { controlMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { ControlMessage, EntryMessage, HeartbeatResponse, ServiceWork } from "./linkMessages.js";
 import type { ReopenableLink } from "./linkSet.js";
+import type { LimitStatement } from "./rateLimitMessages.js";
 
 /**
  * Time without a message after which a link is reopened: in a network partition the connection may never fail by
@@ -23,6 +26,9 @@
 /** The same time as a multiple of the heartbeat interval; the longer one applies. */
 const silenceTimeoutInHeartbeats = 3;
 
+/** Time within which the leader must respond to a request for a grant; several times the round-trip time. */
+const grantTimeout: Milliseconds = 150;
+
 /** Dependencies and callbacks that all control links of an entry share. */
 export interface ControlLinkContext {
     readonly entry: string;
@@ -45,6 +51,7 @@
     /** Called with the hosts of the control processes, and with the leader's host if one is known. */
     readonly onControlHosts: (hosts: readonly string[], leaderHost: string | undefined) => void;
     readonly onEntryCount: (entries: number) => void;
+    readonly rateLimits: EndpointRateLimits;
 }
 
 /** Connection of this entry to one control process. */
@@ -55,6 +62,11 @@
     private readonly unansweredSentAt = new Map<number, Milliseconds>();
     private nextHeartbeatNumber = 1;
     private sentCountsVersion = 0;
+    private sentLimitsVersion = 0;
+    private nextGrantNumber = 1;
+    /** Resolve the requests for grants without a response so far, by number. */
+    private readonly pendingGrants = new Map<number, (grant: Grant | undefined) => void>();
+    private canGrant = false;
     private lastReceivedAt: Milliseconds;
     private hasSentHello = false;
     private hasResponded = false;
@@ -91,6 +103,9 @@
             this.handleMessage(message.data);
         }
         this.connection[Symbol.dispose]();
+        this.pendingGrants.forEach(resolve => {
+            resolve(undefined);
+        });
         if (this.hasSentHello) {
             this.context.eventLog.write("controlLinkEnded", { address: this.address, reason: this.closeReason });
         }
@@ -116,6 +131,8 @@
         const usage = usageCounts.totalsSince(this.sentCountsVersion);
         const hasNewCounts = usageCounts.version !== this.sentCountsVersion;
         this.sentCountsVersion = usageCounts.version;
+        const limits = this.context.rateLimits.statementsSince(this.sentLimitsVersion, now);
+        this.sentLimitsVersion = this.context.rateLimits.version;
         this.send({
             kind: "beat",
             number,
@@ -126,9 +143,37 @@
             wantsPermit,
             work: this.context.ownWork(now),
             ...hasNewCounts ? { usage } : {},
+            ...limits.length > 0 ? { limits } : {},
         });
     }
 
+    /** Asks the control process for one call to an endpoint; undefined if it does not decide in time. */
+    async requestGrant(
+        endpoint: string,
+        maximumDelay: Milliseconds,
+        statement: LimitStatement | undefined,
+    ): Promise<Grant | undefined> {
+        if (!this.canGrant || this.connection.closed) {
+            return undefined;
+        }
+        const number = this.nextGrantNumber++;
+        const response = new Promise<Grant | undefined>(resolve => {
+            this.pendingGrants.set(number, resolve);
+        });
+        const timer = setTimeout(() => this.pendingGrants.get(number)?.(undefined), grantTimeout);
+        this.send({
+            kind: "grantRequest",
+            number,
+            endpoint,
+            maximumDelay,
+            ...statement === undefined ? {} : { statement },
+        });
+        const grant = await response;
+        clearTimeout(timer);
+        this.pendingGrants.delete(number);
+        return grant;
+    }
+
     /** Closes the connection; the reason is logged. */
     close(reason: string): void {
         this.closeReason = reason;
@@ -166,6 +211,9 @@
             .with({ kind: "beatAnswer" }, response => {
                 this.handleHeartbeatResponse(response);
             })
+            .with({ kind: "grant" }, ({ number, isDecided, ...grant }) => {
+                this.pendingGrants.get(number)?.(isDecided ? grant : undefined);
+            })
             .with({ kind: "presence" }, () => {
                 this.close("received a message that only control processes may receive");
             })
@@ -188,5 +236,9 @@
         if (response.isLeader) {
             this.context.onTotalWork(response.work);
         }
+        this.canGrant = response.limits !== undefined;
+        if (response.isLeader && response.limits !== undefined) {
+            this.context.rateLimits.applyEnforcedLimits(response.limits, clock.now());
+        }
     }
 }
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -3,11 +3,13 @@
 import type { EndpointListSnapshot } from "../../process/hosted/control/endpointListPoller.js";
 import type { EntryRegistry } from "../../process/hosted/control/entryRegistry.js";
 import type { StoredDocument } from "../../process/hosted/control/hostedState.js";
+import type { RateLimitLedger } from "../../process/hosted/control/rateLimitLedger.js";
 import type { Clock } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
 import { MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
+import type { GrantRequest } from "./rateLimitMessages.js";
 
 /** Maximum size of a frame from an entry, in bytes. */
 const maximumEntryFrameBytes = 1024 * 1024;
@@ -25,6 +27,9 @@
     readonly isLeader: () => boolean;
     readonly controlHosts: () => readonly string[];
     readonly leaderHost: () => string | undefined;
+    readonly rateLimits: RateLimitLedger;
+    /** Whether this process leads, holds its lease, and may thus grant calls. */
+    readonly mayGrant: () => boolean;
 }
 
 /** Server side of a link: a connection from an entry, or from another control process that observes the entries. */
@@ -96,6 +101,12 @@
                 this.isObserver = this.hello === undefined && message.protocol === linkProtocolVersion;
                 this.pushPresence();
                 return this.isObserver;
+            case "grantRequest":
+                if (this.hello === undefined) {
+                    return false;
+                }
+                this.respondToGrantRequest(message, this.hello);
+                return true;
             case "beat":
                 if (this.hello === undefined) {
                     return false;
@@ -118,24 +129,43 @@
         return true;
     }
 
+    private respondToGrantRequest(request: GrantRequest, { entry }: EntryHello): void {
+        const { clock, rateLimits, mayGrant } = this.context;
+        const { number, endpoint, maximumDelay, statement } = request;
+        const now = clock.now();
+        if (statement !== undefined) {
+            rateLimits.recordStatement(entry, statement, now);
+        }
+        const isDecided = mayGrant();
+        const decision = isDecided
+            ? rateLimits.requestGrant(entry, endpoint, maximumDelay, now)
+            : { isGranted: false, delay: 0, contenders: 0 };
+        this.send({ kind: "grant", number, isDecided, ...decision });
+    }
+
     private async respondToHeartbeat(heartbeat: EntryHeartbeat, hello: EntryHello): Promise<void> {
-        const { clock, medianClock, registry, confirmVersion } = this.context;
+        const { clock, medianClock, registry, confirmVersion, rateLimits } = this.context;
         const now = clock.now();
         registry.recordHeartbeat(hello, heartbeat, now);
+        heartbeat.limits?.forEach(statement => {
+            rateLimits.recordStatement(hello.entry, statement, now);
+        });
         medianClock.addReading(hello.entry, heartbeat.unixTime, now);
         const leaderHost = this.context.leaderHost();
         const confirmedVersion = heartbeat.wantsPermit ? await confirmVersion() : undefined;
+        const isLeader = this.context.isLeader();
         this.pushDocument();
         this.send({
             kind: "beatAnswer",
             number: heartbeat.number,
             unixTime: clock.unixNow(),
             ...confirmedVersion === undefined ? {} : { confirmedVersion },
-            isLeader: this.context.isLeader(),
+            isLeader,
             controlHosts: this.context.controlHosts(),
             ...leaderHost === undefined ? {} : { leaderHost },
             entryCount: registry.count(clock.now()),
             work: registry.work(clock.now()),
+            limits: isLeader ? rateLimits.enforcedLimits(clock.now()) : [],
         });
     }
 
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -1,5 +1,11 @@
 import { z } from "zod";
 import { bytesSchema } from "../../util/bytesSchema.js";
+import {
+    enforcedLimitSchema,
+    grantRequestSchema,
+    grantResponseSchema,
+    limitStatementSchema,
+} from "./rateLimitMessages.js";
 
 /** Version of the link protocol, spoken between entries and control processes and among control processes. */
 export const linkProtocolVersion = 2;
@@ -56,7 +62,10 @@
         work: workSchema,
         /** Cumulative counts of the windows that have changed since the previous heartbeat on this link. */
         usage: usageSchema.optional(),
+        /** Statements about limits of endpoints since the previous heartbeat on this link. */
+        limits: z.array(limitStatementSchema).readonly().optional(),
     }),
+    grantRequestSchema,
     z.object({
         /** Subscribes a control process to the entries that are linked to the receiver. */
         kind: z.literal("observe"),
@@ -127,7 +136,13 @@
         entryCount: countSchema,
         /** Totals over all entries. */
         work: workSchema,
+        /**
+         * Endpoints whose rate is limited, if the sender is the leader; absent if the sender cannot answer requests for
+         * grants.
+         */
+        limits: z.array(enforcedLimitSchema).readonly().optional(),
     }),
+    grantResponseSchema,
     z.object({
         kind: z.literal("endpoints"),
         /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -110,6 +110,18 @@
         text: "An order for a number of endpoints of a service in a failure domain was sent.",
         fields: ["service", "failureDomain", "kind", "count", "present", "status", "reason"],
     },
+    endpointLimitInForce: {
+        number: 2435,
+        level: "info",
+        text: "The leader limits the calls per second that all entries together send to an endpoint.",
+        fields: ["endpoint", "callsPerSecond"],
+    },
+    endpointLimitEnded: {
+        number: 2436,
+        level: "info",
+        text: "The leader does not limit the calls to an endpoint any more.",
+        fields: ["endpoint"],
+    },
     usageWindowSealed: {
         number: 2440,
         level: "info",
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -33,6 +33,7 @@
 import type { HostedCommand, HostedOutcome } from "./hostedState.js";
 import { OrderDuty } from "./orderDuty.js";
 import { PresenceLinks } from "./presenceLinks.js";
+import { RateLimitLedger } from "./rateLimitLedger.js";
 import { SharedConfirmation } from "./sharedConfirmation.js";
 import { UsageDuty } from "./usageDuty.js";
 
@@ -62,6 +63,7 @@
         this.schedulePresencePush();
     });
     private readonly medianClock = new MedianClock();
+    private readonly rateLimits: RateLimitLedger;
     private readonly suspensionDetector: SuspensionDetector;
     private parsedServices: readonly DeployedService[] = [];
     private parsedVersion = 0;
@@ -84,6 +86,7 @@
         private readonly openStorage: OpenStorage = folder => FileLogStorage.open(folder),
     ) {
         this.suspensionDetector = new SuspensionDetector(clock);
+        this.rateLimits = new RateLimitLedger(eventLog);
     }
 
     /** Starts the process; resolves once it listens on all addresses. */
@@ -170,7 +173,7 @@
         confirmation: SharedConfirmation,
         endpointPoller: EndpointListPoller,
     ): Promise<void> {
-        const { clock, eventLog, medianClock, registry, state } = this;
+        const { clock, eventLog, medianClock, rateLimits, registry, state, suspensionDetector } = this;
         const memberHosts = (): readonly string[] =>
             log.status().membership.members.map(member => splitAddress(member.address).host);
         const leaderHost = (): string | undefined => {
@@ -188,6 +191,10 @@
             isLeader: () => log.leadingTerm() !== undefined,
             controlHosts: memberHosts,
             leaderHost,
+            rateLimits,
+            mayGrant: () =>
+                log.lease(clock.now(), 0) !== undefined
+                && suspensionDetector.timeSinceSuspension() >= defaultLogTiming.leaseDuration,
         };
         const server = createServer(socket => {
             const link = new EntryLink(socket, context);
@@ -240,6 +247,7 @@
                         writer.family(`gullhall_${name}`, "gauge", `The process's ${name.replace("_", " ")}.`);
                         writer.sample(`gullhall_${name}`, {}, value);
                     }
+                    this.rateLimits.write(writer);
                     return writer.toString();
                 },
                 state: gauges,
@@ -280,6 +288,7 @@
             await clock.sleep(usageWindow, signal);
             const currentWindow = Math.floor(medianClock.medianUnixTime(clock) / usageWindow);
             registry.pruneBefore(currentWindow - retainedWindows, clock.now());
+            this.rateLimits.prune(clock.now());
         }
     }
 
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -1,9 +1,12 @@
 import { ControlLink } from "../../../connection/hosted/controlLink.js";
 import type { ControlLinkContext } from "../../../connection/hosted/controlLink.js";
 import { LinkSet } from "../../../connection/hosted/linkSet.js";
+import type { LimitStatement } from "../../../connection/hosted/rateLimitMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import { splitAddress } from "../../../util/socketAddress.js";
 import { heartbeatIntervalFor, selectControls, updateMembers } from "./controlSelection.js";
+import { GrantSource } from "./grantSource.js";
+import type { Grant } from "./grantSource.js";
 
 /** Age of the newest confirmation above which all linked control processes are asked for one, not only the leader. */
 const permitRenewalAge: Milliseconds = 1_000;
@@ -17,8 +20,8 @@
 /** Time for which other control processes are preferred to one whose link has ended. */
 const linkFailureAvoidanceTime: Milliseconds = 3_000;
 
-/** Maintains the links of this entry to the control processes that it selected. */
-export class ControlLinks {
+/** Maintains the links of this entry to the control processes that it selected, and asks the leader for grants. */
+export class ControlLinks extends GrantSource {
     private readonly links: LinkSet<ControlLink>;
     private readonly knownHosts: string[] = [];
     private readonly endedAt = new Map<string, Milliseconds>();
@@ -37,6 +40,7 @@
         seedHosts: readonly string[],
         private readonly entryCount: () => number,
     ) {
+        super();
         this.links = new LinkSet(context.clock, address => this.open(address), address => {
             this.endedAt.set(splitAddress(address).host, context.clock.now());
         });
@@ -77,6 +81,15 @@
         });
     }
 
+    override async requestGrant(
+        endpoint: string,
+        maximumDelay: Milliseconds,
+        statement: LimitStatement | undefined,
+    ): Promise<Grant | undefined> {
+        const leaderLink = this.links.links.find(link => link.isLeader);
+        return leaderLink?.requestGrant(endpoint, maximumDelay, statement);
+    }
+
     private selectHosts(now: Milliseconds): readonly string[] {
         const unreachable = this.knownHosts.filter(host =>
             now - (this.endedAt.get(host) ?? -Infinity) < linkFailureAvoidanceTime
--- /dev/null
+++ b/src/process/hosted/entry/grantSource.ts
@@ -0,0 +1,27 @@
+import type { LimitStatement } from "../../../connection/hosted/rateLimitMessages.js";
+import type { Milliseconds } from "../../../util/clock.js";
+
+/** A leader's decision on a request for one call to an endpoint whose rate is limited. */
+export interface Grant {
+    readonly isGranted: boolean;
+    /** Time until the call may be sent, or, if it was denied, until one could be granted. */
+    readonly delay: Milliseconds;
+    /** Number of entries that lately asked for calls to the endpoint. */
+    readonly contenders: number;
+}
+
+/** Asks the leader for calls to endpoints whose rate is limited. */
+export abstract class GrantSource {
+    /**
+     * Asks for one call to an endpoint.
+     *
+     * @param maximumDelay Longest delay of the call that is acceptable.
+     * @param statement The newest statement that this entry has read itself.
+     * @returns The decision; undefined if no leader decides in time.
+     */
+    abstract requestGrant(
+        endpoint: string,
+        maximumDelay: Milliseconds,
+        statement: LimitStatement | undefined,
+    ): Promise<Grant | undefined>;
+}
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -1,6 +1,5 @@
-import { isDeepStrictEqual } from "node:util";
 import { EndpointAgent } from "../../../connection/hosted/endpointAgent.js";
-import type { ReportedLoad, StatedRateLimit } from "../../../request/hosted/callTraits.js";
+import type { ReportedLoad } from "../../../request/hosted/callTraits.js";
 import { hashText } from "../../../request/routing/hashText.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { EndpointRecord } from "../endpointRecord.js";
@@ -52,7 +51,6 @@
     private lastReceivedAt: Milliseconds = -Infinity;
     private ejectedUntil: Milliseconds = -Infinity;
     private weightedFailureRate = 0;
-    private statedRateLimit: StatedRateLimit = { kind: "unlimited" };
 
     constructor(record: EndpointRecord) {
         this.currentRecord = record;
@@ -151,13 +149,6 @@
         this.otherEntriesMeasuredAt = now;
     }
 
-    /** Records the rate limit that a response states; returns whether it differs from that of the previous response. */
-    recordRateLimit(rateLimit: StatedRateLimit): boolean {
-        const isChanged = !isDeepStrictEqual(rateLimit, this.statedRateLimit);
-        this.statedRateLimit = rateLimit;
-        return isChanged;
-    }
-
     /** Estimated number of calls of all entries at the endpoint. */
     estimatedCalls(now: Milliseconds): number {
         return this.outstandingCalls.size + this.otherEntriesCalls * this.loadDecay(now);
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -26,6 +26,7 @@
 import { ControlLinks } from "./controlLinks.js";
 import { DeploymentView } from "./deploymentView.js";
 import { EndpointFleet } from "./endpointFleet.js";
+import { EndpointRateLimits } from "./endpointRateLimits.js";
 import { EntryCounters } from "./entryCounters.js";
 import { HostedRetryBudget } from "./hostedRetryBudget.js";
 import { UsageCounts } from "./usageCounts.js";
@@ -77,21 +78,14 @@
         this.suspensionDetector = new SuspensionDetector(clock);
         const medianClock = new MedianClock();
         const usageCounts = new UsageCounts(bounds.usageWindow);
-        this.callContext = {
-            view: this.view,
-            fleet: this.fleet,
-            chooser: new PredictedStartChooser(),
-            retryBudget: new HostedRetryBudget(bounds),
-            retryDetector: new RetryDetector(),
-            usageCounts,
-            counters: new EntryCounters(),
+        const random = new RandomSource(randomInt(seedCount));
+        const rateLimits = new EndpointRateLimits({
             clock,
             suspensionDetector: this.suspensionDetector,
-            medianClock,
-            random: new RandomSource(randomInt(seedCount)),
+            random,
             eventLog,
             entryCount: () => this.entryCount,
-        };
+        });
         this.controlLinks = new ControlLinks(
             {
                 entry: name,
@@ -104,6 +98,7 @@
                 eventLog,
                 view: this.view,
                 usageCounts,
+                rateLimits,
                 isReady: () => this.isReady(),
                 ownWork: now => this.callContext.chooser.ownWork(now),
                 onTotalWork: work => {
@@ -120,6 +115,23 @@
             hostsOf(seedOperatorAddresses),
             () => this.entryCount,
         );
+        this.callContext = {
+            view: this.view,
+            fleet: this.fleet,
+            chooser: new PredictedStartChooser(),
+            retryBudget: new HostedRetryBudget(bounds),
+            retryDetector: new RetryDetector(),
+            usageCounts,
+            counters: new EntryCounters(),
+            clock,
+            suspensionDetector: this.suspensionDetector,
+            medianClock,
+            random,
+            eventLog,
+            entryCount: () => this.entryCount,
+            rateLimits,
+            grantSource: this.controlLinks,
+        };
         this.server = this.createServer();
     }
 
@@ -141,7 +153,7 @@
     }
 
     private async serveMetrics(): Promise<void> {
-        const { view, counters } = this.callContext;
+        const { view, counters, rateLimits } = this.callContext;
         const eventLoopDelay = this.disposables.add(new EventLoopDelayMonitor(this.clock));
         const metrics = this.disposables.add(
             new MetricsServer({
@@ -149,6 +161,7 @@
                     const writer = new ExpositionWriter();
                     counters.write(writer);
                     eventLoopDelay.write(writer);
+                    rateLimits.write(writer);
                     writer.family("gullhall_version", "gauge", "Version of the configuration in force.");
                     writer.sample("gullhall_version", {}, view.version);
                     writer.family("gullhall_running_calls", "gauge", "Calls that are under way.");
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -1,7 +1,9 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointFleet } from "../../process/hosted/entry/endpointFleet.js";
+import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
 import type { EntryCounters } from "../../process/hosted/entry/entryCounters.js";
+import type { GrantSource } from "../../process/hosted/entry/grantSource.js";
 import type { HostedRetryBudget } from "../../process/hosted/entry/hostedRetryBudget.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
 import type { Failure } from "../../resultCode/resultCode.js";
@@ -29,6 +31,9 @@
     readonly eventLog: EventLog;
     /** Number of entries that are currently serving. */
     readonly entryCount: () => number;
+    readonly rateLimits: EndpointRateLimits;
+    /** Asks the leader for calls to endpoints whose rate is limited. */
+    readonly grantSource: GrantSource;
 }
 
 /** A call whose route, service and team have been resolved. */
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
 import type { CallerResponse } from "./callerResponse.js";
-import type { CallTraits, ResponseTraits, StatedRateLimit } from "./callTraits.js";
+import type { CallTraits, ResponseTraits } from "./callTraits.js";
 import type { Placement } from "./endpointChooser.js";
 import { EventSplitter } from "./eventSplitter.js";
 
@@ -135,20 +135,7 @@
         if (traits.load !== undefined) {
             endpoint.recordLoad(traits.load, now);
         }
-        this.recordRateLimit(traits.rateLimit);
-    }
-
-    private recordRateLimit(rateLimit: StatedRateLimit): void {
-        const { endpoint } = this.input.placement;
-        if (endpoint.recordRateLimit(rateLimit)) {
-            this.context.eventLog.write("endpointLimitStated", {
-                endpoint: endpoint.id,
-                stated: rateLimit.kind,
-                ...rateLimit.kind === "limited"
-                    ? { callsPerSecond: rateLimit.callsPerSecond, isAmbiguous: rateLimit.isAmbiguous }
-                    : { callsPerSecond: undefined, isAmbiguous: undefined },
-            });
-        }
+        this.context.rateLimits.recordStatement(endpoint.id, traits.rateLimit, now);
     }
 
     private async forwardBuffered(message: IncomingMessage): Promise<AttemptOutcome> {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -5,7 +5,7 @@
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { waitForSocketPoll } from "../../util/waitForSocketPoll.js";
-import type { DeployedRoute } from "../../version/deployment.js";
+import type { DeployedRoute, DeployedService } from "../../version/deployment.js";
 import { admitCall } from "./callAdmission.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -35,6 +35,28 @@
  */
 const retriedCallWaitFraction = 0.5;
 
+/** Longest wait for an endpoint whose rate is limited, as a fraction of the call's remaining time, at the highest urgency. */
+const maximumGrantDelayFraction = 0.3;
+
+/** Number of urgencies; a less urgent call waits shorter for a limited endpoint, and thus is refused first. */
+const urgencyCount = 10;
+
+/** Number of denied grants after which a call is refused. */
+const maximumDenials = 4;
+
+/** The endpoint chosen for an attempt. */
+interface Selection {
+    readonly placement: Placement;
+    /** Longest acceptable wait for a grant, if the rate of the endpoint is limited. */
+    readonly maximumGrantDelay: Milliseconds;
+}
+
+/** An attempt that did not deliver a response. */
+interface FailedAttempt {
+    readonly outcome: FailedOutcome;
+    readonly placement: Placement;
+}
+
 /** Handles one call, from its request headers to its final response. */
 export class HostedCall {
     private readonly traits: CallTraits;
@@ -48,6 +70,9 @@
     private executions = 0;
     /** Number of attempts that an endpoint rejected; also counts a refusal because of the predicted wait. */
     private rejections = 0;
+    /** Number of calls to endpoints with limited rates that were not granted. */
+    private denials = 0;
+    private lastFailure: FailedAttempt | undefined;
 
     constructor(
         private readonly request: IncomingMessage,
@@ -89,31 +114,88 @@
 
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
-            const placement = this.remainingTime(call.route) < minimumAttemptTime ? undefined : this.place(call);
-            if (placement === undefined) {
-                this.failOrRefuse(call);
+            const selection = this.remainingTime(call.route) < minimumAttemptTime ? undefined : this.select(call);
+            if (selection === undefined) {
+                this.respondWithoutEndpoint(call);
                 return;
             }
+            const { placement, maximumGrantDelay } = selection;
             if (this.triedEndpoints.size === 0 && this.wouldMissTarget(call, placement)) {
                 this.rejections++;
                 this.failOrRefuse(call);
                 return;
             }
+            if (!await this.acquireGrant(call, placement, maximumGrantDelay)) {
+                continue;
+            }
             const outcome = await this.runAttempt(call, placement);
             if (outcome.kind === "delivered") {
                 return;
             }
+            this.lastFailure = { outcome, placement };
             await waitForSocketPoll();
             if (this.callerResponse.hasCallerDisconnected()) {
                 return;
             }
             if (!this.mayRetry(call, outcome)) {
-                this.respondToFailure(call, outcome, placement);
+                this.respondToFailure(call, this.lastFailure);
                 return;
             }
         }
     }
 
+    /**
+     * Chooses an endpoint: one that is due for a probe, or the best of those that may take a call now, or the best of
+     * those that may take one after a delay; undefined if there is none.
+     */
+    private select(call: AdmittedCall): Selection | undefined {
+        const { clock, rateLimits } = this.context;
+        const now = clock.now();
+        if (this.denials >= maximumDenials) {
+            return undefined;
+        }
+        const untried = this.untriedEndpoints(call.service);
+        const probed = this.triedEndpoints.size === 0 && this.denials === 0
+            ? untried.find(endpoint => rateLimits.isProbeDue(endpoint.id, now))
+            : undefined;
+        const probePlacement = probed === undefined ? undefined : this.place(call, [probed]);
+        if (probePlacement !== undefined && !this.wouldMissTarget(call, probePlacement)) {
+            return { placement: probePlacement, maximumGrantDelay: 0 };
+        }
+        for (const maximumGrantDelay of [0, this.maximumGrantDelay(call)]) {
+            const open = untried.filter(({ id }) => rateLimits.timeUntilRequest(id, maximumGrantDelay, now) === 0);
+            const placement = open.length === 0 ? undefined : this.place(call, open);
+            if (placement !== undefined) {
+                return { placement, maximumGrantDelay };
+            }
+        }
+        return undefined;
+    }
+
+    /** Longest time that the call may wait for a grant; shorter for less urgent calls. */
+    private maximumGrantDelay({ route, urgency }: AdmittedCall): Milliseconds {
+        const wait = Math.max(0, this.remainingTime(route)) * maximumGrantDelayFraction;
+        return wait * (urgencyCount - urgency) / urgencyCount;
+    }
+
+    /** Waits for permission to send the call to an endpoint; false if it was denied or the caller has left. */
+    private async acquireGrant(
+        { service }: AdmittedCall,
+        { endpoint }: Placement,
+        maximumGrantDelay: Milliseconds,
+    ): Promise<boolean> {
+        const { rateLimits, grantSource, fleet } = this.context;
+        if (!rateLimits.isLimited(endpoint.id)) {
+            return true;
+        }
+        const isGranted = await rateLimits.acquire(endpoint.id, maximumGrantDelay, grantSource);
+        await waitForSocketPoll();
+        // The endpoint may have begun to leave meanwhile.
+        const maySend = isGranted && fleet.serving(service.name).includes(endpoint);
+        this.denials += maySend ? 0 : 1;
+        return maySend && !this.callerResponse.hasCallerDisconnected();
+    }
+
     /**
      * Whether the call should be refused because of its predicted wait: it would miss its target and delay other calls,
      * and a later retry by the caller may find shorter queues.
@@ -136,9 +218,13 @@
         return timeout - (this.context.clock.now() - this.arrivedAt);
     }
 
-    private place(call: AdmittedCall): Placement | undefined {
-        const { chooser, fleet, clock } = this.context;
-        return chooser.choose(this.placementRequest(call), fleet.serving(call.service.name), clock.now());
+    private untriedEndpoints(service: DeployedService): readonly HostedEndpoint[] {
+        return this.context.fleet.serving(service.name).filter(endpoint => !this.triedEndpoints.has(endpoint));
+    }
+
+    private place(call: AdmittedCall, candidates: readonly HostedEndpoint[]): Placement | undefined {
+        const { chooser, clock } = this.context;
+        return chooser.choose(this.placementRequest(call), candidates, clock.now());
     }
 
     private placementRequest(
@@ -188,19 +274,22 @@
 
     /** Whether the call may be retried at another endpoint; a retry that counts is taken from the retry budget. */
     private mayRetry({ route, service }: AdmittedCall, outcome: FailedOutcome): boolean {
-        const { retryBudget, fleet, entryCount, clock } = this.context;
-        const hasUntriedEndpoint = fleet.serving(service.name).some(endpoint => !this.triedEndpoints.has(endpoint));
-        if (!hasUntriedEndpoint || this.remainingTime(route) < minimumAttemptTime) {
+        const { retryBudget, rateLimits, entryCount, clock } = this.context;
+        const now = clock.now();
+        const hasOpenEndpoint = this.untriedEndpoints(service).some(({ id }) =>
+            rateLimits.timeUntilRequest(id, 0, now) === 0
+        );
+        if (!hasOpenEndpoint || this.remainingTime(route) < minimumAttemptTime) {
             return false;
         }
         this.rejections += outcome.kind === "notRun" && outcome.cause !== "unreached" ? 1 : 0;
         const decision = decideRetry(outcome, route, this.executions, this.rejections);
         return decision === "free"
-            || (decision === "counted" && retryBudget.tryTakeRetry(service.name, entryCount(), clock.now()));
+            || (decision === "counted" && retryBudget.tryTakeRetry(service.name, entryCount(), now));
     }
 
     /** Sends the final response after the last attempt failed. */
-    private respondToFailure(call: AdmittedCall, outcome: FailedOutcome, { endpoint }: Placement): void {
+    private respondToFailure(call: AdmittedCall, { outcome, placement: { endpoint } }: FailedAttempt): void {
         if (outcome.kind === "failedAnswer") {
             this.callerResponse.forwardBuffered(outcome.message, outcome.body, this.executions, endpoint.id);
             return;
@@ -213,19 +302,44 @@
         this.callerResponse.fail(failure(isLate ? "callTimedOutAtEndpoint" : "callOutcomeUnknown"), call);
     }
 
+    private respondWithoutEndpoint(call: AdmittedCall): void {
+        if (this.lastFailure === undefined) {
+            this.failOrRefuse(call);
+            return;
+        }
+        this.respondToFailure(call, this.lastFailure);
+    }
+
     /** Ends a call for which no endpoint is left: fails it if it may have run, otherwise refuses it. */
     private failOrRefuse(call: AdmittedCall): void {
         if (this.executions > 0) {
             this.callerResponse.fail(failure("callOutcomeUnknown"), call);
             return;
         }
-        const code = this.rejections > 0 ? "endpointsBusy" : "noEndpointAvailable";
-        this.callerResponse.refuse({ reason: failure(code), call, retryAfter: this.chooseRetryAfter(call.route) });
+        const grantWait = this.timeUntilGrantable(call.service);
+        const code = this.rejections > 0
+            ? "endpointsBusy"
+            : grantWait === undefined
+            ? "noEndpointAvailable"
+            : "endpointsLimited";
+        const retryAfter = this.chooseRetryAfter(call.route, grantWait);
+        this.callerResponse.refuse({ reason: failure(code), call, retryAfter });
+    }
+
+    /** Time until an endpoint could take a call; undefined unless the rates of all endpoints are limited. */
+    private timeUntilGrantable(service: DeployedService): Milliseconds | undefined {
+        const { rateLimits, clock } = this.context;
+        const untried = this.untriedEndpoints(service);
+        return untried.length > 0 && untried.every(({ id }) => rateLimits.isLimited(id))
+            ? Math.min(...untried.map(({ id }) => rateLimits.timeUntilGrantable(id, clock.now())))
+            : undefined;
     }
 
-    private chooseRetryAfter(route: DeployedRoute): Milliseconds {
+    private chooseRetryAfter(route: DeployedRoute, grantWait: Milliseconds | undefined): Milliseconds {
+        const retryAfter = minimumRetryAfter * (1 + this.context.random.float());
         const longest = Math.max(0, this.remainingTime(route)) * maximumRetryAfterFraction;
-        return Math.min(longest, minimumRetryAfter * (1 + this.context.random.float()));
+        // A call that returns before it can be granted would be refused again.
+        return Math.max(Math.min(longest, retryAfter), (grantWait ?? 0) * (1 + this.context.random.float()));
     }
 
     /** Updates the endpoint's health from the outcome of an attempt, and logs a failed one. */
--- a/src/resultCode/hostedCodes.ts
+++ b/src/resultCode/hostedCodes.ts
@@ -63,6 +63,13 @@
         text: "The endpoints of the service cannot answer the call in time.",
         advice: "Try again at the time that Retry-After names.",
     },
+    endpointsLimited: {
+        number: 1622,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "All endpoints of the service limit the rate of their calls, and none can take the call in time.",
+        advice: "Try again at the time that Retry-After names.",
+    },
     callOutcomeUnknown: {
         number: 1630,
         httpStatus: 502,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -4,7 +4,9 @@
 import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
 import { DeploymentView } from "../../../src/process/hosted/entry/deploymentView.js";
 import { EndpointFleet } from "../../../src/process/hosted/entry/endpointFleet.js";
+import { EndpointRateLimits } from "../../../src/process/hosted/entry/endpointRateLimits.js";
 import { EntryCounters } from "../../../src/process/hosted/entry/entryCounters.js";
+import { GrantSource } from "../../../src/process/hosted/entry/grantSource.js";
 import { HostedRetryBudget } from "../../../src/process/hosted/entry/hostedRetryBudget.js";
 import { UsageCounts } from "../../../src/process/hosted/entry/usageCounts.js";
 import type { CallContext } from "../../../src/request/hosted/callContext.js";
@@ -32,6 +34,13 @@
     resolutionTimeToLive: 2_000,
 };
 
+/** Never decides. */
+class NoLeader extends GrantSource {
+    override requestGrant(): Promise<undefined> {
+        return Promise.resolve(undefined);
+    }
+}
+
 /** Serves calls like an entry, without control processes: the test gives permits and lists endpoints. */
 export class CallServer implements AsyncDisposable {
     private readonly store = new DisposableStore();
@@ -41,6 +50,9 @@
 
     private constructor(eventLog: EventLog) {
         const { clock, store } = this;
+        const suspensionDetector = new SuspensionDetector(clock);
+        const random = new RandomSource(1);
+        const entryCount = (): number => 1;
         this.context = {
             view: new DeploymentView(bounds.keyWithdrawal, eventLog),
             fleet: store.add(new EndpointFleet(eventLog)),
@@ -50,11 +62,13 @@
             usageCounts: new UsageCounts(bounds.usageWindow),
             counters: new EntryCounters(),
             clock,
-            suspensionDetector: new SuspensionDetector(clock),
+            suspensionDetector,
             medianClock: new MedianClock(),
-            random: new RandomSource(1),
+            random,
             eventLog,
-            entryCount: () => 1,
+            entryCount,
+            rateLimits: new EndpointRateLimits({ clock, suspensionDetector, random, eventLog, entryCount }),
+            grantSource: new NoLeader(),
         };
     }
 
