fix(connection): bound what endpoints can send without end

Callers waited until their deadline and got 504 although a second endpoint was sound; an entry held all bytes that came.

Cause: node:http bounds single headers only; bodies, events, discarded bodies, interim responses, empty lines and the size of a chunk were read for as long as bytes came, and bodies that are no stream were held whole. Class of fault: reading until a sign that the sender decides on.

Change: a guard counts bytes that add nothing to the response; discarded bodies, error bodies and events are bounded; a body over 64 KB is forwarded as it arrives, under the caller's backpressure, and the call is not retried then. A cut response that only the end of its connection delimits is reset, since an orderly end would look complete. Platform, probe and own engine calls use the same guard, with a maximum size for each kind of response.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
-import { cancelOnAbort } from "../cancelRequest.js";
+import { cancelOnAbort, cancelRequest } from "../cancelRequest.js";
+import { ResponseByteGuard } from "../responseByteGuard.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Maximum number of idle connections to one endpoint. */
@@ -64,6 +65,9 @@
                 headers: { ...call.headers, "content-length": call.body.length },
             });
             cancelOnAbort(clientRequest, call.signal);
+            new ResponseByteGuard(clientRequest, () => {
+                cancelRequest(clientRequest);
+            });
             clientRequest.once("response", response => {
                 resolve({ kind: "answer", message: response });
             });
--- a/src/connection/entry/endpointProbe.ts
+++ b/src/connection/entry/endpointProbe.ts
@@ -5,6 +5,9 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { httpCall } from "../httpCall.js";
 
+/** Maximum size of the response to a probe, in bytes. */
+const maximumResponseBytes = 1024 * 1024;
+
 /** Timeout of a probe, in milliseconds. */
 const probeTimeout: Milliseconds = 1_000;
 
@@ -36,7 +39,13 @@
 
 /** Probes an endpoint for its load report. */
 export async function fetchLoadReport(address: string): Promise<EndpointProbeResult> {
-    const response = await httpCall({ address, method: "GET", path: "/v1/load", timeout: probeTimeout });
+    const response = await httpCall({
+        address,
+        method: "GET",
+        path: "/v1/load",
+        timeout: probeTimeout,
+        maximumResponseBytes,
+    });
     if (response.err) {
         return { kind: "silent", refused: response.val.includes("ECONNREFUSED") };
     }
@@ -55,7 +64,7 @@
 /** Gets the prefix cache events of an engine after an event number; undefined if it offers none or fails. */
 export async function fetchCacheEvents(address: string, after: number): Promise<CacheEvents | undefined> {
     const path = `/v1/cache-events?after=${after}`;
-    const response = await httpCall({ address, method: "GET", path, timeout: probeTimeout });
+    const response = await httpCall({ address, method: "GET", path, timeout: probeTimeout, maximumResponseBytes });
     if (response.err || response.val.status !== 200) {
         return undefined;
     }
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -5,6 +5,8 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import { cancelRequest } from "../cancelRequest.js";
+import { discardBody } from "../discardBody.js";
+import { ResponseByteGuard } from "../responseByteGuard.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Timeout for opening a connection; many times the round-trip time, and short compared to latency targets. */
@@ -35,6 +37,7 @@
 /** One HTTP request to an endpoint and its response. */
 export class EndpointExchange {
     private readonly request: ClientRequest;
+    private readonly byteGuard: ResponseByteGuard;
     private hasBeenSent = false;
     private hasConnectionFailed = false;
     private cancelReason: string | undefined;
@@ -54,6 +57,9 @@
         this.request.on("error", () => {
             this.hasConnectionFailed = true;
         });
+        this.byteGuard = new ResponseByteGuard(this.request, () => {
+            this.cancel("the endpoint sent too many bytes that belong to no response");
+        });
         sendWhenConnected(this.request, {
             body,
             connectTimeout,
@@ -80,6 +86,18 @@
         return message.complete && !this.hasConnectionFailed;
     }
 
+    /** Yields the body of the response; throws if the connection fails. */
+    body(message: IncomingMessage): AsyncIterable<Buffer> {
+        return this.byteGuard.chunks(message);
+    }
+
+    /** Discards the body of the response, and keeps its connection if the body is short. */
+    discardBody(message: IncomingMessage): void {
+        discardBody(message, () => {
+            this.cancel("the discarded body is too long");
+        });
+    }
+
     /** Resolves when the response headers have arrived, or when the request has failed. */
     head(): Promise<ExchangeHead> {
         return new Promise(resolve => {
--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -5,9 +5,10 @@
 import type { Result } from "../util/result.js";
 import { splitAddress } from "../util/socketAddress.js";
 import { cancelOnAbort, cancelRequest } from "./cancelRequest.js";
+import { ResponseByteGuard } from "./responseByteGuard.js";
 
-/** Maximum size of the body of a response, in bytes. */
-const maximumResponseBytes = 64 * 1024 * 1024;
+/** Maximum size of the body of a response unless the call states another one, in bytes. */
+const defaultMaximumResponseBytes = 64 * 1024 * 1024;
 
 /** An HTTP request with a timeout. */
 export interface HttpCall {
@@ -22,6 +23,8 @@
     readonly timeout: Milliseconds;
     /** Aborts the call. */
     readonly signal?: AbortSignal;
+    /** Maximum size of the body of the response, in bytes. */
+    readonly maximumResponseBytes?: number;
 }
 
 /** A complete HTTP response. */
@@ -48,6 +51,9 @@
         if (call.signal !== undefined) {
             cancelOnAbort(clientRequest, call.signal);
         }
+        const byteGuard = new ResponseByteGuard(clientRequest, () => {
+            cancel("the server sent too many bytes that belong to no response");
+        });
         // Not AbortSignal.timeout: a timeout signal that is referenced only by AbortSignal.any can be garbage-collected.
         const timer = setTimeout(() => {
             cancel("the call timed out");
@@ -59,23 +65,34 @@
             resolve(Err(error.message));
         });
         clientRequest.once("response", response => {
-            const chunks: Buffer[] = [];
-            let byteCount = 0;
-            response.on("data", (chunk: Buffer) => {
-                chunks.push(chunk);
-                byteCount += chunk.length;
-                if (byteCount > maximumResponseBytes) {
-                    cancel("the response is too large");
+            const limit = call.maximumResponseBytes ?? defaultMaximumResponseBytes;
+            void readBody(byteGuard.chunks(response), limit).then(body => {
+                if (body.err) {
+                    cancel(body.val);
+                    return;
                 }
-            });
-            response.once("error", error => {
-                resolve(Err(error.message));
-            });
-            response.once("end", () => {
-                const body = Buffer.concat(chunks);
-                resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body }));
+                resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body: body.val }));
             });
         });
         clientRequest.end(call.body);
     });
 }
+
+/** Reads a body to its end; an error is a human-readable reason. */
+async function readBody(chunks: AsyncIterable<Buffer>, limit: number): Promise<Result<Buffer, string>> {
+    const received: Buffer[] = [];
+    let byteCount = 0;
+    try {
+        for await (const chunk of chunks) {
+            byteCount += chunk.length;
+            if (byteCount > limit) {
+                return Err("the response is too large");
+            }
+            received.push(chunk);
+        }
+        return Ok(Buffer.concat(received));
+    }
+    catch (error) {
+        return Err(error instanceof Error ? error.message : String(error));
+    }
+}
--- a/src/connection/httpResponse.ts
+++ b/src/connection/httpResponse.ts
@@ -65,13 +65,18 @@
     return retryAfter === undefined ? {} : { "retry-after": String(Math.ceil(retryAfter / 1000)) };
 }
 
-/** Resolves when the write buffer of a response has been drained, or when its connection has closed. */
-export async function waitForDrain(response: ServerResponse): Promise<void> {
+/**
+ * Resolves when the write buffer of a response has been drained, when its connection has closed, or when a signal is
+ * aborted.
+ */
+export async function waitForDrain(response: ServerResponse, cancelSignal?: AbortSignal): Promise<void> {
     const closeController = new AbortController();
     const onClose = (): void => {
         closeController.abort();
     };
     response.once("close", onClose);
+    cancelSignal?.addEventListener("abort", onClose, { once: true });
     await once(response, "drain", { signal: closeController.signal }).catch(() => undefined);
     response.removeListener("close", onClose);
+    cancelSignal?.removeEventListener("abort", onClose);
 }
--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -16,6 +16,9 @@
 /** Timeout of the request for one page. */
 const pageTimeout: Milliseconds = 1_500;
 
+/** Maximum size of one page of the list, in bytes. */
+const maximumPageBytes = 4 * 1024 * 1024;
+
 /** Maximum number of pages per list; guards against a list whose pages never end. */
 const maximumPages = 400;
 
@@ -105,6 +108,7 @@
                 method: "GET",
                 path: endpointListPath(page),
                 timeout: pageTimeout,
+                maximumResponseBytes: maximumPageBytes,
                 signal,
             });
             if (response.err) {
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { responseHeadersForCaller } from "../../../platform/callHeaders.js";
 import { sendFailure, waitForDrain } from "../../connection/httpResponse.js";
+import { resetConnection } from "../../connection/resetConnection.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
@@ -9,6 +10,7 @@
 /** Writes the response to the caller of one call. */
 export class CallerResponse {
     private isResponseFramed = true;
+    private isChunkForwarded = false;
     private forwardedEventId: number | undefined;
     private timeToFirstEvent: Milliseconds | undefined;
     private longestEventGap: Milliseconds = 0;
@@ -36,13 +38,23 @@
         return this.forwardedEventId;
     }
 
+    /** Whether a part of a body that is not a stream of events has been forwarded; the call cannot be retried then. */
+    get isBodyForwarded(): boolean {
+        return this.isChunkForwarded;
+    }
+
     /** Whole milliseconds since the call arrived. */
     elapsedTime(): Milliseconds {
         return Math.round(this.context.clock.now() - this.arrivedAt);
     }
 
     /** Forwards complete events of a stream; waits while the caller's connection exerts backpressure. */
-    async forwardEvents(message: IncomingMessage, bytes: Buffer, lastId: number | undefined): Promise<void> {
+    async forwardEvents(
+        message: IncomingMessage,
+        bytes: Buffer,
+        lastId: number | undefined,
+        cancelSignal: AbortSignal,
+    ): Promise<void> {
         const now = this.context.clock.now();
         this.writeHead(message);
         if (this.timeToFirstEvent === undefined) {
@@ -53,12 +65,18 @@
         }
         this.lastEventAt = now;
         this.forwardedEventId = lastId ?? this.forwardedEventId;
-        if (!this.response.write(bytes) && !this.abortSignal.aborted) {
-            await waitForDrain(this.response);
-        }
+        await this.write(bytes, cancelSignal);
     }
 
-    /** Ends the response after its stream has ended without an error. */
+    /** Forwards a part of a body that is not a stream of events; waits while the caller exerts backpressure. */
+    async forwardChunk(message: IncomingMessage, bytes: Buffer, cancelSignal: AbortSignal): Promise<void> {
+        const length = message.headers["content-length"];
+        this.writeHead(message, length === undefined ? [] : ["Content-Length", length]);
+        this.isChunkForwarded = true;
+        await this.write(bytes, cancelSignal);
+    }
+
+    /** Ends the response after its stream or long body has ended without an error. */
     endStream(message: IncomingMessage, trailingBytes: Buffer, attempts: number, endpointId: string): void {
         this.writeHead(message);
         if (!hasFramedBody(message) && this.isResponseFramed) {
@@ -122,16 +140,31 @@
             waited: this.elapsedTime(),
         });
         if (this.response.headersSent) {
-            this.response.destroy();
+            this.abortResponse();
             return;
         }
         sendFailure(this.response, reason);
     }
 
+    /** Ends the response so that it cannot be taken for complete: without framing, only a reset tells. */
+    private abortResponse(): void {
+        if (!this.isResponseFramed && this.response.socket) {
+            resetConnection(this.response.socket);
+        }
+        this.response.destroy();
+    }
+
+    /** Writes bytes; waits until they are drained, the caller disconnects, or the signal is aborted. */
+    private async write(bytes: Buffer, cancelSignal: AbortSignal): Promise<void> {
+        if (!this.response.write(bytes) && !this.abortSignal.aborted && !cancelSignal.aborted) {
+            await waitForDrain(this.response, cancelSignal);
+        }
+    }
+
     /** Writes the status and headers of a stream once; a resumed stream keeps those of its first endpoint. */
-    private writeHead(message: IncomingMessage): void {
+    private writeHead(message: IncomingMessage, framingHeaders: readonly string[] = []): void {
         if (!this.response.headersSent) {
-            const headers = responseHeadersForCaller(message.rawHeaders);
+            const headers = [...responseHeadersForCaller(message.rawHeaders), ...framingHeaders];
             this.isResponseFramed = hasFramedBody(message);
             if (!this.isResponseFramed) {
                 this.delimitByConnectionClose();
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -15,6 +15,9 @@
 /** Stall timeout of a stream as a multiple of its route's target for the gap between events. */
 const stallTimeoutInEventGaps = 4;
 
+/** Number of body bytes that are buffered before any is forwarded; until then the call may move to another endpoint. */
+const bufferedBodyBytes = 64 * 1024;
+
 /** Why a call did not run: the endpoint could not be reached, was at capacity, or was not the intended one. */
 export type NotRunCause = "unreached" | "full" | "misdirected";
 
@@ -52,6 +55,7 @@
 /** One attempt to run a call at one endpoint, including the forwarding of its response. */
 export class EndpointAttempt {
     private readonly exchange: EndpointExchange;
+    private readonly cancelled = new AbortController();
 
     /** Sends the request. */
     constructor(private readonly input: AttemptInput, private readonly context: CallContext) {
@@ -75,6 +79,7 @@
 
     /** Aborts the attempt by closing its connection, upon which the endpoint stops processing the call. */
     cancel(reason: string): void {
+        this.cancelled.abort();
         this.exchange.cancel(reason);
     }
 
@@ -110,7 +115,7 @@
         this.recordHead(traits);
         const belongsToOtherCall = traits.callId !== undefined && traits.callId !== this.input.traits.callId;
         if (traits.wasNotExecuted && !belongsToOtherCall) {
-            message.resume();
+            this.exchange.discardBody(message);
             const cause = traits.isMisdirected ? "misdirected" : "full";
             return { kind: "notRun", reason: `status ${traits.status}`, cause };
         }
@@ -122,7 +127,7 @@
         }
         return isSuccess && this.input.call.route.streaming
             ? this.forwardStream(message)
-            : this.forwardBuffered(message);
+            : this.forwardBody(message, isSuccess);
     }
 
     private recordHead(traits: ResponseTraits): void {
@@ -138,23 +143,59 @@
         this.context.rateLimits.recordStatement(endpoint.id, traits.rateLimit, now);
     }
 
-    private async forwardBuffered(message: IncomingMessage): Promise<AttemptOutcome> {
-        const body = await readToEnd(message);
+    /** Forwards a body that is not a stream of events: a short one at once, a long success as it arrives. */
+    private async forwardBody(message: IncomingMessage, isSuccess: boolean): Promise<AttemptOutcome> {
+        const { callerResponse, earlierExecutions, placement: { endpoint } } = this.input;
+        const chunks: Buffer[] = [];
+        let bufferedBytes = 0;
+        try {
+            for await (const chunk of this.exchange.body(message)) {
+                endpoint.recordData(this.context.clock.now());
+                chunks.push(chunk);
+                bufferedBytes += chunk.length;
+                if (bufferedBytes <= bufferedBodyBytes && !callerResponse.isBodyForwarded) {
+                    continue;
+                }
+                if (!isSuccess) {
+                    this.cancel("the body of an error is too long");
+                    return { kind: "lost", reason: "the body of an error is too long" };
+                }
+                if (!callerResponse.isBodyForwarded) {
+                    this.recordResponseStart();
+                }
+                await callerResponse.forwardChunk(message, Buffer.concat(chunks.splice(0)), this.cancelled.signal);
+            }
+        }
+        catch (error) {
+            return { kind: "lost", reason: error instanceof Error ? error.message : String(error) };
+        }
+        if (callerResponse.isBodyForwarded) {
+            return this.endForwarding(message, Buffer.alloc(0));
+        }
         this.recordResponseStart();
-        if (body === undefined || !this.exchange.isComplete(message)) {
+        if (!this.exchange.isComplete(message)) {
             return { kind: "lost", reason: "the response ended before it was complete" };
         }
-        const { callerResponse, earlierExecutions, placement } = this.input;
-        if (message.statusCode === undefined || message.statusCode >= 300) {
+        const body = Buffer.concat(chunks);
+        if (!isSuccess) {
             return { kind: "failedAnswer", message, body };
         }
-        callerResponse.forwardBuffered(message, body, earlierExecutions + 1, placement.endpoint.id);
+        callerResponse.forwardBuffered(message, body, earlierExecutions + 1, endpoint.id);
+        return { kind: "delivered" };
+    }
+
+    private endForwarding(message: IncomingMessage, trailingBytes: Buffer): AttemptOutcome {
+        const { callerResponse, earlierExecutions, placement: { endpoint } } = this.input;
+        if (!this.exchange.isComplete(message)) {
+            return { kind: "lost", reason: "the response ended before it was complete" };
+        }
+        callerResponse.endStream(message, trailingBytes, earlierExecutions + 1, endpoint.id);
         return { kind: "delivered" };
     }
 
     /** Forwards events as they arrive; resolves when the stream has ended or was interrupted. */
     private async forwardStream(message: IncomingMessage): Promise<AttemptOutcome> {
-        const { callerResponse, earlierExecutions, placement: { endpoint } } = this.input;
+        const { callerResponse, placement: { endpoint } } = this.input;
         const splitter = new EventSplitter(callerResponse.lastEventId);
         const { targetEventGap: eventGapTarget = 0 } = this.input.call.route;
         const stallTimer = this.startStallTimer(
@@ -162,9 +203,13 @@
         );
         let hasStarted = false;
         try {
-            for await (const chunk of message as AsyncIterable<Buffer>) {
+            for await (const chunk of this.exchange.body(message)) {
                 endpoint.recordData(this.context.clock.now());
                 const events = splitter.push(chunk);
+                if (splitter.isEventTooLong) {
+                    this.cancel("an event of the stream is too long");
+                    return { kind: "lost", reason: "an event of the stream is too long" };
+                }
                 if (events === undefined) {
                     continue;
                 }
@@ -172,7 +217,7 @@
                     hasStarted = true;
                     this.recordResponseStart();
                 }
-                await callerResponse.forwardEvents(message, events.bytes, events.lastId);
+                await callerResponse.forwardEvents(message, events.bytes, events.lastId, this.cancelled.signal);
             }
         }
         catch (error) {
@@ -181,11 +226,7 @@
         finally {
             clearInterval(stallTimer);
         }
-        if (!this.exchange.isComplete(message)) {
-            return { kind: "lost", reason: "the stream ended before it was complete" };
-        }
-        callerResponse.endStream(message, splitter.incomplete, earlierExecutions + 1, endpoint.id);
-        return { kind: "delivered" };
+        return this.endForwarding(message, splitter.incomplete);
     }
 
     /** If the call may fail over, aborts the attempt once no data of any call has arrived from its endpoint in time. */
@@ -228,18 +269,3 @@
         ? "the response has no signature or call identifier"
         : undefined;
 }
-
-/** Reads a response body to its end; undefined if the connection failed before. */
-async function readToEnd(message: IncomingMessage): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    try {
-        for await (const chunk of message as AsyncIterable<Buffer>) {
-            chunks.push(chunk);
-        }
-        return Buffer.concat(chunks);
-    }
-    catch {
-        // The attempt reports the incomplete response.
-        return undefined;
-    }
-}
--- a/src/request/hosted/eventSplitter.ts
+++ b/src/request/hosted/eventSplitter.ts
@@ -1,6 +1,11 @@
 /** An empty line ends an event. */
 const eventBoundary = "\n\n";
 
+const lineFeed = 0x0a;
+
+/** Maximum size of one event, in bytes; a larger one is taken for bytes without end. */
+const maximumEventBytes = 256 * 1024;
+
 /** Complete events that have been received. */
 export interface CompleteEvents {
     readonly bytes: Buffer;
@@ -11,27 +16,37 @@
 
 /** Splits a stream of server-sent events at event boundaries, so that no incomplete event is forwarded. */
 export class EventSplitter {
-    private buffered: Buffer = Buffer.alloc(0);
+    private bufferedChunks: Buffer[] = [];
+    private bufferedBytes = 0;
 
     /** @param lastReceivedId Id of the last event that the receiver already has; events up to it are dropped. */
     constructor(private readonly lastReceivedId: number | undefined) {}
 
     /** Buffered bytes of the event that is not complete yet. */
     get incomplete(): Buffer {
-        return this.buffered;
+        return Buffer.concat(this.bufferedChunks);
+    }
+
+    /** Whether the event that is not complete yet exceeds the maximum size. */
+    get isEventTooLong(): boolean {
+        return this.bufferedBytes > maximumEventBytes;
     }
 
     /** Adds the next bytes of the stream; returns the events that they complete, or undefined if there are none. */
     push(chunk: Buffer): CompleteEvents | undefined {
-        const bytes = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
-        const end = bytes.lastIndexOf(eventBoundary);
-        if (end < 0) {
-            this.buffered = bytes;
+        const previousByte = this.bufferedChunks.at(-1)?.at(-1);
+        this.bufferedChunks.push(chunk);
+        this.bufferedBytes += chunk.length;
+        const endsAtStart = previousByte === lineFeed && chunk[0] === lineFeed;
+        if (!endsAtStart && !chunk.includes(eventBoundary)) {
             return undefined;
         }
-        const completeBytes = bytes.subarray(0, end + eventBoundary.length);
-        this.buffered = bytes.subarray(end + eventBoundary.length);
-        return this.withoutReceived(completeBytes);
+        const bytes = Buffer.concat(this.bufferedChunks);
+        const end = bytes.lastIndexOf(eventBoundary) + eventBoundary.length;
+        const rest = bytes.subarray(end);
+        this.bufferedChunks = rest.length === 0 ? [] : [rest];
+        this.bufferedBytes = rest.length;
+        return this.withoutReceived(bytes.subarray(0, end));
     }
 
     private withoutReceived(completeBytes: Buffer): CompleteEvents | undefined {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -279,7 +279,7 @@
         const hasOpenEndpoint = this.untriedEndpoints(service).some(({ id }) =>
             rateLimits.timeUntilRequest(id, 0, now) === 0
         );
-        if (!hasOpenEndpoint || this.remainingTime(route) < minimumAttemptTime) {
+        if (this.callerResponse.isBodyForwarded || !hasOpenEndpoint || this.remainingTime(route) < minimumAttemptTime) {
             return false;
         }
         this.rejections += outcome.kind === "notRun" && outcome.cause !== "unreached" ? 1 : 0;
--- a/src/request/service/serviceAttempt.ts
+++ b/src/request/service/serviceAttempt.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
+import { discardBody } from "../../connection/discardBody.js";
 import type { Placement } from "../../process/entry/poolDispatcher.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { PendingRequest } from "../pendingRequest.js";
@@ -81,7 +82,9 @@
             endpoint.markLeaving(now);
         }
         if (message.headers["x-not-run"] === "true") {
-            message.resume();
+            discardBody(message, () => {
+                this.attemptEnded.abort();
+            });
             endpoint.recordBusy(now);
             return { kind: "notRun", reason: `status ${message.statusCode ?? 0}` };
         }
--- a/tests/connection/entry/endpointClient.test.ts
+++ b/tests/connection/entry/endpointClient.test.ts
@@ -7,6 +7,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { describe, it } from "../../describe.js";
+import { EndlessEndpoint } from "../endlessEndpoint.js";
 import { stalledBodyBytes, StalledEndpoint } from "../stalledEndpoint.js";
 
 /** Creates an endpoint that counts the requests that it receives. */
@@ -68,4 +69,24 @@
         t.like(await result, { kind: "error", error: { sent: true } });
         t.true(await endpoint.readToEnd() < stalledBodyBytes);
     });
+
+    // Guards against engines that hold calls with bytes that are no response.
+    for (
+        const [title, repeated] of [["empty lines", "\r\n"], [
+            "interim responses",
+            "HTTP/1.1 103 Hints\r\n\r\n",
+        ]] as const
+    ) {
+        it(`fails if the endpoint sends ${title} without end before the headers`, async t => {
+            await using store = new DisposableStore();
+            const endpoint = await EndlessEndpoint.start(store, { beginning: "", repeated });
+            const client = store.add(new EndpointClient(endpoint.address));
+            const { signal } = new AbortController();
+            const result = await client.send({ method: "GET", path: "/", headers: {}, body: Buffer.alloc(0), signal });
+            t.like(result, { kind: "error", error: { sent: true } });
+            while (!endpoint.isAbandoned) {
+                await new Promise(resolve => setTimeout(resolve, 20));
+            }
+        });
+    }
 });
--- a/tests/connection/httpCall.test.ts
+++ b/tests/connection/httpCall.test.ts
@@ -1,6 +1,8 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { httpCall } from "../../src/connection/httpCall.js";
 import { DisposableStore } from "../../src/util/disposableStore.js";
 import { describe, it } from "../describe.js";
+import { EndlessEndpoint } from "./endlessEndpoint.js";
 import { stalledBodyBytes, StalledEndpoint } from "./stalledEndpoint.js";
 
 describe("httpCall", () => {
@@ -26,4 +28,38 @@
             t.true(await server.readToEnd() < stalledBodyBytes);
         });
     }
+
+    // Guards against servers that hold memory and time with bytes that are no response.
+    describe("fails, and closes its connection, if a server sends bytes without end", () => {
+        for (
+            const [title, beginning, repeated] of [
+                ["before the headers", "", "no response "],
+                ["in empty lines before the headers", "", "\r\n"],
+                ["in one header", "HTTP/1.1 200 OK\r\nx: ", "a"],
+                ["in many headers", "HTTP/1.1 200 OK\r\n", "x: a\r\n"],
+                ["in interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"],
+                ["in the size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"],
+                ["in trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "x: a\r\n"],
+                ["in a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "a"],
+                ["in a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "a"],
+            ] as const
+        ) {
+            it(title, async t => {
+                await using store = new DisposableStore();
+                const server = await EndlessEndpoint.start(store, { beginning, repeated });
+                const result = await httpCall({
+                    address: server.address,
+                    method: "GET",
+                    path: "/",
+                    timeout: 60_000,
+                    maximumResponseBytes: 1024 * 1024,
+                });
+                t.true(result.err);
+                t.not(result.val, "the call timed out");
+                while (!server.isAbandoned) {
+                    await sleep(20);
+                }
+            });
+        }
+    });
 });
