test(soak): let endpoints state rate limits, and check that they hold

Change: in each run one endpoint after the other states a limit of 0.2 to 4.2 a second for 12 s; from 4 s on it may get one and a half times as many calls in any 4 s, and five. The source of random numbers is its own, so that the faults of a seed stay.

--- a/tests/soak/outside/soakEndpoint.ts
+++ b/tests/soak/outside/soakEndpoint.ts
@@ -44,11 +44,20 @@
 /** Factor by which a slow endpoint takes longer. */
 const slowFactor = 8;
 
+/** Time after an endpoint has stated a rate limit from which the limit must hold. */
+const limitConvergenceTime: Milliseconds = 4_000;
+
+/** Length of the window in which calls to a limited endpoint are counted. */
+const limitWindow: Milliseconds = 4_000;
+
 /** Stand-in for an engine or a plain service, which records the calls that it executes. */
 export class SoakEndpoint {
     private server: Server | undefined;
     private fault: EndpointFault | undefined;
     private startCount = 0;
+    private rateLimit: number | undefined;
+    private limitedAt: Milliseconds = 0;
+    private readonly arrivals: Milliseconds[] = [];
 
     constructor(
         readonly vmNumber: number,
@@ -92,12 +101,39 @@
         this.fault = fault;
     }
 
+    /** Lets the endpoint state a limit of the calls per second of all entries; undefined ends it. */
+    setRateLimit(callsPerSecond: number | undefined, now: Milliseconds): void {
+        this.rateLimit = callsPerSecond;
+        this.limitedAt = now;
+        this.arrivals.length = 0;
+    }
+
+    /** Reports a window in which more calls arrived than one and a half times the stated limit allows, and five. */
+    checkRateLimit(): void {
+        const { rateLimit } = this;
+        if (rateLimit === undefined) {
+            return;
+        }
+        const owed = this.arrivals.filter(time => time >= this.limitedAt + limitConvergenceTime);
+        const counts = owed.map(end => owed.filter(time => time > end - limitWindow && time <= end).length);
+        const most = Math.max(0, ...counts);
+        const accepted = 1.5 * rateLimit * limitWindow / 1_000 + 5;
+        if (most > accepted) {
+            const fields = `${most} calls in a window, ${accepted} accepted, limit ${rateLimit}`;
+            this.findings.add("rate limits of endpoints hold", `${this.identifier}: ${fields}`);
+        }
+    }
+
     private get identifier(): string {
         return `i-${this.vmNumber}-${this.startCount}`;
     }
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         request.resume();
+        if (this.rateLimit !== undefined) {
+            this.arrivals.push(performance.now());
+            response.setHeader("server-limit", String(this.rateLimit));
+        }
         const id = String(request.headers["gullhall-attempt-id"]);
         const targetInstance = request.headers["gullhall-target-instance"];
         if (targetInstance !== undefined && targetInstance !== this.identifier) {
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -22,6 +22,12 @@
 /** Time between two changes of the configuration. */
 const configurationChangeInterval: Milliseconds = 800;
 
+/** Time for which an endpoint states a rate limit; the limit must hold from 4 s on. */
+const limitedPeriod: Milliseconds = 12_000;
+
+/** Time without limits between two endpoints that state one. */
+const unlimitedPeriod: Milliseconds = 2_000;
+
 /** Number of calls that are abandoned at each suspended entry. */
 const abandonedCallCount = 10;
 
@@ -109,7 +115,7 @@
         await this.operator.replaceConfiguration(signal);
         await this.waitUntilServing(undefined);
         using callers = this.callers;
-        const tasks = [this.submitChanges(), this.pollVersions()];
+        const tasks = [this.submitChanges(), this.pollVersions(), this.limitEndpoints()];
         for (let caller = 0; caller < this.options.callers; caller++) {
             tasks.push(callers.run());
         }
@@ -130,6 +136,21 @@
         };
     }
 
+    /** Lets one endpoint after the other state a rate limit, and checks that it holds. */
+    private async limitEndpoints(): Promise<void> {
+        const { installation: { endpoints }, stopping: { signal } } = this;
+        // A source of its own, so that the faults of a seed stay the same.
+        const random = new RandomSource(this.options.seed + 4);
+        while (!signal.aborted) {
+            const endpoint = random.pick(endpoints);
+            endpoint?.setRateLimit(0.2 + 4 * random.float(), performance.now());
+            await sleep(limitedPeriod, undefined, { signal }).catch(() => undefined);
+            endpoint?.checkRateLimit();
+            endpoint?.setRateLimit(undefined, performance.now());
+            await sleep(unlimitedPeriod, undefined, { signal }).catch(() => undefined);
+        }
+    }
+
     /** Injects random faults, which may overlap, and waits until all have ended. */
     private async injectFaults(): Promise<void> {
         const { random } = this;
