fix(request): check keys and permit again after the wait for a grant

Cause: a call that waits for a grant to a limited endpoint was sent with what its admission had found, so that a key could be withdrawn meanwhile (found while writing the tests of such calls; no caller saw it). Class of fault: a decision that rests on what was known before a wait. Change: after the wait the route, the key and the permit are checked again, and the call is refused if one is gone.

--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -59,6 +59,27 @@
     return readmitted.ok ? Ok({ ...readmitted.val, body: body.val }) : readmitted;
 }
 
+/**
+ * Why an admitted call may not be sent any more, because its key or route was withdrawn or the permit has lapsed while
+ * it waited; undefined if it may.
+ */
+export function withdrawnAdmission(
+    call: AdmittedCall,
+    request: IncomingMessage,
+    traits: CallTraits,
+    { view, suspensionDetector, random }: CallContext,
+): Refusal | undefined {
+    const index = view.permitsCalls(suspensionDetector.now()) ? view.current : undefined;
+    if (index === undefined) {
+        return { reason: failure("entryNotPermitted"), call, retryAfter: permitRetryAfter };
+    }
+    if (index.version === call.version) {
+        return undefined;
+    }
+    const resolved = resolveCall(request, traits, index, random.float());
+    return resolved.err ? resolved.val : undefined;
+}
+
 /** The current configuration once a recent quorum confirmation permits calls; undefined if that takes too long. */
 async function waitForPermittedIndex(
     { view, suspensionDetector, clock }: CallContext,
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { waitForSocketPoll } from "../../util/waitForSocketPoll.js";
 import type { DeployedRoute, DeployedService } from "../../version/deployment.js";
-import { admitCall } from "./callAdmission.js";
+import { admitCall, withdrawnAdmission } from "./callAdmission.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallTraits } from "./callTraits.js";
@@ -125,8 +125,16 @@
                 this.failOrRefuse(call);
                 return;
             }
-            if (!await this.acquireGrant(call, placement, maximumGrantDelay)) {
-                continue;
+            if (this.context.rateLimits.isLimited(placement.endpoint.id)) {
+                const isGranted = await this.acquireGrant(call, placement, maximumGrantDelay);
+                const withdrawn = withdrawnAdmission(call, this.request, this.traits, this.context);
+                if (withdrawn !== undefined && this.executions === 0) {
+                    this.callerResponse.refuse(withdrawn);
+                    return;
+                }
+                if (!isGranted) {
+                    continue;
+                }
             }
             const outcome = await this.runAttempt(call, placement);
             if (outcome.kind === "delivered") {
@@ -185,9 +193,6 @@
         maximumGrantDelay: Milliseconds,
     ): Promise<boolean> {
         const { rateLimits, grantSource, fleet } = this.context;
-        if (!rateLimits.isLimited(endpoint.id)) {
-            return true;
-        }
         const isGranted = await rateLimits.acquire(endpoint.id, maximumGrantDelay, grantSource);
         await waitForSocketPoll();
         // The endpoint may have begun to leave meanwhile.
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -48,7 +48,7 @@
     readonly context: CallContext;
     callerAddress = "";
 
-    private constructor(eventLog: EventLog) {
+    private constructor(eventLog: EventLog, grantSource: GrantSource) {
         const { clock, store } = this;
         const suspensionDetector = new SuspensionDetector(clock);
         const random = new RandomSource(1);
@@ -68,7 +68,7 @@
             eventLog,
             entryCount,
             rateLimits: new EndpointRateLimits({ clock, suspensionDetector, random, eventLog, entryCount }),
-            grantSource: new NoLeader(),
+            grantSource,
         };
     }
 
@@ -76,9 +76,9 @@
     static async start(
         document: object,
         endpoints: readonly EndpointRecord[],
-        eventLog = new EventLog("test", "hidden"),
+        grantSource: GrantSource = new NoLeader(),
     ): Promise<CallServer> {
-        const callServer = new CallServer(eventLog);
+        const callServer = new CallServer(new EventLog("test", "hidden"), grantSource);
         const { clock, context: { fleet, view }, store } = callServer;
         view.applyConfiguration(version, deflateRawSync(JSON.stringify(document)));
         fleet.applyList(endpoints, 0, clock.now());
@@ -93,6 +93,12 @@
         return callServer;
     }
 
+    /** Puts a newer configuration in force. */
+    applyConfiguration(document: object, newVersion: number): void {
+        this.context.view.applyConfiguration(newVersion, deflateRawSync(JSON.stringify(document)));
+        this.context.view.recordConfirmation(this.clock.now(), newVersion);
+    }
+
     /** Confirms the configuration, which permits calls until its age exceeds the limit. */
     givePermit(): void {
         this.context.view.recordConfirmation(this.clock.now(), version);
