fix(hosted): report the limits of endpoints to a leader that does not know them

Class of fault: taking a list for complete that its sender has not yet filled. Change: an entry reports the limits of the previous leader to a new one, with its requests and heartbeats, and keeps them until then. Metrics and names say withoutLeader.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -73,7 +73,7 @@
     private isRemoteLeader = false;
     private closeReason = "the control process closed the connection";
 
-    constructor(private readonly address: string, private readonly context: ControlLinkContext) {
+    constructor(readonly address: string, private readonly context: ControlLinkContext) {
         this.socket = connect(splitAddress(address), () => {
             this.sendHello();
         });
@@ -238,7 +238,7 @@
         }
         this.canGrant = response.limits !== undefined;
         if (response.isLeader && response.limits !== undefined) {
-            this.context.rateLimits.applyEnforcedLimits(response.limits, clock.now());
+            this.context.rateLimits.applyEnforcedLimits(response.limits, this.address, clock.now());
         }
     }
 }
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -81,13 +81,20 @@
         });
     }
 
+    override get leaderId(): string | undefined {
+        return this.leaderLink?.address;
+    }
+
     override async requestGrant(
         endpoint: string,
         maximumDelay: Milliseconds,
         statement: LimitStatement | undefined,
     ): Promise<Grant | undefined> {
-        const leaderLink = this.links.links.find(link => link.isLeader);
-        return leaderLink?.requestGrant(endpoint, maximumDelay, statement);
+        return this.leaderLink?.requestGrant(endpoint, maximumDelay, statement);
+    }
+
+    private get leaderLink(): ControlLink | undefined {
+        return this.links.links.find(link => link.isLeader);
     }
 
     private selectHosts(now: Milliseconds): readonly string[] {
--- a/src/process/hosted/entry/endpointRateLimits.ts
+++ b/src/process/hosted/entry/endpointRateLimits.ts
@@ -18,7 +18,7 @@
 /** Age from which an own statement gives way to the leader's list of limits. */
 const ownStatementTime: Milliseconds = 3_000;
 
-/** A statement that this entry has read itself. */
+/** A statement that this entry has read itself, or reports to a new leader. */
 interface OwnStatement {
     readonly stated: StatedRateLimit;
     readonly statedAt: Milliseconds;
@@ -45,10 +45,12 @@
     private readonly limited = new Map<string, LimitedEndpoint>();
     private readonly ownStatements = new Map<string, OwnStatement>();
     private newestVersion = 0;
+    /** The leader whose list was applied last. */
+    private listedBy: string | undefined;
     private leaderSilentUntil: Milliseconds = -Infinity;
     private granted = 0;
     private denied = 0;
-    private unled = 0;
+    private sentWithoutLeader = 0;
 
     constructor(private readonly context: EndpointRateLimitsContext) {}
 
@@ -72,8 +74,7 @@
                 isAmbiguous: stated.kind === "limited" ? stated.isAmbiguous : undefined,
             });
         }
-        this.newestVersion++;
-        this.ownStatements.set(endpoint, { stated, statedAt: now, version: this.newestVersion });
+        this.addStatement(endpoint, stated, now);
         if (isLimited) {
             const known = this.limited.get(endpoint);
             // A limit that cannot be parsed leaves a known one in force.
@@ -91,8 +92,14 @@
         );
     }
 
-    /** Applies the leader's list of limits, which is complete but for statements that have not reached it yet. */
-    applyEnforcedLimits(limits: readonly EnforcedLimit[], now: Milliseconds): void {
+    /**
+     * Applies the leader's list of limits, which is complete but for statements that have not reached it yet.
+     *
+     * A new leader may not know the limits of the previous one; they are reported to it as statements.
+     */
+    applyEnforcedLimits(limits: readonly EnforcedLimit[], leaderId: string, now: Milliseconds): void {
+        const isNewLeader = leaderId !== this.listedBy;
+        this.listedBy = leaderId;
         const listed = new Set(limits.map(({ endpoint }) => endpoint));
         for (const { endpoint, callsPerSecond, idleTime } of limits) {
             const limitedEndpoint = this.limit(endpoint, callsPerSecond);
@@ -100,9 +107,15 @@
                 limitedEndpoint.recordGrant(now - idleTime);
             }
         }
-        for (const endpoint of this.limited.keys()) {
+        for (const [endpoint, { callsPerSecond }] of this.limited) {
             const own = this.ownStatements.get(endpoint);
-            if (!listed.has(endpoint) && (own === undefined || now - own.statedAt > ownStatementTime)) {
+            if (listed.has(endpoint) || (own !== undefined && now - own.statedAt <= ownStatementTime)) {
+                continue;
+            }
+            if (isNewLeader) {
+                this.addStatement(endpoint, { kind: "limited", callsPerSecond, isAmbiguous: false }, now);
+            }
+            else {
                 this.limited.delete(endpoint);
                 this.ownStatements.delete(endpoint);
             }
@@ -142,15 +155,14 @@
         }
         const { clock, suspensionDetector } = this.context;
         const askedAt = suspensionDetector.now();
-        const own = this.ownStatements.get(endpoint);
-        const statement = own === undefined ? undefined : this.toMessage(endpoint, own, clock.now());
+        const statement = this.unknownTo(source.leaderId, endpoint, clock.now());
         const grant = clock.now() < this.leaderSilentUntil
             ? undefined
             : await source.requestGrant(endpoint, maximumDelay, statement);
         const now = clock.now();
         if (grant === undefined) {
             this.leaderSilentUntil = Math.max(this.leaderSilentUntil, now + leaderSilenceTime);
-            return this.takeUnledCall(limited, now);
+            return this.takeCallWithoutLeader(limited, now);
         }
         this.leaderSilentUntil = -Infinity;
         if (!grant.isGranted) {
@@ -174,15 +186,36 @@
         }
         writer.family("gullhall_endpoint_grants_total", "counter", "Calls to endpoints with limits, by decision.");
         for (
-            const [decision, count] of Object.entries({ granted: this.granted, denied: this.denied, unled: this.unled })
+            const [decision, count] of Object.entries({
+                granted: this.granted,
+                denied: this.denied,
+                withoutLeader: this.sentWithoutLeader,
+            })
         ) {
             writer.sample("gullhall_endpoint_grants_total", { decision }, count);
         }
     }
 
-    private takeUnledCall(limited: LimitedEndpoint, now: Milliseconds): boolean {
-        const isTaken = limited.takeUnledCall(this.context.entryCount(), now);
-        this.unled += isTaken ? 1 : 0;
+    private addStatement(endpoint: string, stated: StatedRateLimit, statedAt: Milliseconds): void {
+        this.newestVersion++;
+        this.ownStatements.set(endpoint, { stated, statedAt, version: this.newestVersion });
+    }
+
+    /** What the leader may not know of a limit: an own statement, or a limit that a previous leader listed. */
+    private unknownTo(leaderId: string | undefined, endpoint: string, now: Milliseconds): LimitStatement | undefined {
+        const own = this.ownStatements.get(endpoint);
+        if (own !== undefined) {
+            return this.toMessage(endpoint, own, now);
+        }
+        const callsPerSecond = this.limited.get(endpoint)?.callsPerSecond;
+        return callsPerSecond === undefined || leaderId === this.listedBy
+            ? undefined
+            : { endpoint, isLimited: true, callsPerSecond, age: 0 };
+    }
+
+    private takeCallWithoutLeader(limited: LimitedEndpoint, now: Milliseconds): boolean {
+        const isTaken = limited.takeCallWithoutLeader(this.context.entryCount(), now);
+        this.sentWithoutLeader += isTaken ? 1 : 0;
         this.denied += isTaken ? 0 : 1;
         return isTaken;
     }
--- a/src/process/hosted/entry/grantSource.ts
+++ b/src/process/hosted/entry/grantSource.ts
@@ -12,11 +12,14 @@
 
 /** Asks the leader for calls to endpoints whose rate is limited. */
 export abstract class GrantSource {
+    /** Identifies the process that leads, as far as this entry knows; undefined if none is known. */
+    abstract get leaderId(): string | undefined;
+
     /**
      * Asks for one call to an endpoint.
      *
      * @param maximumDelay Longest delay of the call that is acceptable.
-     * @param statement The newest statement that this entry has read itself.
+     * @param statement What this entry knows of the limit and the leader may not.
      * @returns The decision; undefined if no leader decides in time.
      */
     abstract requestGrant(
--- a/src/process/hosted/entry/limitedEndpoint.ts
+++ b/src/process/hosted/entry/limitedEndpoint.ts
@@ -8,10 +8,10 @@
  * Fraction of the rate that all entries together use without a leader; other entries may get grants from a leader
  * meanwhile.
  */
-const unledFraction = 0.5;
+const fractionWithoutLeader = 0.5;
 
 /** Time for which a call that may be sent without a leader can be used. */
-const unledCallValidity: Milliseconds = 1_000;
+const validityWithoutLeader: Milliseconds = 1_000;
 
 /** What an entry knows about one endpoint whose rate is limited. */
 export class LimitedEndpoint {
@@ -19,7 +19,7 @@
     private grantableAt: Milliseconds = -Infinity;
     /** Additional wait, random so that the requests of all entries are spread. */
     private requestSpread: Milliseconds = 0;
-    private nextUnledCallAt: Milliseconds | undefined;
+    private nextCallWithoutLeaderAt: Milliseconds | undefined;
     private nextProbeAt: Milliseconds | undefined;
     private grantedAt: Milliseconds | undefined;
 
@@ -54,18 +54,18 @@
      * Takes a call while no leader decides. Each entry may send calls at random times, so that the sum over entries that
      * know nothing of each other keeps to a fraction of the rate.
      */
-    takeUnledCall(entryCount: number, now: Milliseconds): boolean {
-        const meanInterval = 1_000 * entryCount / (unledFraction * this.callsPerSecond);
-        this.nextUnledCallAt ??= now + this.random.exponential(meanInterval);
-        if (this.nextUnledCallAt + unledCallValidity < now) {
+    takeCallWithoutLeader(entryCount: number, now: Milliseconds): boolean {
+        const meanInterval = 1_000 * entryCount / (fractionWithoutLeader * this.callsPerSecond);
+        this.nextCallWithoutLeaderAt ??= now + this.random.exponential(meanInterval);
+        if (this.nextCallWithoutLeaderAt + validityWithoutLeader < now) {
             // Memoryless: what was not used in time has no effect on later calls.
-            this.nextUnledCallAt = now + this.random.exponential(meanInterval);
+            this.nextCallWithoutLeaderAt = now + this.random.exponential(meanInterval);
         }
-        if (this.nextUnledCallAt > now) {
-            this.recordDenial(this.nextUnledCallAt - now, 0, now);
+        if (this.nextCallWithoutLeaderAt > now) {
+            this.recordDenial(this.nextCallWithoutLeaderAt - now, 0, now);
             return false;
         }
-        this.nextUnledCallAt = now + this.random.exponential(meanInterval);
+        this.nextCallWithoutLeaderAt = now + this.random.exponential(meanInterval);
         return true;
     }
 
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -36,6 +36,10 @@
 
 /** Never decides. */
 class NoLeader extends GrantSource {
+    override get leaderId(): string | undefined {
+        return undefined;
+    }
+
     override requestGrant(): Promise<undefined> {
         return Promise.resolve(undefined);
     }
--- a/tests/request/hosted/limitedCall.test.ts
+++ b/tests/request/hosted/limitedCall.test.ts
@@ -31,6 +31,10 @@
         super();
     }
 
+    override get leaderId(): string {
+        return "leader";
+    }
+
     override requestGrant(endpoint: string): Promise<Grant> {
         this.requested.push(endpoint);
         return Promise.resolve({ isGranted: false, delay: 0, contenders: 1, ...this.decide(endpoint) });
