refactor(hosted): one type for decisions on grants

Cause: the ledger and the entry declared the same shape. Change: GrantDecision is shared; no change of behaviour.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -5,8 +5,8 @@
 import type { EndpointRecord } from "../../process/hosted/endpointRecord.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
-import type { Grant } from "../../process/hosted/entry/grantSource.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
+import type { GrantDecision } from "../../process/hosted/grantDecision.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
 import { splitAddress } from "../../util/socketAddress.js";
@@ -65,7 +65,7 @@
     private sentLimitsVersion = 0;
     private nextGrantNumber = 1;
     /** Resolve the requests for grants without a response so far, by number. */
-    private readonly pendingGrants = new Map<number, (grant: Grant | undefined) => void>();
+    private readonly pendingGrants = new Map<number, (grant: GrantDecision | undefined) => void>();
     private canGrant = false;
     private lastReceivedAt: Milliseconds;
     private hasSentHello = false;
@@ -152,12 +152,12 @@
         endpoint: string,
         maximumDelay: Milliseconds,
         statement: LimitStatement | undefined,
-    ): Promise<Grant | undefined> {
+    ): Promise<GrantDecision | undefined> {
         if (!this.canGrant || this.connection.closed) {
             return undefined;
         }
         const number = this.nextGrantNumber++;
-        const response = new Promise<Grant | undefined>(resolve => {
+        const response = new Promise<GrantDecision | undefined>(resolve => {
             this.pendingGrants.set(number, resolve);
         });
         const timer = setTimeout(() => this.pendingGrants.get(number)?.(undefined), grantTimeout);
--- a/src/process/hosted/control/rateLimitLedger.ts
+++ b/src/process/hosted/control/rateLimitLedger.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
+import type { GrantDecision } from "../grantDecision.js";
 import { enforcedRate } from "../rateLimitPolicy.js";
 import { CallRateBucket } from "./callRateBucket.js";
 
@@ -23,15 +24,6 @@
 /** Time without statements and requests after which an endpoint is forgotten. */
 const forgetTime: Milliseconds = 60_000;
 
-/** Decision on a request for one call. */
-export interface GrantDecision {
-    readonly isGranted: boolean;
-    /** Time until the call may be sent, or until one could be granted. */
-    readonly delay: Milliseconds;
-    /** Number of entries that lately asked for calls to the endpoint. */
-    readonly contenders: number;
-}
-
 /** A statement of one entry; the rate is undefined if no limit was stated. */
 interface RecordedStatement {
     readonly rate: number | undefined;
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -4,9 +4,9 @@
 import type { LimitStatement } from "../../../connection/hosted/rateLimitMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import { splitAddress } from "../../../util/socketAddress.js";
+import type { GrantDecision } from "../grantDecision.js";
 import { heartbeatIntervalFor, selectControls, updateMembers } from "./controlSelection.js";
 import { GrantSource } from "./grantSource.js";
-import type { Grant } from "./grantSource.js";
 
 /** Age of the newest confirmation above which all linked control processes are asked for one, not only the leader. */
 const permitRenewalAge: Milliseconds = 1_000;
@@ -89,7 +89,7 @@
         endpoint: string,
         maximumDelay: Milliseconds,
         statement: LimitStatement | undefined,
-    ): Promise<Grant | undefined> {
+    ): Promise<GrantDecision | undefined> {
         return this.leaderLink?.requestGrant(endpoint, maximumDelay, statement);
     }
 
--- a/src/process/hosted/entry/grantSource.ts
+++ b/src/process/hosted/entry/grantSource.ts
@@ -1,14 +1,6 @@
 import type { LimitStatement } from "../../../connection/hosted/rateLimitMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
-
-/** A leader's decision on a request for one call to an endpoint whose rate is limited. */
-export interface Grant {
-    readonly isGranted: boolean;
-    /** Time until the call may be sent, or, if it was denied, until one could be granted. */
-    readonly delay: Milliseconds;
-    /** Number of entries that lately asked for calls to the endpoint. */
-    readonly contenders: number;
-}
+import type { GrantDecision } from "../grantDecision.js";
 
 /** Asks the leader for calls to endpoints whose rate is limited. */
 export abstract class GrantSource {
@@ -26,5 +18,5 @@
         endpoint: string,
         maximumDelay: Milliseconds,
         statement: LimitStatement | undefined,
-    ): Promise<Grant | undefined>;
+    ): Promise<GrantDecision | undefined>;
 }
--- a/tests/process/hosted/entry/endpointRateLimits.test.ts
+++ b/tests/process/hosted/entry/endpointRateLimits.test.ts
@@ -1,7 +1,7 @@
 import { EventLog } from "../../../../src/logEvent/eventLog.js";
 import { EndpointRateLimits } from "../../../../src/process/hosted/entry/endpointRateLimits.js";
 import { GrantSource } from "../../../../src/process/hosted/entry/grantSource.js";
-import type { Grant } from "../../../../src/process/hosted/entry/grantSource.js";
+import type { GrantDecision } from "../../../../src/process/hosted/grantDecision.js";
 import type { Clock, Milliseconds } from "../../../../src/util/clock.js";
 import { RandomSource } from "../../../../src/util/randomSource.js";
 import { SuspensionDetector } from "../../../../src/util/suspensionDetector.js";
@@ -22,7 +22,7 @@
         return "leader";
     }
 
-    override async requestGrant(): Promise<Grant> {
+    override async requestGrant(): Promise<GrantDecision> {
         await this.clock.sleep(this.delay);
         return { isGranted: true, delay: 0, contenders: 1 };
     }
--- a/tests/process/hosted/entry/limitedFleet.ts
+++ b/tests/process/hosted/entry/limitedFleet.ts
@@ -3,7 +3,7 @@
 import { RateLimitLedger } from "../../../../src/process/hosted/control/rateLimitLedger.js";
 import { EndpointRateLimits } from "../../../../src/process/hosted/entry/endpointRateLimits.js";
 import { GrantSource } from "../../../../src/process/hosted/entry/grantSource.js";
-import type { Grant } from "../../../../src/process/hosted/entry/grantSource.js";
+import type { GrantDecision } from "../../../../src/process/hosted/grantDecision.js";
 import type { StatedRateLimit } from "../../../../src/request/hosted/callTraits.js";
 import type { Milliseconds } from "../../../../src/util/clock.js";
 import { RandomSource } from "../../../../src/util/randomSource.js";
@@ -52,7 +52,7 @@
         endpoint: string,
         maximumDelay: Milliseconds,
         statement: LimitStatement | undefined,
-    ): Promise<Grant | undefined> {
+    ): Promise<GrantDecision | undefined> {
         const { clock } = this.fleet;
         await clock.sleep(networkDelay);
         const { leader } = this.fleet;
--- a/tests/request/hosted/limitedCall.test.ts
+++ b/tests/request/hosted/limitedCall.test.ts
@@ -2,7 +2,7 @@
 import { httpCall } from "../../../src/connection/httpCall.js";
 import type { HttpCallResponse } from "../../../src/connection/httpCall.js";
 import { GrantSource } from "../../../src/process/hosted/entry/grantSource.js";
-import type { Grant } from "../../../src/process/hosted/entry/grantSource.js";
+import type { GrantDecision } from "../../../src/process/hosted/grantDecision.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { formatRequest, openConnection } from "../../connection/leavingCaller.js";
@@ -27,7 +27,7 @@
 class ScriptedGrants extends GrantSource {
     readonly requested: string[] = [];
 
-    constructor(private readonly decide: (endpoint: string) => Partial<Grant>) {
+    constructor(private readonly decide: (endpoint: string) => Partial<GrantDecision>) {
         super();
     }
 
@@ -35,7 +35,7 @@
         return "leader";
     }
 
-    override requestGrant(endpoint: string): Promise<Grant> {
+    override requestGrant(endpoint: string): Promise<GrantDecision> {
         this.requested.push(endpoint);
         return Promise.resolve({ isGranted: false, delay: 0, contenders: 1, ...this.decide(endpoint) });
     }
