fix(request): send denied calls to endpoints without a limit

Cause: a call was refused after four denied grants although an endpoint without a limit had room (found on reading the change). Change: after four denials only endpoints without a limit are considered. Result: the new test failed before (8 passed, 1 failed) and passes.

--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -41,7 +41,7 @@
 /** Number of urgencies; a less urgent call waits shorter for a limited endpoint, and thus is refused first. */
 const urgencyCount = 10;
 
-/** Number of denied grants after which a call is refused. */
+/** Number of denied grants after which a call is not sent to an endpoint whose rate is limited. */
 const maximumDenials = 4;
 
 /** The endpoint chosen for an attempt. */
@@ -159,10 +159,9 @@
     private select(call: AdmittedCall): Selection | undefined {
         const { clock, rateLimits } = this.context;
         const now = clock.now();
-        if (this.denials >= maximumDenials) {
-            return undefined;
-        }
-        const untried = this.untriedEndpoints(call.service);
+        const untried = this.untriedEndpoints(call.service).filter(({ id }) =>
+            this.denials < maximumDenials || !rateLimits.isLimited(id)
+        );
         const probed = this.triedEndpoints.size === 0 && this.denials === 0
             ? untried.find(endpoint => rateLimits.isProbeDue(endpoint.id, now))
             : undefined;
--- a/tests/request/hosted/limitedCall.test.ts
+++ b/tests/request/hosted/limitedCall.test.ts
@@ -111,6 +111,15 @@
         t.deepEqual(entry.received, ["e1"]);
     });
 
+    // Guards against refusals while an endpoint without a limit has room.
+    it("goes to an endpoint without a limit after any number of denials", async t => {
+        const grants = new ScriptedGrants(() => ({ delay: 800 }));
+        const limited = ["e0", "e1", "e2", "e3", "e4", "e5"];
+        await using entry = await LimitedEntry.start([200, 200, 200, 200, 200, 200, 200], limited, grants);
+        t.is((await entry.call()).status, 200);
+        t.deepEqual(entry.received, ["e6"]);
+    });
+
     // Guards against second attempts that no leader counts.
     it("needs a grant for its second attempt too", async t => {
         const grants = new ScriptedGrants(() => ({ isGranted: true }));
