feat(log): tell crashes of endpoints from lost connections, with what their calls share

The logs could not tell whether an endpoint had ended or only its connections, nor what the calls that ran there had in common. An entry that loses calls probes the endpoint once: only a refused connection shows that its process has ended.

--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -77,6 +77,11 @@
         return !this.request.reusedSocket;
     }
 
+    /** Whether the request was aborted on this side. */
+    get isCancelled(): boolean {
+        return this.cancelReason !== undefined;
+    }
+
     /**
      * Whether a response that was read to its end is complete.
      *
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -186,4 +186,16 @@
         text: "An endpoint stated another limit of its calls per second than in its previous response to this entry.",
         fields: ["endpoint", "stated", "callsPerSecond", "isAmbiguous"],
     },
+    endpointCrashObserved: {
+        number: 2467,
+        level: "warn",
+        text: "An endpoint ended while calls of this entry ran at it.",
+        fields: ["endpoint", "calls", "teams", "features"],
+    },
+    endpointConnectionsLost: {
+        number: 2468,
+        level: "info",
+        text: "Calls lost their connections to an endpoint whose process has not demonstrably ended.",
+        fields: ["endpoint", "calls", "state"],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -6,6 +6,7 @@
 import { controlLinkPortOffset } from "../../../connection/hosted/linkMessages.js";
 import { sendFailure, sendJson } from "../../../connection/httpResponse.js";
 import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
+import { probeListener } from "../../../connection/probeListener.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { CallContext } from "../../../request/hosted/callContext.js";
 import { HostedCall } from "../../../request/hosted/hostedCall.js";
@@ -24,6 +25,7 @@
 import type { HostedSettings } from "../hostedSettings.js";
 import { startMetrics } from "../startMetrics.js";
 import { ControlLinks } from "./controlLinks.js";
+import { CrashObserver } from "./crashObserver.js";
 import { DeploymentView } from "./deploymentView.js";
 import { EndpointFleet } from "./endpointFleet.js";
 import { EndpointRateLimits } from "./endpointRateLimits.js";
@@ -45,6 +47,9 @@
 /** Fraction of the shutdown time after which the remaining calls are aborted. */
 const shutdownFraction = 0.94;
 
+/** Time within which the host of an ended endpoint refuses a connection; several times the round-trip time. */
+const crashProbeTimeout: Milliseconds = 250;
+
 /** Polling interval while the running calls finish. */
 const shutdownPollInterval: Milliseconds = 50;
 
@@ -131,6 +136,12 @@
             entryCount: () => this.entryCount,
             rateLimits,
             grantSource: this.controlLinks,
+            crashObserver: new CrashObserver({
+                clock,
+                eventLog,
+                probe: address => probeListener(address, crashProbeTimeout),
+                onCrash: () => undefined,
+            }),
         };
         this.server = this.createServer();
     }
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
+import type { CrashObserver } from "../../process/hosted/entry/crashObserver.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointFleet } from "../../process/hosted/entry/endpointFleet.js";
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
@@ -34,6 +35,7 @@
     readonly rateLimits: EndpointRateLimits;
     /** Asks the leader for calls to endpoints whose rate is limited. */
     readonly grantSource: GrantSource;
+    readonly crashObserver: CrashObserver;
 }
 
 /** A call whose route, service and team have been resolved. */
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -30,7 +30,12 @@
     /** The endpoint ran the call and responded with an error status. */
     | { readonly kind: "failedAnswer"; readonly message: IncomingMessage; readonly body: Buffer; }
     /** The call may have run, but its response is missing or incomplete. */
-    | { readonly kind: "lost"; readonly reason: string; };
+    | {
+        readonly kind: "lost";
+        readonly reason: string;
+        /** Whether the endpoint's side ended the connection, rather than this entry or the deadline. */
+        readonly wasDisconnected: boolean;
+    };
 
 /** Result of an attempt that did not deliver a response to the caller. */
 export type FailedOutcome = Exclude<AttemptOutcome, { kind: "delivered"; }>;
@@ -109,7 +114,7 @@
             return { kind: "notRun", reason: head.reason, cause: "unreached" };
         }
         if (head.kind === "lost") {
-            return head;
+            return this.lost(head.reason);
         }
         const { message, traits } = head;
         this.recordHead(traits);
@@ -123,13 +128,17 @@
         const invalidReason = invalidReasonOf(traits, belongsToOtherCall, isSuccess);
         if (invalidReason !== undefined) {
             this.cancel(invalidReason);
-            return { kind: "lost", reason: invalidReason };
+            return this.lost(invalidReason);
         }
         return isSuccess && this.input.call.route.streaming
             ? this.forwardStream(message)
             : this.forwardBody(message, isSuccess);
     }
 
+    private lost(reason: string): AttemptOutcome {
+        return { kind: "lost", reason, wasDisconnected: !this.exchange.isCancelled };
+    }
+
     private recordHead(traits: ResponseTraits): void {
         const { endpoint } = this.input.placement;
         const now = this.context.clock.now();
@@ -158,7 +167,7 @@
                 }
                 if (!isSuccess) {
                     this.cancel("the body of an error is too long");
-                    return { kind: "lost", reason: "the body of an error is too long" };
+                    return this.lost("the body of an error is too long");
                 }
                 if (!callerResponse.isBodyForwarded) {
                     this.recordResponseStart();
@@ -167,14 +176,14 @@
             }
         }
         catch (error) {
-            return { kind: "lost", reason: error instanceof Error ? error.message : String(error) };
+            return this.lost(error instanceof Error ? error.message : String(error));
         }
         if (callerResponse.isBodyForwarded) {
             return this.endForwarding(message, Buffer.alloc(0));
         }
         this.recordResponseStart();
         if (!this.exchange.isComplete(message)) {
-            return { kind: "lost", reason: "the response ended before it was complete" };
+            return this.lost("the response ended before it was complete");
         }
         const body = Buffer.concat(chunks);
         if (!isSuccess) {
@@ -187,7 +196,7 @@
     private endForwarding(message: IncomingMessage, trailingBytes: Buffer): AttemptOutcome {
         const { callerResponse, earlierExecutions, placement: { endpoint } } = this.input;
         if (!this.exchange.isComplete(message)) {
-            return { kind: "lost", reason: "the response ended before it was complete" };
+            return this.lost("the response ended before it was complete");
         }
         callerResponse.endStream(message, trailingBytes, earlierExecutions + 1, endpoint.id);
         return { kind: "delivered" };
@@ -208,7 +217,7 @@
                 const events = splitter.push(chunk);
                 if (splitter.isEventTooLong) {
                     this.cancel("an event of the stream is too long");
-                    return { kind: "lost", reason: "an event of the stream is too long" };
+                    return this.lost("an event of the stream is too long");
                 }
                 if (events === undefined) {
                     continue;
@@ -221,7 +230,7 @@
             }
         }
         catch (error) {
-            return { kind: "lost", reason: error instanceof Error ? error.message : String(error) };
+            return this.lost(error instanceof Error ? error.message : String(error));
         }
         finally {
             clearInterval(stallTimer);
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -9,6 +9,7 @@
 import { admitCall, withdrawnAdmission } from "./callAdmission.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
 import { CallerResponse } from "./callerResponse.js";
+import { featuresOf } from "./callFeatures.js";
 import type { CallTraits } from "./callTraits.js";
 import { EndpointAttempt } from "./endpointAttempt.js";
 import type { AttemptOutcome, FailedOutcome } from "./endpointAttempt.js";
@@ -61,6 +62,7 @@
 export class HostedCall {
     private readonly traits: CallTraits;
     private readonly arrivedAt: Milliseconds;
+    private readonly features: readonly string[];
     private readonly callerResponse: CallerResponse;
     private readonly triedEndpoints = new Set<HostedEndpoint>();
     private attempt: EndpointAttempt | undefined;
@@ -81,6 +83,7 @@
     ) {
         this.traits = readCallTraits(request.headers);
         this.arrivedAt = context.clock.now();
+        this.features = featuresOf(this.traits.promptSegments);
         const abortSignal = createCallerAbortSignal(request, response);
         this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, abortSignal);
         abortSignal.addEventListener("abort", () => {
@@ -272,7 +275,7 @@
         this.attempt = undefined;
         endpoint.removeCall(outstandingCall);
         this.executions += outcome.kind === "notRun" ? 0 : 1;
-        this.recordOutcome(endpoint, outcome, sentAt);
+        this.recordOutcome(call, endpoint, outcome, sentAt);
         return outcome;
     }
 
@@ -347,7 +350,12 @@
     }
 
     /** Updates the endpoint's health from the outcome of an attempt, and logs a failed one. */
-    private recordOutcome(endpoint: HostedEndpoint, outcome: AttemptOutcome, sentAt: Milliseconds): void {
+    private recordOutcome(
+        { team }: AdmittedCall,
+        endpoint: HostedEndpoint,
+        outcome: AttemptOutcome,
+        sentAt: Milliseconds,
+    ): void {
         const now = this.context.clock.now();
         if (outcome.kind === "delivered") {
             endpoint.recordSuccess();
@@ -365,6 +373,9 @@
         else {
             endpoint.recordFailure(now);
         }
+        if (outcome.kind === "lost" && outcome.wasDisconnected) {
+            this.context.crashObserver.recordLostCall(endpoint, { team: team?.name, features: this.features });
+        }
         this.context.counters.count("attemptFailed");
         this.context.eventLog.write("callAttemptFailed", {
             requestId: this.traits.callId,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -2,6 +2,7 @@
 import { deflateRawSync } from "node:zlib";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
+import { CrashObserver } from "../../../src/process/hosted/entry/crashObserver.js";
 import { DeploymentView } from "../../../src/process/hosted/entry/deploymentView.js";
 import { EndpointFleet } from "../../../src/process/hosted/entry/endpointFleet.js";
 import { EndpointRateLimits } from "../../../src/process/hosted/entry/endpointRateLimits.js";
@@ -73,6 +74,12 @@
             entryCount,
             rateLimits: new EndpointRateLimits({ clock, suspensionDetector, random, eventLog, entryCount }),
             grantSource,
+            crashObserver: new CrashObserver({
+                clock,
+                eventLog,
+                probe: () => Promise.resolve("listening"),
+                onCrash: () => undefined,
+            }),
         };
     }
 
