--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -50,6 +50,7 @@
         private readonly network: number,
         ports: readonly number[],
         private readonly endpointsPerService: number,
+        private readonly furtherListRows: () => readonly object[],
     ) {
         const [first = 0, operator = 0, caller = 0] = ports;
         this.firstInternalPort = first;
@@ -63,15 +64,17 @@
      * @param network Third octet of the loopback addresses, unique among tests that run concurrently.
      * @param respond Responds to a call at the endpoint.
      * @param endpointsPerService Number of endpoints that the platform lists for each service, all at one address.
+     * @param furtherListRows Further rows of the platform's list of endpoints.
      */
     static async start(
         network: number,
         respond: (call: ReceivedCall, response: ServerResponse) => void,
         endpointsPerService = 1,
+        furtherListRows: () => readonly object[] = () => [],
     ): Promise<HostedInstallation> {
         const addresses = await allocateFreeAddresses(3);
         const ports = addresses.map(address => splitAddress(address).port);
-        const installation = new HostedInstallation(network, ports, endpointsPerService);
+        const installation = new HostedInstallation(network, ports, endpointsPerService, furtherListRows);
         await installation.startSimulators(respond);
         await Promise.all([1, 2, 3].map(index => installation.startControl(index, true)));
         await installation.startEntry();
@@ -202,7 +205,8 @@
         }));
         this.platformAddress = await this.serve(createServer((request, response) => {
             request.resume();
-            const instances = ["desk", "engines"].flatMap(service => this.listRowsOf(service));
+            const listed = ["desk", "engines"].flatMap(service => this.listRowsOf(service));
+            const instances = [...listed, ...this.furtherListRows()];
             response.end(JSON.stringify({ instances }));
         }));
     }
