fix(hosted): hold back calls with a prompt segment that crashes endpoints

What callers saw: calls with one segment in their prompts ended each engine that began to answer them, some 18 to 33 in a row, and with each engine the sound calls that ran there.

Cause: each entry placed each call by itself. No entry remembered what a crashed endpoint had been running, and nothing that one entry had seen reached another: harm that depends on what calls hold was counted nowhere. Second attempts were a small part (5 of 117 lost attempts).

Change: entries report crashes, with the features of the calls that had not been answered for long, and calls that turned out sound. The leader counts both (CrashLedger). From three incidents with no sound call in between, it holds back calls with the feature, in the replicated log, for one team or, if others are affected, for all. Entries refuse such calls (GH1623, not run), and let single ones through by the leader's word: at once, after 60 s, after 10 minutes. A sound one releases them.

Why it works: the cause is in each of the crashes and never in a sound call, while each companion is cleared by sound calls elsewhere.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -3,6 +3,7 @@
 import { match } from "ts-pattern";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EndpointRecord } from "../../process/hosted/endpointRecord.js";
+import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
@@ -29,6 +30,9 @@
 /** Time within which the leader must respond to a request for a grant; several times the round-trip time. */
 const grantTimeout: Milliseconds = 150;
 
+/** Time within which the leader must respond to a request for a trial, which it stores in the log before. */
+const trialTimeout: Milliseconds = 600;
+
 /** Dependencies and callbacks that all control links of an entry share. */
 export interface ControlLinkContext {
     readonly entry: string;
@@ -52,6 +56,7 @@
     readonly onControlHosts: (hosts: readonly string[], leaderHost: string | undefined) => void;
     readonly onEntryCount: (entries: number) => void;
     readonly rateLimits: EndpointRateLimits;
+    readonly quarantine: CallQuarantine;
 }
 
 /** Connection of this entry to one control process. */
@@ -67,6 +72,11 @@
     /** Resolve the requests for grants without a response so far, by number. */
     private readonly pendingGrants = new Map<number, (grant: GrantDecision | undefined) => void>();
     private canGrant = false;
+    private nextTrialNumber = 1;
+    /** Resolve the requests for trials without a response so far, by number. */
+    private readonly pendingTrials = new Map<number, (isGranted: boolean) => void>();
+    private understandsEvidence = false;
+    private sentEvidenceVersion = 0;
     private lastReceivedAt: Milliseconds;
     private hasSentHello = false;
     private hasResponded = false;
@@ -106,6 +116,9 @@
         this.pendingGrants.forEach(resolve => {
             resolve(undefined);
         });
+        this.pendingTrials.forEach(resolve => {
+            resolve(false);
+        });
         if (this.hasSentHello) {
             this.context.eventLog.write("controlLinkEnded", { address: this.address, reason: this.closeReason });
         }
@@ -174,6 +187,35 @@
         return grant;
     }
 
+    /** Asks the control process whether a call that is held back may be let through; false if it does not decide in time. */
+    async requestTrial(service: string, feature: string): Promise<boolean> {
+        if (!this.understandsEvidence || this.connection.closed) {
+            return false;
+        }
+        const number = this.nextTrialNumber++;
+        const response = new Promise<boolean>(resolve => {
+            this.pendingTrials.set(number, resolve);
+        });
+        const timer = setTimeout(() => this.pendingTrials.get(number)?.(false), trialTimeout);
+        this.send({ kind: "trialRequest", number, service, feature });
+        const isGranted = await response;
+        clearTimeout(timer);
+        this.pendingTrials.delete(number);
+        return isGranted;
+    }
+
+    /** Sends what this entry learnt about crashes since the previous message, if the control process understands it. */
+    sendEvidence(now: Milliseconds): void {
+        const { quarantine } = this.context;
+        const evidence = this.understandsEvidence && !this.connection.closed
+            ? quarantine.evidenceSince(this.sentEvidenceVersion, now)
+            : undefined;
+        if (evidence !== undefined) {
+            this.sentEvidenceVersion = quarantine.version;
+            this.send(evidence);
+        }
+    }
+
     /** Closes the connection; the reason is logged. */
     close(reason: string): void {
         this.closeReason = reason;
@@ -191,6 +233,7 @@
             failureDomain,
             callerAddress,
             version: view.version,
+            understandsHolds: true,
         });
         eventLog.write("controlLinkBegan", { address: this.address });
         this.sendHeartbeat(true, 0, this.context.clock.now());
@@ -214,6 +257,18 @@
             .with({ kind: "grant" }, ({ number, isDecided, ...grant }) => {
                 this.pendingGrants.get(number)?.(isDecided ? grant : undefined);
             })
+            .with({ kind: "holds" }, ({ revision, holds }) => {
+                const now = this.context.clock.now();
+                this.context.quarantine.applyHolds(revision, holds, now);
+                this.understandsEvidence = true;
+                this.sendEvidence(now);
+            })
+            .with({ kind: "suspects" }, ({ suspects }) => {
+                this.context.quarantine.applySuspects(suspects, this.context.clock.now());
+            })
+            .with({ kind: "trial" }, ({ number, isGranted }) => {
+                this.pendingTrials.get(number)?.(isGranted);
+            })
             .with({ kind: "presence" }, () => {
                 this.close("received a message that only control processes may receive");
             })
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -3,12 +3,14 @@
 import type { EndpointListSnapshot } from "../../process/hosted/control/endpointListPoller.js";
 import type { EntryRegistry } from "../../process/hosted/control/entryRegistry.js";
 import type { StoredDocument } from "../../process/hosted/control/hostedState.js";
+import type { QuarantineDuty } from "../../process/hosted/control/quarantineDuty.js";
 import type { RateLimitLedger } from "../../process/hosted/control/rateLimitLedger.js";
 import type { Clock } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
 import { MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
+import type { TrialRequest } from "./quarantineMessages.js";
 import type { GrantRequest } from "./rateLimitMessages.js";
 
 /** Maximum size of a frame from an entry, in bytes. */
@@ -30,6 +32,9 @@
     readonly rateLimits: RateLimitLedger;
     /** Whether this process leads, holds its lease, and may thus grant calls. */
     readonly mayGrant: () => boolean;
+    readonly quarantine: QuarantineDuty;
+    /** Increases with each change of the calls that are held back. */
+    readonly holdsRevision: () => number;
 }
 
 /** Server side of a link: a connection from an entry, or from another control process that observes the entries. */
@@ -37,6 +42,8 @@
     private readonly connection: MessageConnection;
     private hello: EntryHello | undefined;
     private sentVersion = 0;
+    private sentHoldsRevision: number | undefined;
+    private sentSuspects = "";
     private isObserver = false;
 
     constructor(socket: Socket, private readonly context: EntryLinkContext) {
@@ -81,6 +88,25 @@
         }
     }
 
+    /** Sends which calls are held back, unless the entry has been told. */
+    pushHolds(): void {
+        const revision = this.context.holdsRevision();
+        if (this.hello?.understandsHolds === true && revision !== this.sentHoldsRevision) {
+            this.sentHoldsRevision = revision;
+            this.send({ kind: "holds", revision, holds: this.context.quarantine.heldFeatures() });
+        }
+    }
+
+    /** Sends the suspects if this process leads, unless the entry has been told. */
+    pushSuspects(): void {
+        const suspects = this.context.quarantine.suspects() ?? [];
+        const digest = suspects.map(({ service, feature, incidents }) => `${service} ${feature} ${incidents}`).join();
+        if (this.hello?.understandsHolds === true && digest !== this.sentSuspects) {
+            this.sentSuspects = digest;
+            this.send({ kind: "suspects", suspects });
+        }
+    }
+
     /** Sends the entries that are linked to this control process, if the other side is an observing control process. */
     pushPresence(): void {
         if (this.isObserver) {
@@ -107,6 +133,12 @@
                 }
                 this.respondToGrantRequest(message, this.hello);
                 return true;
+            case "evidence":
+                this.context.quarantine.recordEvidence(message);
+                return this.hello !== undefined;
+            case "trialRequest":
+                void this.respondToTrialRequest(message);
+                return this.hello !== undefined;
             case "beat":
                 if (this.hello === undefined) {
                     return false;
@@ -125,6 +157,7 @@
         const { entry, incarnation, version } = hello;
         this.context.eventLog.write("entryLinkBegan", { entry, incarnation, version });
         this.pushDocument();
+        this.pushHolds();
         this.pushEndpoints();
         return true;
     }
@@ -143,6 +176,12 @@
         this.send({ kind: "grant", number, isDecided, ...decision });
     }
 
+    private async respondToTrialRequest({ number, service, feature }: TrialRequest): Promise<void> {
+        const { mayGrant, quarantine } = this.context;
+        const isGranted = mayGrant() && await quarantine.requestTrial(service, feature);
+        this.send({ kind: "trial", number, isGranted });
+    }
+
     private async respondToHeartbeat(heartbeat: EntryHeartbeat, hello: EntryHello): Promise<void> {
         const { clock, medianClock, registry, confirmVersion, rateLimits } = this.context;
         const now = clock.now();
@@ -155,6 +194,8 @@
         const confirmedVersion = heartbeat.wantsPermit ? await confirmVersion() : undefined;
         const isLeader = this.context.isLeader();
         this.pushDocument();
+        this.pushHolds();
+        this.pushSuspects();
         this.send({
             kind: "beatAnswer",
             number: heartbeat.number,
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -1,5 +1,12 @@
 import { z } from "zod";
 import { bytesSchema } from "../../util/bytesSchema.js";
+import {
+    evidenceSchema,
+    holdsSchema,
+    suspectsSchema,
+    trialRequestSchema,
+    trialResponseSchema,
+} from "./quarantineMessages.js";
 import {
     enforcedLimitSchema,
     grantRequestSchema,
@@ -43,6 +50,8 @@
         callerAddress: shortTextSchema,
         /** Version of the entry's configuration; 0 if it has none. */
         version: countSchema,
+        /** Whether the entry understands which calls are held back. */
+        understandsHolds: z.boolean().optional(),
     }),
     z.object({
         kind: z.literal("beat"),
@@ -66,6 +75,8 @@
         limits: z.array(limitStatementSchema).readonly().optional(),
     }),
     grantRequestSchema,
+    evidenceSchema,
+    trialRequestSchema,
     z.object({
         /** Subscribes a control process to the entries that are linked to the receiver. */
         kind: z.literal("observe"),
@@ -143,6 +154,9 @@
         limits: z.array(enforcedLimitSchema).readonly().optional(),
     }),
     grantResponseSchema,
+    holdsSchema,
+    suspectsSchema,
+    trialResponseSchema,
     z.object({
         kind: z.literal("endpoints"),
         /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -122,6 +122,30 @@
         text: "The leader does not limit the calls to an endpoint any more.",
         fields: ["endpoint"],
     },
+    callsHeldBack: {
+        number: 2437,
+        level: "warn",
+        text: "Calls with a feature are held back because endpoints crash under them.",
+        fields: ["service", "feature", "teams", "endpoints"],
+    },
+    holdTrialBegan: {
+        number: 2438,
+        level: "info",
+        text: "One of the calls that are held back is let through, to learn whether endpoints still crash.",
+        fields: ["service", "feature", "trials"],
+    },
+    holdTrialFailed: {
+        number: 2439,
+        level: "warn",
+        text: "An endpoint crashed under a call that was let through.",
+        fields: ["service", "feature", "endpoint", "trials"],
+    },
+    callsReleased: {
+        number: 2441,
+        level: "info",
+        text: "Calls with a feature are not held back any more.",
+        fields: ["service", "feature", "reason"],
+    },
     usageWindowSealed: {
         number: 2440,
         level: "info",
@@ -160,7 +184,7 @@
         number: 2462,
         level: "info",
         text: "A call was rejected without having run.",
-        fields: ["requestId", "team", "route", "code", "version", "permitAge", "waited", "retryAfter"],
+        fields: ["requestId", "team", "route", "code", "version", "permitAge", "waited", "retryAfter", "feature"],
     },
     callFailed: {
         number: 2463,
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -33,6 +33,7 @@
 import type { HostedCommand, HostedOutcome } from "./hostedState.js";
 import { OrderDuty } from "./orderDuty.js";
 import { PresenceLinks } from "./presenceLinks.js";
+import { QuarantineDuty } from "./quarantineDuty.js";
 import { RateLimitLedger } from "./rateLimitLedger.js";
 import { SharedConfirmation } from "./sharedConfirmation.js";
 import { UsageDuty } from "./usageDuty.js";
@@ -49,6 +50,12 @@
 /** Number of past usage windows whose counts are kept; a window is sealed long before its counts are dropped. */
 const retainedWindows = 14;
 
+/** Minimum time between two messages with suspects to the same entry. */
+const minimumSuspectsPushInterval: Milliseconds = 50;
+
+/** The same time for each entry that is linked; the longer one applies. */
+const suspectsPushTimePerEntry: Milliseconds = 5;
+
 type HostedLog = ReplicatedLog<HostedCommand, HostedOutcome>;
 
 /**
@@ -69,6 +76,9 @@
     private parsedVersion = 0;
     private pendingDocumentPush: NodeJS.Immediate | undefined;
     private pendingPresencePush: NodeJS.Immediate | undefined;
+    private pendingHoldsPush: NodeJS.Immediate | undefined;
+    private isSuspectsPushPending = false;
+    private quarantine: QuarantineDuty | undefined;
     private readonly state = new HostedState(() => {
         // Coalesces changes applied in the same turn: entries need only the newest version.
         this.pendingDocumentPush ??= setImmediate(() => {
@@ -77,6 +87,13 @@
                 link.pushDocument();
             });
         });
+    }, () => {
+        this.pendingHoldsPush ??= setImmediate(() => {
+            this.pendingHoldsPush = undefined;
+            this.links.forEach(link => {
+                link.pushHolds();
+            });
+        });
     });
 
     constructor(
@@ -100,7 +117,18 @@
         const confirmation = new SharedConfirmation(log, state, clock);
         const documents = new DocumentService({ log, state, confirmation, clock, eventLog, operatorAddress });
         const endpointPoller = this.startEndpointPoller(log);
-        await this.listenForEntries(log, confirmation, endpointPoller);
+        const quarantine = new QuarantineDuty({
+            log,
+            state,
+            clock,
+            unixNow: () => this.medianClock.medianUnixTime(clock),
+            eventLog,
+            onSuspectsChange: () => {
+                this.scheduleSuspectsPush();
+            },
+        });
+        this.quarantine = quarantine;
+        await this.listenForEntries(log, confirmation, endpointPoller, quarantine);
         for (const address of [operatorAddress, resolutionAddress]) {
             if (address !== undefined && address !== "") {
                 await this.serve(
@@ -116,7 +144,7 @@
             }
         }
         await this.serveMetrics(log, endpointPoller);
-        this.runDuties(log, endpointPoller);
+        this.runDuties(log, endpointPoller, quarantine);
         void this.pruneUsageCounts();
     }
 
@@ -172,6 +200,7 @@
         log: HostedLog,
         confirmation: SharedConfirmation,
         endpointPoller: EndpointListPoller,
+        quarantine: QuarantineDuty,
     ): Promise<void> {
         const { clock, eventLog, medianClock, rateLimits, registry, state, suspensionDetector } = this;
         const memberHosts = (): readonly string[] =>
@@ -192,6 +221,8 @@
             controlHosts: memberHosts,
             leaderHost,
             rateLimits,
+            quarantine,
+            holdsRevision: () => state.holdsRevision,
             mayGrant: () =>
                 log.lease(clock.now(), 0) !== undefined
                 && suspensionDetector.timeSinceSuspension() >= defaultLogTiming.leaseDuration,
@@ -225,6 +256,21 @@
         });
     }
 
+    /** Tells entries the suspects; less often the more entries there are, so that the leader's link bears it. */
+    private scheduleSuspectsPush(): void {
+        if (this.isSuspectsPushPending) {
+            return;
+        }
+        this.isSuspectsPushPending = true;
+        const delay = Math.max(minimumSuspectsPushInterval, this.links.size * suspectsPushTimePerEntry);
+        void this.clock.sleep(delay, this.shutdownController.signal).then(() => {
+            this.isSuspectsPushPending = false;
+            this.links.forEach(link => {
+                link.pushSuspects();
+            });
+        });
+    }
+
     private async serveMetrics(log: HostedLog, endpointPoller: EndpointListPoller): Promise<void> {
         const { state, registry, clock } = this;
         const gauges = (): Readonly<Record<string, number>> => {
@@ -248,6 +294,7 @@
                         writer.sample(`gullhall_${name}`, {}, value);
                     }
                     this.rateLimits.write(writer);
+                    this.quarantine?.write(writer);
                     return writer.toString();
                 },
                 state: gauges,
@@ -293,7 +340,7 @@
     }
 
     /** Runs the leader's tasks towards the platform in each term in which this process leads. */
-    private runDuties(log: HostedLog, endpointPoller: EndpointListPoller): void {
+    private runDuties(log: HostedLog, endpointPoller: EndpointListPoller, quarantine: QuarantineDuty): void {
         const { state, registry, clock, eventLog, medianClock, suspensionDetector } = this;
         const { name, bounds, platform } = this.settings();
         const dutyLease = new DutyLease(
@@ -332,6 +379,7 @@
                 eventLog,
             });
             return [
+                (signal: AbortSignal) => quarantine.run(signal),
                 ...platform.reportsUsage ? [(signal: AbortSignal) => usage.run(signal)] : [],
                 ...platform.ordersEndpoints ? [(signal: AbortSignal) => orders.run(signal)] : [],
             ];
--- a/src/process/hosted/control/hostedState.ts
+++ b/src/process/hosted/control/hostedState.ts
@@ -1,9 +1,14 @@
 import { StateMachine } from "../../replicatedLog/commandLog.js";
 import { decodeValue, encodeValue } from "../../replicatedLog/recordCodec.js";
+import type { FeatureHold } from "../featureHold.js";
+import { featureKey } from "../featureHold.js";
 
 /** Number of sealed usage windows kept in the state; the report of each is due long before it is dropped. */
 const retainedWindows = 40;
 
+/** Maximum number of features whose calls are held back; the oldest ones give way. */
+const maximumHolds = 64;
+
 /** Number of calls started in a usage window, by team. */
 export type TeamCounts = Readonly<Record<string, number>>;
 
@@ -26,7 +31,10 @@
 export type HostedCommand =
     | { readonly kind: "replaceDocument"; readonly document: StoredDocument; }
     | { readonly kind: "sealWindow"; readonly window: number; readonly counts: TeamCounts; }
-    | { readonly kind: "windowReported"; readonly window: number; };
+    | { readonly kind: "windowReported"; readonly window: number; }
+    /** Holds back calls, or replaces what is stored about calls that are held back. */
+    | { readonly kind: "holdCalls"; readonly hold: FeatureHold; }
+    | { readonly kind: "releaseCalls"; readonly service: string; readonly feature: string; };
 
 /** Result of applying a command. */
 export interface HostedOutcome {
@@ -37,15 +45,26 @@
 interface HostedStateSnapshot {
     readonly document: StoredDocument | undefined;
     readonly windows: readonly SealedCounts[];
+    /** Absent in snapshots of earlier versions. */
+    readonly holds?: readonly FeatureHold[];
+    readonly holdsRevision?: number;
 }
 
 /** Replicated state of the control processes of a hosted installation. */
 export class HostedState extends StateMachine<HostedCommand, HostedOutcome> {
     private current: StoredDocument | undefined;
     private readonly sealed = new Map<number, SealedCounts>();
-
-    /** @param onDocumentChange Called after the configuration has changed. */
-    constructor(private readonly onDocumentChange: () => void) {
+    private readonly held = new Map<string, FeatureHold>();
+    private revision = 0;
+
+    /**
+     * @param onDocumentChange Called after the configuration has changed.
+     * @param onHoldsChange Called after it has changed which calls are held back.
+     */
+    constructor(
+        private readonly onDocumentChange: () => void,
+        private readonly onHoldsChange: () => void = () => undefined,
+    ) {
         super();
     }
 
@@ -63,6 +82,20 @@
         return [...this.sealed.values()].sort((a, b) => a.window - b.window);
     }
 
+    /** Features of calls that are held back, the oldest first. */
+    get holds(): readonly FeatureHold[] {
+        return [...this.held.values()];
+    }
+
+    /** Increases with each change of {@link holds}. */
+    get holdsRevision(): number {
+        return this.revision;
+    }
+
+    findHold(service: string, feature: string): FeatureHold | undefined {
+        return this.held.get(featureKey({ service, feature }));
+    }
+
     override apply(command: HostedCommand): HostedOutcome {
         switch (command.kind) {
             case "replaceDocument":
@@ -74,12 +107,24 @@
             case "windowReported":
                 this.markReported(command.window);
                 break;
+            case "holdCalls":
+                this.hold(command.hold);
+                break;
+            case "releaseCalls":
+                this.held.delete(featureKey(command));
+                this.recordHoldsChange();
+                break;
         }
         return { version: this.version };
     }
 
     override snapshot(): Uint8Array {
-        const state: HostedStateSnapshot = { document: this.current, windows: this.windows };
+        const state: HostedStateSnapshot = {
+            document: this.current,
+            windows: this.windows,
+            holds: this.holds,
+            holdsRevision: this.revision,
+        };
         return encodeValue(state);
     }
 
@@ -88,7 +133,11 @@
         this.current = restored.document ?? undefined;
         this.sealed.clear();
         restored.windows.forEach(window => this.sealed.set(window.window, window));
+        this.held.clear();
+        restored.holds?.forEach(hold => this.held.set(featureKey(hold), hold));
+        this.revision = restored.holdsRevision ?? 0;
         this.onDocumentChange();
+        this.onHoldsChange();
     }
 
     /** Ignores a document whose version is not higher than the current one, such as one that arrives out of order. */
@@ -115,4 +164,17 @@
             this.sealed.set(window, { ...known, isReported: true });
         }
     }
+
+    private hold(hold: FeatureHold): void {
+        this.held.set(featureKey(hold), hold);
+        for (const oldest of this.holds.slice(0, -maximumHolds)) {
+            this.held.delete(featureKey(oldest));
+        }
+        this.recordHoldsChange();
+    }
+
+    private recordHoldsChange(): void {
+        this.revision++;
+        this.onHoldsChange();
+    }
 }
--- /dev/null
+++ b/src/process/hosted/control/quarantineDuty.ts
@@ -0,0 +1,257 @@
+import type { CrashReport, Evidence, HeldFeature, Suspect } from "../../../connection/hosted/quarantineMessages.js";
+import type { EventLog } from "../../../logEvent/eventLog.js";
+import type { Clock, Milliseconds, UnixMilliseconds } from "../../../util/clock.js";
+import { SerialQueue } from "../../../util/serialQueue.js";
+import { withTimeout } from "../../../util/withTimeout.js";
+import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
+import type { CommandLog } from "../../replicatedLog/commandLog.js";
+import type { FeatureHold } from "../featureHold.js";
+import { CrashLedger } from "./crashLedger.js";
+import type { CrashVerdict } from "./crashLedger.js";
+import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
+
+/** Time from a failed trial to the next one, by the number of trials so far; after the last, an operator decides. */
+const trialIntervals: readonly Milliseconds[] = [60_000, 600_000];
+
+/** Longest time between two trials whose outcomes remain unknown. */
+const longestTrialInterval: Milliseconds = 600_000;
+
+/** Time after which another trial may begin if the outcome of the first one remains unknown. */
+const trialTimeout: Milliseconds = 5_000;
+
+/** Timeout of a commit. */
+const commitTimeout: Milliseconds = 850;
+
+/** Interval between two evaluations of the evidence while there is any. */
+const evaluationInterval: Milliseconds = 200;
+
+/** Maximum number of crashed endpoints that are stored with a hold. */
+const maximumStoredEndpoints = 16;
+
+/** Dependencies of {@link QuarantineDuty}. */
+export interface QuarantineDutyOptions {
+    readonly log: CommandLog<HostedCommand, HostedOutcome>;
+    readonly state: HostedState;
+    readonly clock: Clock;
+    /** Wall-clock time that does not depend on the clock of this VM alone. */
+    readonly unixNow: () => UnixMilliseconds;
+    readonly eventLog: EventLog;
+    /** Called when the suspects may have changed. */
+    readonly onSuspectsChange: () => void;
+}
+
+/**
+ * Holds back calls under which endpoints crash, lets single ones through to learn whether that has ended, and releases
+ * them.
+ *
+ * All control processes record evidence; the leader decides. Its decisions are in the log before they take effect, so that
+ * neither a change of leader nor the restart of all processes lets the calls through.
+ */
+export class QuarantineDuty {
+    private readonly ledger = new CrashLedger();
+    private readonly decisions = new SerialQueue();
+    private crashes = 0;
+
+    constructor(private readonly options: QuarantineDutyOptions) {}
+
+    /** The features whose calls are held back, for entries. */
+    heldFeatures(): readonly HeldFeature[] {
+        const now = this.options.unixNow();
+        return this.options.state.holds.map(
+            ({ service, feature, teams, firstCrashAt, nextTrialAt, isTrialRunning }) => {
+                return {
+                    service,
+                    feature,
+                    age: Math.max(0, now - firstCrashAt),
+                    isTrialRunning,
+                    ...teams === undefined ? {} : { teams },
+                    ...nextTrialAt === undefined ? {} : { trialIn: Math.max(0, nextTrialAt - now) },
+                };
+            },
+        );
+    }
+
+    /** The leader's strongest suspects; undefined while this process does not lead. */
+    suspects(): readonly Suspect[] | undefined {
+        const { log, clock } = this.options;
+        return log.leadingTerm() === undefined ? undefined : this.ledger.suspects(clock.now());
+    }
+
+    /** Records what an entry reports, and decides on it. */
+    recordEvidence({ crashes, sound }: Pick<Evidence, "crashes" | "sound">): void {
+        const now = this.options.clock.now();
+        crashes.forEach(crash => {
+            this.crashes++;
+            this.ledger.recordCrash(crash, now);
+        });
+        sound.forEach(report => {
+            this.ledger.recordSound(report, now);
+        });
+        this.options.onSuspectsChange();
+        void this.decisions.run(async () => {
+            for (const report of sound) {
+                await this.releaseIfSound(report.service, report.feature, report.age);
+            }
+            for (const crash of crashes) {
+                await this.recordCrashOfHeldCalls(crash);
+            }
+            await this.holdBack();
+        });
+    }
+
+    /** Evaluates the evidence again from time to time until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            if (this.ledger.size > 0) {
+                await this.decisions.run(() => this.holdBack());
+            }
+            await this.options.clock.sleep(evaluationInterval, signal);
+        }
+    }
+
+    /** Decides whether one call that is held back may be let through now. */
+    requestTrial(service: string, feature: string): Promise<boolean> {
+        return this.decisions.run(async () => {
+            const { state, unixNow, eventLog, log } = this.options;
+            if (log.leadingTerm() === undefined) {
+                return false;
+            }
+            const hold = state.findHold(service, feature);
+            if (hold === undefined) {
+                return true;
+            }
+            const now = unixNow();
+            if (now < (hold.nextTrialAt ?? Infinity)) {
+                return false;
+            }
+            const trials = hold.trials + 1;
+            const timeout = trials === 1 ? trialTimeout : trialIntervals[trials - 2] ?? longestTrialInterval;
+            const isStored = await this.store({ ...hold, trials, isTrialRunning: true, nextTrialAt: now + timeout });
+            if (isStored) {
+                eventLog.write("holdTrialBegan", { service, feature, trials });
+            }
+            return isStored;
+        });
+    }
+
+    /** Releases calls by an operator's decision; undefined if that could not be stored. */
+    release(service: string, feature: string): Promise<boolean | undefined> {
+        return this.decisions.run(async () => {
+            if (this.options.state.findHold(service, feature) === undefined) {
+                return false;
+            }
+            return await this.endHold(service, feature, "operator") ? true : undefined;
+        });
+    }
+
+    write(writer: ExpositionWriter): void {
+        writer.family(
+            "gullhall_crash_reports_total",
+            "counter",
+            "Crashes of endpoints, once for each entry that lost calls.",
+        );
+        writer.sample("gullhall_crash_reports_total", {}, this.crashes);
+        writer.family(
+            "gullhall_hold_trials",
+            "gauge",
+            "Features of calls that are held back, and their trials so far.",
+        );
+        for (const { service, feature, trials } of this.options.state.holds) {
+            writer.sample("gullhall_hold_trials", { service, feature }, trials);
+        }
+    }
+
+    /** Holds back the calls whose features the evidence shows as causes. */
+    private async holdBack(): Promise<void> {
+        const { clock, state, log } = this.options;
+        if (log.leadingTerm() === undefined) {
+            return;
+        }
+        for (const verdict of this.ledger.verdicts(state.holds, clock.now())) {
+            await this.hold(verdict);
+        }
+    }
+
+    private async hold({ service, feature, teams, crashedEndpoints, firstCrashAt }: CrashVerdict): Promise<void> {
+        const { clock, unixNow, eventLog } = this.options;
+        const heldAt = unixNow();
+        const isStored = await this.store({
+            service,
+            feature,
+            teams: teams.length > 1 ? undefined : teams,
+            crashedEndpoints: crashedEndpoints.slice(-maximumStoredEndpoints),
+            firstCrashAt: heldAt - (clock.now() - firstCrashAt),
+            heldAt,
+            trials: 0,
+            isTrialRunning: false,
+            // The first trial may begin at once: it soon shows if the evidence was misleading.
+            nextTrialAt: heldAt,
+        });
+        if (isStored) {
+            eventLog.write("callsHeldBack", {
+                service,
+                feature,
+                teams: teams.join(" "),
+                endpoints: crashedEndpoints.join(" "),
+            });
+        }
+    }
+
+    /** Takes a crash under calls that are held back for a failed trial, and for evidence against further teams. */
+    private async recordCrashOfHeldCalls({ endpoint, service, calls, age }: CrashReport): Promise<void> {
+        const { state, log, eventLog, unixNow } = this.options;
+        for (const hold of log.leadingTerm() === undefined ? [] : state.holds) {
+            const affected = calls.filter(({ features }) => features.includes(hold.feature));
+            const isKnown = hold.crashedEndpoints.includes(endpoint);
+            if (hold.service !== service || affected.length === 0) {
+                continue;
+            }
+            const concernsOthers = affected.some(({ team = "" }) => hold.teams?.includes(team) === false);
+            if (isKnown && !concernsOthers) {
+                continue;
+            }
+            const hasTrialFailed = hold.isTrialRunning && unixNow() - age > hold.heldAt;
+            const interval = trialIntervals[hold.trials - 1];
+            const nextTrialAt = interval === undefined ? undefined : unixNow() + interval;
+            await this.store({
+                ...hold,
+                teams: concernsOthers ? undefined : hold.teams,
+                crashedEndpoints: [...hold.crashedEndpoints, ...isKnown ? [] : [endpoint]].slice(
+                    -maximumStoredEndpoints,
+                ),
+                ...hasTrialFailed ? { isTrialRunning: false, nextTrialAt } : {},
+            });
+            if (hasTrialFailed) {
+                eventLog.write("holdTrialFailed", { service, feature: hold.feature, endpoint, trials: hold.trials });
+            }
+        }
+    }
+
+    /** Releases calls with a feature if one that was sent after the first crash turned out sound. */
+    private async releaseIfSound(service: string, feature: string, age: Milliseconds): Promise<void> {
+        const { state, log, unixNow } = this.options;
+        const hold = state.findHold(service, feature);
+        if (hold !== undefined && log.leadingTerm() !== undefined && unixNow() - age > hold.firstCrashAt) {
+            await this.endHold(service, feature, "sound");
+        }
+    }
+
+    private async endHold(service: string, feature: string, reason: "sound" | "operator"): Promise<boolean> {
+        const isStored = await this.propose({ kind: "releaseCalls", service, feature });
+        if (isStored) {
+            this.ledger.forget(service, feature);
+            this.options.eventLog.write("callsReleased", { service, feature, reason });
+        }
+        return isStored;
+    }
+
+    private store(hold: FeatureHold): Promise<boolean> {
+        return this.propose({ kind: "holdCalls", hold });
+    }
+
+    private async propose(command: HostedCommand): Promise<boolean> {
+        const { log, clock } = this.options;
+        const committed = await withTimeout(clock, commitTimeout, signal => log.propose(command, signal));
+        return committed.ok;
+    }
+}
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -93,6 +93,18 @@
         return this.leaderLink?.requestGrant(endpoint, maximumDelay, statement);
     }
 
+    /** Sends new evidence on all links: any control process may become leader. */
+    sendEvidence(): void {
+        const now = this.context.clock.now();
+        this.links.links.forEach(link => {
+            link.sendEvidence(now);
+        });
+    }
+
+    override async requestTrial(service: string, feature: string): Promise<boolean> {
+        return await this.leaderLink?.requestTrial(service, feature) ?? false;
+    }
+
     private get leaderLink(): ControlLink | undefined {
         return this.links.links.find(link => link.isLeader);
     }
--- a/src/process/hosted/entry/grantSource.ts
+++ b/src/process/hosted/entry/grantSource.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "../../../util/clock.js";
 import type { GrantDecision } from "../grantDecision.js";
 
-/** Asks the leader for calls to endpoints whose rate is limited. */
+/** Asks the leader for permission to send calls that all entries together must limit. */
 export abstract class GrantSource {
     /** Identifies the process that leads, as far as this entry knows; undefined if none is known. */
     abstract get leaderId(): string | undefined;
@@ -19,4 +19,12 @@
         maximumDelay: Milliseconds,
         statement: LimitStatement | undefined,
     ): Promise<GrantDecision | undefined>;
+
+    /**
+     * Asks whether a call that is held back may be let through.
+     *
+     * @param feature Feature because of which calls to the service are held back.
+     * @returns False also if no leader decides in time.
+     */
+    abstract requestTrial(service: string, feature: string): Promise<boolean>;
 }
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -24,6 +24,7 @@
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
 import { startMetrics } from "../startMetrics.js";
+import { CallQuarantine } from "./callQuarantine.js";
 import { ControlLinks } from "./controlLinks.js";
 import { CrashObserver } from "./crashObserver.js";
 import { DeploymentView } from "./deploymentView.js";
@@ -91,6 +92,9 @@
             eventLog,
             entryCount: () => this.entryCount,
         });
+        const quarantine = new CallQuarantine(() => {
+            this.controlLinks.sendEvidence();
+        });
         this.controlLinks = new ControlLinks(
             {
                 entry: name,
@@ -104,6 +108,7 @@
                 view: this.view,
                 usageCounts,
                 rateLimits,
+                quarantine,
                 isReady: () => this.isReady(),
                 ownWork: now => this.callContext.chooser.ownWork(now),
                 onTotalWork: work => {
@@ -140,8 +145,11 @@
                 clock,
                 eventLog,
                 probe: address => probeListener(address, crashProbeTimeout),
-                onCrash: () => undefined,
+                onCrash: crash => {
+                    quarantine.recordCrash(crash, clock.now());
+                },
             }),
+            quarantine,
         };
         this.server = this.createServer();
     }
@@ -164,7 +172,7 @@
     }
 
     private async serveMetrics(): Promise<void> {
-        const { view, counters, rateLimits } = this.callContext;
+        const { view, counters, rateLimits, quarantine } = this.callContext;
         const eventLoopDelay = this.disposables.add(new EventLoopDelayMonitor(this.clock));
         const metrics = this.disposables.add(
             new MetricsServer({
@@ -173,6 +181,7 @@
                     counters.write(writer);
                     eventLoopDelay.write(writer);
                     rateLimits.write(writer);
+                    quarantine.write(writer);
                     writer.family("gullhall_version", "gauge", "Version of the configuration in force.");
                     writer.sample("gullhall_version", {}, view.version);
                     writer.family("gullhall_running_calls", "gauge", "Calls that are under way.");
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
+import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { CrashObserver } from "../../process/hosted/entry/crashObserver.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointFleet } from "../../process/hosted/entry/endpointFleet.js";
@@ -33,9 +34,10 @@
     /** Number of entries that are currently serving. */
     readonly entryCount: () => number;
     readonly rateLimits: EndpointRateLimits;
-    /** Asks the leader for calls to endpoints whose rate is limited. */
+    /** Asks the leader for calls to endpoints whose rate is limited, and for calls that are held back. */
     readonly grantSource: GrantSource;
     readonly crashObserver: CrashObserver;
+    readonly quarantine: CallQuarantine;
 }
 
 /** A call whose route, service and team have been resolved. */
@@ -60,4 +62,6 @@
     readonly call?: AdmittedCall;
     /** Time after which the caller may retry; undefined if waiting does not help. */
     readonly retryAfter?: Milliseconds;
+    /** Feature because of which the call is held back. */
+    readonly feature?: string;
 }
--- a/src/request/hosted/callFeatures.ts
+++ b/src/request/hosted/callFeatures.ts
@@ -2,7 +2,7 @@
 import type { PromptSegment } from "./callTraits.js";
 
 /** Maximum number of features of one call; a call with more is known by its first ones. */
-const maximumFeatures = 256;
+const maximumFeatures = 64;
 
 /** Maximum length of an id that is used as it is; a longer one is replaced by its digest. */
 const maximumIdLength = 64;
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
 import type { CallTraits } from "./callTraits.js";
+import { hasFramedBody } from "./framedBody.js";
 
 /** Writes the response to the caller of one call. */
 export class CallerResponse {
@@ -108,7 +109,7 @@
     }
 
     /** Responds with an error to a call that has not run. */
-    refuse({ reason, call, retryAfter }: Refusal): void {
+    refuse({ reason, call, retryAfter, feature }: Refusal): void {
         const { view, suspensionDetector, eventLog, counters } = this.context;
         const seconds = retryAfter === undefined ? undefined : (retryAfter / 1000).toFixed(3);
         counters.count("refused");
@@ -121,6 +122,7 @@
             permitAge: view.loggedPermitAge(suspensionDetector.now()),
             waited: this.elapsedTime(),
             retryAfter: seconds,
+            feature,
         });
         sendFailure(this.response, reason, seconds === undefined ? {} : { "retry-after": seconds });
     }
@@ -195,8 +197,3 @@
         });
     }
 }
-
-/** Whether the body is delimited by a length or by chunks, not merely by the end of the connection. */
-function hasFramedBody(message: IncomingMessage): boolean {
-    return message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined;
-}
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -8,6 +8,7 @@
 import type { CallTraits, ResponseTraits } from "./callTraits.js";
 import type { Placement } from "./endpointChooser.js";
 import { EventSplitter } from "./eventSplitter.js";
+import { hasFramedBody } from "./framedBody.js";
 
 /** Minimum time without data after which a call that may be retried is moved to another endpoint. */
 const minimumStallTimeout: Milliseconds = 1_200;
@@ -15,6 +16,9 @@
 /** Stall timeout of a stream as a multiple of its route's target for the gap between events. */
 const stallTimeoutInEventGaps = 4;
 
+/** Time for which an endpoint must have been responding to a call not to crash because of it. */
+const establishedTime: Milliseconds = 500;
+
 /** Number of body bytes that are buffered before any is forwarded; until then the call may move to another endpoint. */
 const bufferedBodyBytes = 64 * 1024;
 
@@ -24,7 +28,11 @@
 /** Result of an attempt at one endpoint. */
 export type AttemptOutcome =
     /** The caller received the complete response. */
-    | { readonly kind: "delivered"; }
+    | {
+        readonly kind: "delivered";
+        /** Whether the response had a length or chunks, so that it is known to be whole. */
+        readonly isFramed: boolean;
+    }
     /** The call did not run at this endpoint. */
     | { readonly kind: "notRun"; readonly reason: string; readonly cause: NotRunCause; }
     /** The endpoint ran the call and responded with an error status. */
@@ -55,6 +63,8 @@
     readonly earlierExecutions: number;
     /** Called when the endpoint has begun to respond. */
     readonly onResponseStarted: () => void;
+    /** Called when the endpoint has been responding for so long that it does not crash because of the call. */
+    readonly onEstablished: () => void;
 }
 
 /** One attempt to run a call at one endpoint, including the forwarding of its response. */
@@ -190,7 +200,7 @@
             return { kind: "failedAnswer", message, body };
         }
         callerResponse.forwardBuffered(message, body, earlierExecutions + 1, endpoint.id);
-        return { kind: "delivered" };
+        return { kind: "delivered", isFramed: hasFramedBody(message) };
     }
 
     private endForwarding(message: IncomingMessage, trailingBytes: Buffer): AttemptOutcome {
@@ -199,7 +209,7 @@
             return this.lost("the response ended before it was complete");
         }
         callerResponse.endStream(message, trailingBytes, earlierExecutions + 1, endpoint.id);
-        return { kind: "delivered" };
+        return { kind: "delivered", isFramed: hasFramedBody(message) };
     }
 
     /** Forwards events as they arrive; resolves when the stream has ended or was interrupted. */
@@ -210,7 +220,8 @@
         const stallTimer = this.startStallTimer(
             Math.max(minimumStallTimeout, stallTimeoutInEventGaps * eventGapTarget),
         );
-        let hasStarted = false;
+        let startedAt: Milliseconds | undefined;
+        let isEstablished = false;
         try {
             for await (const chunk of this.exchange.body(message)) {
                 endpoint.recordData(this.context.clock.now());
@@ -222,10 +233,15 @@
                 if (events === undefined) {
                     continue;
                 }
-                if (!hasStarted) {
-                    hasStarted = true;
+                const now = this.context.clock.now();
+                if (startedAt === undefined) {
+                    startedAt = now;
                     this.recordResponseStart();
                 }
+                else if (!isEstablished && now - startedAt >= establishedTime) {
+                    isEstablished = true;
+                    this.input.onEstablished();
+                }
                 await callerResponse.forwardEvents(message, events.bytes, events.lastId, this.cancelled.signal);
             }
         }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readCallTraits } from "../../../platform/callHeaders.js";
 import { createCallerAbortSignal } from "../../connection/callerAbortSignal.js";
+import type { KnownHold } from "../../process/hosted/entry/callQuarantine.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -75,6 +76,10 @@
     /** Number of calls to endpoints with limited rates that were not granted. */
     private denials = 0;
     private lastFailure: FailedAttempt | undefined;
+    /** Features because of which calls are held back, and with which this call is let through. */
+    private readonly trials = new Set<string>();
+    /** Whether the endpoint of the newest attempt does not crash because of the call. */
+    private isEstablished = false;
 
     constructor(
         private readonly request: IncomingMessage,
@@ -117,6 +122,14 @@
 
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
+            const hold = await this.findHold(call);
+            if (hold !== undefined) {
+                this.refuseHeldCall(call, hold);
+                return;
+            }
+            if (this.trials.size > 0 && this.refuseIfWithdrawn(call)) {
+                return;
+            }
             const selection = this.remainingTime(call.route) < minimumAttemptTime ? undefined : this.select(call);
             if (selection === undefined) {
                 this.respondWithoutEndpoint(call);
@@ -130,9 +143,7 @@
             }
             if (this.context.rateLimits.isLimited(placement.endpoint.id)) {
                 const isGranted = await this.acquireGrant(call, placement, maximumGrantDelay);
-                const withdrawn = withdrawnAdmission(call, this.request, this.traits, this.context);
-                if (withdrawn !== undefined && this.executions === 0) {
-                    this.callerResponse.refuse(withdrawn);
+                if (this.refuseIfWithdrawn(call)) {
                     return;
                 }
                 if (!isGranted) {
@@ -155,6 +166,59 @@
         }
     }
 
+    /** Refuses a call that has not run if its key, its route or the permit has lapsed while it waited. */
+    private refuseIfWithdrawn(call: AdmittedCall): boolean {
+        const withdrawn = this.executions > 0
+            ? undefined
+            : withdrawnAdmission(call, this.request, this.traits, this.context);
+        if (withdrawn !== undefined) {
+            this.callerResponse.refuse(withdrawn);
+        }
+        return withdrawn !== undefined;
+    }
+
+    /** The hold because of which the call may not be sent; undefined if there is none or the call is let through. */
+    private async findHold(call: AdmittedCall): Promise<KnownHold | undefined> {
+        const { quarantine, grantSource, clock } = this.context;
+        const { service, team } = call;
+        const holds = (): readonly KnownHold[] =>
+            quarantine.holdsOf(service.name, team?.name, this.features).filter(({ feature }) =>
+                !this.trials.has(feature)
+            );
+        while (!this.callerResponse.hasCallerDisconnected()) {
+            const known = holds();
+            const hold = known.find(({ nextTrialAt }) => nextTrialAt > clock.now()) ?? known[0];
+            if (hold === undefined || hold.nextTrialAt > clock.now() || this.executions > 0) {
+                return hold;
+            }
+            const isGranted = await grantSource.requestTrial(service.name, hold.feature);
+            await waitForSocketPoll();
+            if (!isGranted) {
+                return hold;
+            }
+            quarantine.recordTrial();
+            this.trials.add(hold.feature);
+        }
+        return undefined;
+    }
+
+    private refuseHeldCall(call: AdmittedCall, hold: KnownHold): void {
+        const { quarantine, clock } = this.context;
+        if (this.executions > 0) {
+            this.callerResponse.fail(failure("callOutcomeUnknown"), call);
+            return;
+        }
+        quarantine.recordRefusal();
+        const { feature } = hold;
+        const retryAfter = quarantine.retryAfter(hold, clock.now());
+        this.callerResponse.refuse({ reason: failure("callHeldBack", { feature }), call, retryAfter, feature });
+    }
+
+    /** Whether the call may be the cause of crashes, so that few other calls should run where it does. */
+    private isSuspicious({ service }: AdmittedCall): boolean {
+        return this.trials.size > 0 || this.context.quarantine.isSuspicious(service.name, this.features);
+    }
+
     /**
      * Chooses an endpoint: one that is due for a probe, or the best of those that may take a call now, or the best of
      * those that may take one after a delay; undefined if there is none.
@@ -173,7 +237,8 @@
             return { placement: probePlacement, maximumGrantDelay: 0 };
         }
         for (const maximumGrantDelay of [0, this.maximumGrantDelay(call)]) {
-            const open = untried.filter(({ id }) => rateLimits.timeUntilRequest(id, maximumGrantDelay, now) === 0);
+            const available = untried.filter(({ id }) => rateLimits.timeUntilRequest(id, maximumGrantDelay, now) === 0);
+            const open = this.isSuspicious(call) ? leastLoaded(available, now) : available;
             const placement = open.length === 0 ? undefined : this.place(call, open);
             if (placement !== undefined) {
                 return { placement, maximumGrantDelay };
@@ -249,11 +314,12 @@
 
     private async runAttempt(call: AdmittedCall, placement: Placement): Promise<AttemptOutcome> {
         const { endpoint, uncachedTokens } = placement;
-        const { clock, chooser } = this.context;
-        const { route } = call;
+        const { clock, chooser, quarantine } = this.context;
+        const { route, service } = call;
         const sentAt = clock.now();
         const outstandingCall = { pendingPrefillTokens: uncachedTokens, urgency: call.urgency, sentAt };
         this.dispatchedAt = sentAt;
+        this.isEstablished = false;
         this.triedEndpoints.add(endpoint);
         endpoint.addCall(outstandingCall, sentAt);
         this.logDispatch(call, placement);
@@ -270,6 +336,10 @@
                 outstandingCall.pendingPrefillTokens = 0;
                 chooser.recordStart(this.placementRequest(call), placement, clock.now() - sentAt, clock.now());
             },
+            onEstablished: () => {
+                this.isEstablished = true;
+                quarantine.recordSound(service.name, this.features, sentAt, clock.now());
+            },
         }, this.context);
         const outcome = await this.attempt.run();
         this.attempt = undefined;
@@ -280,13 +350,18 @@
     }
 
     /** Whether the call may be retried at another endpoint; a retry that counts is taken from the retry budget. */
-    private mayRetry({ route, service }: AdmittedCall, outcome: FailedOutcome): boolean {
+    private mayRetry(call: AdmittedCall, outcome: FailedOutcome): boolean {
+        const { route, service } = call;
         const { retryBudget, rateLimits, entryCount, clock } = this.context;
         const now = clock.now();
         const hasOpenEndpoint = this.untriedEndpoints(service).some(({ id }) =>
             rateLimits.timeUntilRequest(id, 0, now) === 0
         );
-        if (this.callerResponse.isBodyForwarded || !hasOpenEndpoint || this.remainingTime(route) < minimumAttemptTime) {
+        const mayBeCause = outcome.kind === "lost" && outcome.wasDisconnected && this.isSuspicious(call);
+        if (
+            mayBeCause || this.callerResponse.isBodyForwarded || !hasOpenEndpoint
+            || this.remainingTime(route) < minimumAttemptTime
+        ) {
             return false;
         }
         this.rejections += outcome.kind === "notRun" && outcome.cause !== "unreached" ? 1 : 0;
@@ -351,14 +426,18 @@
 
     /** Updates the endpoint's health from the outcome of an attempt, and logs a failed one. */
     private recordOutcome(
-        { team }: AdmittedCall,
+        call: AdmittedCall,
         endpoint: HostedEndpoint,
         outcome: AttemptOutcome,
         sentAt: Milliseconds,
     ): void {
         const now = this.context.clock.now();
+        const { quarantine, crashObserver } = this.context;
         if (outcome.kind === "delivered") {
             endpoint.recordSuccess();
+            if (outcome.isFramed) {
+                quarantine.recordSound(call.service.name, this.features, sentAt, now);
+            }
             return;
         }
         if (this.callerResponse.hasCallerDisconnected()) {
@@ -373,8 +452,8 @@
         else {
             endpoint.recordFailure(now);
         }
-        if (outcome.kind === "lost" && outcome.wasDisconnected) {
-            this.context.crashObserver.recordLostCall(endpoint, { team: team?.name, features: this.features });
+        if (outcome.kind === "lost" && outcome.wasDisconnected && !this.isEstablished) {
+            crashObserver.recordLostCall(endpoint, { team: call.team?.name, features: this.features });
         }
         this.context.counters.count("attemptFailed");
         this.context.eventLog.write("callAttemptFailed", {
@@ -403,3 +482,12 @@
         });
     }
 }
+
+/** The endpoint with the fewest calls, as a list. */
+function leastLoaded(endpoints: readonly HostedEndpoint[], now: Milliseconds): readonly HostedEndpoint[] {
+    const [first, ...others] = endpoints.filter(endpoint => !endpoint.isEjected(now));
+    if (first === undefined) {
+        return endpoints;
+    }
+    return [others.reduce((a, b) => b.estimatedCalls(now) < a.estimatedCalls(now) ? b : a, first)];
+}
--- a/src/resultCode/hostedCodes.ts
+++ b/src/resultCode/hostedCodes.ts
@@ -70,6 +70,13 @@
         text: "All endpoints of the service limit the rate of their calls, and none can take the call in time.",
         advice: "Try again at the time that Retry-After names.",
     },
+    callHeldBack: {
+        number: 1623,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "Calls like this one ({feature}) are held back because endpoints crashed under them.",
+        advice: "Change the call, or try again at the time that Retry-After names; operators can release such calls.",
+    },
     callOutcomeUnknown: {
         number: 1630,
         httpStatus: 502,
--- a/tests/process/hosted/entry/endpointRateLimits.test.ts
+++ b/tests/process/hosted/entry/endpointRateLimits.test.ts
@@ -26,6 +26,10 @@
         await this.clock.sleep(this.delay);
         return { isGranted: true, delay: 0, contenders: 1 };
     }
+
+    override requestTrial(): Promise<boolean> {
+        return Promise.resolve(false);
+    }
 }
 
 function createLimits(clock: Clock): EndpointRateLimits {
--- a/tests/process/hosted/entry/limitedFleet.ts
+++ b/tests/process/hosted/entry/limitedFleet.ts
@@ -48,6 +48,10 @@
         return leader === undefined ? undefined : String(ledgers.indexOf(leader));
     }
 
+    override requestTrial(): Promise<boolean> {
+        return Promise.resolve(false);
+    }
+
     override async requestGrant(
         endpoint: string,
         maximumDelay: Milliseconds,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -2,6 +2,7 @@
 import { deflateRawSync } from "node:zlib";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
+import { CallQuarantine } from "../../../src/process/hosted/entry/callQuarantine.js";
 import { CrashObserver } from "../../../src/process/hosted/entry/crashObserver.js";
 import { DeploymentView } from "../../../src/process/hosted/entry/deploymentView.js";
 import { EndpointFleet } from "../../../src/process/hosted/entry/endpointFleet.js";
@@ -44,6 +45,10 @@
     override requestGrant(): Promise<undefined> {
         return Promise.resolve(undefined);
     }
+
+    override requestTrial(): Promise<boolean> {
+        return Promise.resolve(false);
+    }
 }
 
 /** Serves calls like an entry, without control processes: the test gives permits and lists endpoints. */
@@ -80,6 +85,7 @@
                 probe: () => Promise.resolve("listening"),
                 onCrash: () => undefined,
             }),
+            quarantine: new CallQuarantine(() => undefined),
         };
     }
 
--- a/tests/request/hosted/limitedCall.test.ts
+++ b/tests/request/hosted/limitedCall.test.ts
@@ -39,6 +39,10 @@
         this.requested.push(endpoint);
         return Promise.resolve({ isGranted: false, delay: 0, contenders: 1, ...this.decide(endpoint) });
     }
+
+    override requestTrial(): Promise<boolean> {
+        return Promise.resolve(false);
+    }
 }
 
 /** An entry with endpoints e0, e1 and so on that respond with the given statuses; those listed are limited. */
