--- a/src/process/hosted/control/hostedState.ts
+++ b/src/process/hosted/control/hostedState.ts
@@ -1,14 +1,11 @@
 import { StateMachine } from "../../replicatedLog/commandLog.js";
 import { decodeValue, encodeValue } from "../../replicatedLog/recordCodec.js";
 import type { FeatureHold } from "../featureHold.js";
-import { featureKey } from "../featureHold.js";
+import { compareEvidence, featureKey, maximumHolds } from "../featureHold.js";
 
 /** Number of sealed usage windows kept in the state; the report of each is due long before it is dropped. */
 const retainedWindows = 40;
 
-/** Maximum number of features whose calls are held back; the oldest ones give way. */
-const maximumHolds = 64;
-
 /** Number of calls started in a usage window, by team. */
 export type TeamCounts = Readonly<Record<string, number>>;
 
@@ -167,8 +164,8 @@
 
     private hold(hold: FeatureHold): void {
         this.held.set(featureKey(hold), hold);
-        for (const oldest of this.holds.slice(0, -maximumHolds)) {
-            this.held.delete(featureKey(oldest));
+        for (const weakest of [...this.holds].sort(compareEvidence).slice(maximumHolds)) {
+            this.held.delete(featureKey(weakest));
         }
         this.recordHoldsChange();
     }
--- a/src/process/hosted/control/quarantineDuty.ts
+++ b/src/process/hosted/control/quarantineDuty.ts
@@ -6,6 +6,7 @@
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import type { CommandLog } from "../../replicatedLog/commandLog.js";
 import type { FeatureHold } from "../featureHold.js";
+import { compareEvidence, maximumHolds } from "../featureHold.js";
 import { CrashLedger } from "./crashLedger.js";
 import type { CrashVerdict } from "./crashLedger.js";
 import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
@@ -168,7 +169,10 @@
             return;
         }
         for (const verdict of this.ledger.verdicts(state.holds, clock.now())) {
-            await this.hold(verdict);
+            const weakest = [...state.holds].sort(compareEvidence).at(maximumHolds - 1);
+            if (weakest === undefined || compareEvidence({ ...verdict, trials: 0 }, weakest) < 0) {
+                await this.hold(verdict);
+            }
         }
     }
 
--- a/src/process/hosted/featureHold.ts
+++ b/src/process/hosted/featureHold.ts
@@ -18,6 +18,17 @@
     readonly nextTrialAt: UnixMilliseconds | undefined;
 }
 
+/** Maximum number of features whose calls are held back; those with the least evidence give way. */
+export const maximumHolds = 64;
+
+/** Orders holds by descending evidence. */
+export function compareEvidence(
+    a: Pick<FeatureHold, "crashedEndpoints" | "trials">,
+    b: Pick<FeatureHold, "crashedEndpoints" | "trials">,
+): number {
+    return b.trials - a.trials || b.crashedEndpoints.length - a.crashedEndpoints.length;
+}
+
 /** Identifies a feature of calls to a service. */
 export function featureKey({ service, feature }: { readonly service: string; readonly feature: string; }): string {
     return `${service}\n${feature}`;
