fix(hosted): hold back a call that crashes endpoints each time it comes

What callers saw: one call, repeated with the same path, caller and body at any entry, ended all endpoints of a service again and again; the service was refused for seconds each time.

Cause: the same as with prompt segments: what a crashed endpoint had been running was remembered nowhere. A call without a prompt had no feature that could be counted.

Change: the digest of method, target, team and body is a feature of each call. Two crashes without an answer in between hold identical calls back: few other calls run beside each of them by chance. Errors of endpoints count as answers: an endpoint that responds has not crashed.

Why it works: the mechanism for segments then counts the repeats at all entries.

--- a/src/process/hosted/control/crashLedger.ts
+++ b/src/process/hosted/control/crashLedger.ts
@@ -1,4 +1,5 @@
 import type { CrashReport, SoundReport, Suspect } from "../../../connection/hosted/quarantineMessages.js";
+import { isCallFeature } from "../../../request/hosted/callFeatures.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { FeatureHold } from "../featureHold.js";
 import { featureKey } from "../featureHold.js";
@@ -9,9 +10,12 @@
 /** Time in which reports of the same endpoint's crash arrive; an endpoint may keep its id when it starts again. */
 const sameCrashTime: Milliseconds = 1_000;
 
-/** Number of incidents from which calls with a feature are held back. */
+/** Number of incidents from which calls with a shared feature are held back. */
 const decisiveIncidents = 3;
 
+/** Number of crashes from which identical calls are held back: few calls run beside each of them by chance. */
+const decisiveCrashesOfCall = 2;
+
 /** Minimum time from the first crash to the decision, in which sound calls with the same feature become known. */
 const minimumEvidenceTime: Milliseconds = 1_500;
 
@@ -24,7 +28,7 @@
 /** Maximum number of crashes that are remembered of one feature. */
 const maximumCrashes = 16;
 
-/** Maximum number of suspects that entries are told. */
+/** Maximum number of suspects that entries are told, of identical calls and of other features each. */
 const maximumSuspects = 16;
 
 interface CandidateCrash {
@@ -95,7 +99,10 @@
 
     /** The strongest suspects, which entries should clear if they can. */
     suspects(now: Milliseconds): readonly Suspect[] {
-        return this.byWeight().filter(({ crashes }) => crashes.length > 0).slice(0, maximumSuspects).map(candidate => {
+        const suspected = this.byWeight().filter(({ crashes }) => crashes.length > 0);
+        const shared = suspected.filter(({ feature }) => !isCallFeature(feature)).slice(0, maximumSuspects);
+        const calls = suspected.filter(({ feature }) => isCallFeature(feature)).slice(0, maximumSuspects);
+        return [...shared, ...calls].map(candidate => {
             const { service, feature, crashes } = candidate;
             return {
                 service,
@@ -121,8 +128,7 @@
         for (const candidate of this.byWeight()) {
             const { service, feature, crashes, teams } = candidate;
             if (
-                countIncidents(crashes) < decisiveIncidents
-                || now - firstCrashAt(candidate) < minimumEvidenceTime
+                !isDecisive(candidate, now)
                 || held.has(featureKey(candidate))
                 || explained.some(each =>
                     each.service === service && crashes.every(({ endpoint }) => each.crashed.has(endpoint))
@@ -193,6 +199,13 @@
     }
 }
 
+function isDecisive(candidate: Candidate, now: Milliseconds): boolean {
+    return isCallFeature(candidate.feature)
+        ? candidate.crashes.length >= decisiveCrashesOfCall
+        : countIncidents(candidate.crashes) >= decisiveIncidents
+            && now - firstCrashAt(candidate) >= minimumEvidenceTime;
+}
+
 function firstCrashAt({ crashes }: Candidate): Milliseconds {
     return crashes[0]?.at ?? Infinity;
 }
--- a/src/process/hosted/entry/callQuarantine.ts
+++ b/src/process/hosted/entry/callQuarantine.ts
@@ -1,4 +1,5 @@
 import type { Evidence, HeldFeature, Suspect } from "../../../connection/hosted/quarantineMessages.js";
+import { isCallFeature } from "../../../request/hosted/callFeatures.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import { featureKey } from "../featureHold.js";
@@ -13,7 +14,7 @@
 /** Maximum number of reports that are kept. */
 const maximumReports = 256;
 
-/** Number of incidents from which calls with a suspected feature get special treatment. */
+/** Number of incidents from which calls with a shared feature are suspicious; identical calls are from the first one. */
 const suspiciousIncidents = 2;
 
 /** Shortest time after which a caller should try again. */
@@ -104,11 +105,12 @@
         );
     }
 
-    /** Whether endpoints have repeatedly crashed under calls that share a feature with a call. */
+    /** Whether a call may be the cause of crashes, by those under calls that share a feature with it. */
     isSuspicious(service: string, features: readonly string[]): boolean {
-        return features.some(feature =>
-            (this.suspects.get(featureKey({ service, feature }))?.incidents ?? 0) >= suspiciousIncidents
-        );
+        return features.some(feature => {
+            const incidents = this.suspects.get(featureKey({ service, feature }))?.incidents ?? 0;
+            return incidents >= (isCallFeature(feature) ? 1 : suspiciousIncidents);
+        });
     }
 
     /** Time after which the caller of a call that is held back should try again. */
--- a/src/request/hosted/callFeatures.ts
+++ b/src/request/hosted/callFeatures.ts
@@ -1,20 +1,46 @@
 import { createHash } from "node:crypto";
 import type { PromptSegment } from "./callTraits.js";
 
-/** Maximum number of features of one call; a call with more is known by its first ones. */
-const maximumFeatures = 64;
+/** Maximum number of segments of one call; a call with more is known by its first ones. */
+const maximumSegments = 63;
+
+/** Length of the digest of a call, in hexadecimal digits. */
+const digestLength = 32;
 
 /** Maximum length of an id that is used as it is; a longer one is replaced by its digest. */
 const maximumIdLength = 64;
 
+/** Prefix of the feature that only identical calls share. */
+const callPrefix = "call:";
+
+/** What identical calls have in common. */
+export interface CallContent {
+    readonly method: string;
+    /** Path and query. */
+    readonly target: string;
+    /** Undefined for a call without a key. */
+    readonly team: string | undefined;
+    readonly body: Buffer | undefined;
+}
+
 /**
  * What calls that crash endpoints may have in common, from the most widely shared feature to the most specific one.
  *
  * The last segment of a prompt is specific to the call or its session, so that nothing can be learnt from it.
  */
-export function featuresOf(segments: readonly PromptSegment[]): readonly string[] {
-    const shared = segments.slice(0, -1).slice(0, maximumFeatures);
-    return [...new Set(shared.map(({ id }) => `segment:${shortId(id)}`))];
+export function featuresOf(segments: readonly PromptSegment[], content: CallContent): readonly string[] {
+    const shared = segments.slice(0, -1).slice(0, maximumSegments);
+    return [...new Set(shared.map(({ id }) => `segment:${shortId(id)}`)), `${callPrefix}${digestOf(content)}`];
+}
+
+/** Whether only identical calls share a feature. */
+export function isCallFeature(feature: string): boolean {
+    return feature.startsWith(callPrefix);
+}
+
+function digestOf({ method, target, team = "", body }: CallContent): string {
+    const hash = createHash("sha256").update(`${method} ${target}\n${team}\n`);
+    return hash.update(body ?? "").digest("hex").slice(0, digestLength);
 }
 
 function shortId(id: string): string {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -63,7 +63,8 @@
 export class HostedCall {
     private readonly traits: CallTraits;
     private readonly arrivedAt: Milliseconds;
-    private readonly features: readonly string[];
+    /** What the call has in common with others; empty until it is admitted. */
+    private features: readonly string[] = [];
     private readonly callerResponse: CallerResponse;
     private readonly triedEndpoints = new Set<HostedEndpoint>();
     private attempt: EndpointAttempt | undefined;
@@ -88,7 +89,6 @@
     ) {
         this.traits = readCallTraits(request.headers);
         this.arrivedAt = context.clock.now();
-        this.features = featuresOf(this.traits.promptSegments);
         const abortSignal = createCallerAbortSignal(request, response);
         this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, abortSignal);
         abortSignal.addEventListener("abort", () => {
@@ -101,6 +101,9 @@
         const call = await admitCall(this.request, this.traits, this.context);
         if (call.ok) {
             this.context.retryBudget.recordCall(call.val.service.name, this.context.clock.now());
+            const { method = "GET", url = "/" } = this.request;
+            const { team, body } = call.val;
+            this.features = featuresOf(this.traits.promptSegments, { method, target: url, team: team?.name, body });
             await this.serve(call.val);
         }
         else {
@@ -445,6 +448,8 @@
         }
         if (outcome.kind === "failedAnswer") {
             endpoint.recordErrorResponse();
+            // An endpoint that responds with an error has not crashed.
+            quarantine.recordSound(call.service.name, this.features, sentAt, now);
         }
         else if (outcome.kind === "notRun" && outcome.cause === "full") {
             endpoint.recordAtCapacity(now);
--- a/tests/process/hosted/control/crashLedger.test.ts
+++ b/tests/process/hosted/control/crashLedger.test.ts
@@ -134,3 +134,28 @@
         t.deepEqual(causes(ledger, 200_000), ["segment:bad"]);
     });
 });
+
+describe("CrashLedger with identical calls", () => {
+    it("finds a call that crashed two endpoints, also at about the same time", t => {
+        const ledger = new CrashLedger();
+        crash(ledger, "e0", 0, [["call:bad"], ["call:other-0"]]);
+        t.deepEqual(causes(ledger, 50), []);
+        crash(ledger, "e1", 100, [["call:bad"], ["call:other-1"]]);
+        t.deepEqual(causes(ledger, 150), ["call:bad"]);
+    });
+
+    it("clears a call that was answered in between", t => {
+        const ledger = new CrashLedger();
+        crash(ledger, "e0", 0, [["call:sound"]]);
+        sound(ledger, "call:sound", 1_000, 1_050);
+        crash(ledger, "e1", 2_000, [["call:sound"]]);
+        t.deepEqual(causes(ledger, 3_000), []);
+    });
+
+    it("tells entries shared features even if many different calls ran at a crashed endpoint", t => {
+        const ledger = new CrashLedger();
+        crash(ledger, "e0", 0, Array.from(Array(48).keys(), index => ["segment:bad", `call:${index}`]));
+        t.is(ledger.suspects(10)[0]?.feature, "segment:bad");
+        t.is(ledger.suspects(10).length, 17);
+    });
+});
