fix(hosted): resume or break streams that end inside an event

What callers saw: a stream that its endpoint ended inside an event, in order, was passed on with the incomplete event and ended as if it were whole.

Cause: only the connection or its framing decided whether a stream was whole; the rest behind the last event was taken for trailing bytes. Events whose lines end with a carriage return and a line feed were found only at the end of the stream.

Change: bytes of an incomplete event make the attempt a lost one: the stream is resumed where the route allows it, else the caller's response is broken off. Both kinds of line ends are understood.

--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -251,7 +251,10 @@
         finally {
             clearInterval(stallTimer);
         }
-        return this.endForwarding(message, splitter.incomplete);
+        const { incomplete } = splitter;
+        return isBlank(incomplete)
+            ? this.endForwarding(message, incomplete)
+            : this.lost("the stream ended inside an event");
     }
 
     /** If the call may fail over, aborts the attempt once no data of any call has arrived from its endpoint in time. */
@@ -282,6 +285,10 @@
     }
 }
 
+function isBlank(bytes: Buffer): boolean {
+    return bytes.toString("latin1").trim() === "";
+}
+
 /** Reason why a response cannot be forwarded; undefined if it can. */
 function invalidReasonOf(traits: ResponseTraits, belongsToOtherCall: boolean, isSuccess: boolean): string | undefined {
     if (belongsToOtherCall) {
--- a/src/request/hosted/eventSplitter.ts
+++ b/src/request/hosted/eventSplitter.ts
@@ -1,7 +1,8 @@
-/** An empty line ends an event. */
-const eventBoundary = "\n\n";
+/** An empty line ends an event; its line ends with a line feed, or with a carriage return and a line feed. */
+const eventBoundaries = ["\n\n", "\n\r\n"] as const;
 
-const lineFeed = 0x0a;
+/** Maximum number of bytes of an event boundary that the chunk before may hold. */
+const boundaryOverlap = 2;
 
 /** Maximum size of one event, in bytes; a larger one is taken for bytes without end. */
 const maximumEventBytes = 256 * 1024;
@@ -18,6 +19,8 @@
 export class EventSplitter {
     private bufferedChunks: Buffer[] = [];
     private bufferedBytes = 0;
+    /** Last bytes of the incomplete event, which may begin a boundary. */
+    private previousBytes: Buffer = Buffer.alloc(0);
 
     /** @param lastReceivedId Id of the last event that the receiver already has; events up to it are dropped. */
     constructor(private readonly lastReceivedId: number | undefined) {}
@@ -34,18 +37,19 @@
 
     /** Adds the next bytes of the stream; returns the events that they complete, or undefined if there are none. */
     push(chunk: Buffer): CompleteEvents | undefined {
-        const previousByte = this.bufferedChunks.at(-1)?.at(-1);
+        const searched = Buffer.concat([this.previousBytes, chunk]);
+        this.previousBytes = searched.subarray(-boundaryOverlap);
         this.bufferedChunks.push(chunk);
         this.bufferedBytes += chunk.length;
-        const endsAtStart = previousByte === lineFeed && chunk[0] === lineFeed;
-        if (!endsAtStart && !chunk.includes(eventBoundary)) {
+        if (lastBoundaryEnd(searched) === undefined) {
             return undefined;
         }
         const bytes = Buffer.concat(this.bufferedChunks);
-        const end = bytes.lastIndexOf(eventBoundary) + eventBoundary.length;
+        const end = lastBoundaryEnd(bytes) ?? 0;
         const rest = bytes.subarray(end);
         this.bufferedChunks = rest.length === 0 ? [] : [rest];
         this.bufferedBytes = rest.length;
+        this.previousBytes = rest.subarray(-boundaryOverlap);
         return this.withoutReceived(bytes.subarray(0, end));
     }
 
@@ -72,7 +76,7 @@
     const events: SplitEvent[] = [];
     let start = 0;
     while (start < completeBytes.length) {
-        const end = completeBytes.indexOf(eventBoundary, start) + eventBoundary.length;
+        const end = firstBoundaryEnd(completeBytes, start) ?? completeBytes.length;
         const bytes = completeBytes.subarray(start, end);
         events.push({ bytes, id: readEventId(bytes) });
         start = end;
@@ -80,6 +84,22 @@
     return events;
 }
 
+function firstBoundaryEnd(bytes: Buffer, start: number): number | undefined {
+    const ends = eventBoundaries.flatMap(boundary => {
+        const index = bytes.indexOf(boundary, start);
+        return index < 0 ? [] : [index + boundary.length];
+    });
+    return ends.length === 0 ? undefined : Math.min(...ends);
+}
+
+function lastBoundaryEnd(bytes: Buffer): number | undefined {
+    const ends = eventBoundaries.flatMap(boundary => {
+        const index = bytes.lastIndexOf(boundary);
+        return index < 0 ? [] : [index + boundary.length];
+    });
+    return ends.length === 0 ? undefined : Math.max(...ends);
+}
+
 function readEventId(event: Buffer): number | undefined {
     const id = /^id: ?(\d+)\s*$/m.exec(event.toString("latin1"))?.[1];
     return id === undefined ? undefined : Number(id);
--- a/tests/request/hosted/eventSplitter.test.ts
+++ b/tests/request/hosted/eventSplitter.test.ts
@@ -20,6 +20,17 @@
         t.is(splitter.push(Buffer.from("\n"))?.bytes.toString(), firstEvent);
     });
 
+    it("finds event boundaries of carriage returns and line feeds, split anywhere", t => {
+        const events = `${firstEvent}${secondEvent}`.replaceAll("\n", "\r\n");
+        for (let split = 1; split < events.length; split++) {
+            const splitter = new EventSplitter(undefined);
+            const parts = [events.slice(0, split), events.slice(split)].map(part => splitter.push(Buffer.from(part)));
+            t.is(parts.map(part => part?.bytes.toString() ?? "").join(""), events);
+            t.is(splitter.incomplete.length, 0);
+            t.is(parts.at(-1)?.lastId, 2);
+        }
+    });
+
     it("drops events that the caller already has", t => {
         const splitter = new EventSplitter(1);
         t.is(splitter.push(Buffer.from(firstEvent)), undefined);
