--- a/src/connection/hosted/hostedControlServer.ts
+++ b/src/connection/hosted/hostedControlServer.ts
@@ -9,6 +9,8 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { readBody } from "../httpBody.js";
 import { sendFailure, sendJson } from "../httpResponse.js";
+import { handleHeldCallsRequest, heldCallsPath } from "./heldCallsServer.js";
+import type { HeldCallsContext } from "./heldCallsServer.js";
 
 /**
  * Maximum size of a configuration document, in bytes: four times the largest one that operators are specified to send.
@@ -26,6 +28,7 @@
     readonly maximumTimeToLive: Milliseconds;
     readonly clock: Clock;
     readonly eventLog: EventLog;
+    readonly heldCalls: HeldCallsContext;
 }
 
 /** Creates the HTTP server on which operators submit and fetch configurations, and callers ask which entries to use. */
@@ -51,6 +54,10 @@
         await replaceConfiguration(request, response, serverContext.documents);
         return;
     }
+    if (path === heldCallsPath && (request.method === "GET" || request.method === "DELETE")) {
+        await handleHeldCallsRequest(request, response, serverContext.heldCalls);
+        return;
+    }
     request.resume();
     if (isRequestFor(servedCalls.resolution)) {
         respondToResolution(target, response, serverContext);
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -138,6 +138,11 @@
                         clock,
                         eventLog,
                         maximumTimeToLive: this.settings().bounds.resolutionTimeToLive,
+                        heldCalls: {
+                            holds: () => state.holds,
+                            quarantine,
+                            otherLeader: () => log.leadingTerm() === undefined ? log.leaderAddress() : undefined,
+                        },
                     }),
                     address,
                 );
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -22,6 +22,12 @@
     readonly folder: string;
 }
 
+/** Calls that are held back. */
+export interface HeldCalls {
+    readonly service: string;
+    readonly feature: string;
+}
+
 /** A call as received by the simulated endpoint. */
 export interface ReceivedCall {
     readonly path: string;
@@ -159,6 +165,36 @@
             : undefined;
     }
 
+    /** The calls that are held back, as a control process lists them. */
+    async heldCalls(index: number): Promise<readonly HeldCalls[]> {
+        const result = await httpCall({
+            address: this.operatorAddress(index),
+            method: "GET",
+            path: "/v1/held-calls",
+            timeout: 2_000,
+        });
+        return (JSON.parse(result.unwrap().body.toString("utf8")) as { readonly held: readonly HeldCalls[]; }).held;
+    }
+
+    /** Releases calls at a control process and follows a redirect; returns the status. */
+    async releaseCalls(index: number, { service, feature }: HeldCalls): Promise<number> {
+        let address = this.operatorAddress(index);
+        for (;;) {
+            const result = await httpCall({
+                address,
+                method: "DELETE",
+                path: "/v1/held-calls",
+                body: JSON.stringify({ service, feature }),
+                timeout: 2_000,
+            });
+            const { status, headers } = result.unwrap();
+            if (status !== 307) {
+                return status;
+            }
+            address = new URL(headers.location ?? "").host;
+        }
+    }
+
     /** Sends a call to the entry. */
     async call(
         path: string,
