fix(hosted): tell causes of crashes from endpoints that end by themselves

Cause: three incidents in a row without a sound call were taken for proof however many endpoints ended meanwhile.

Change: the more endpoints crash without a feature, the more crashes under it are needed, by the probability that they are chance; where so many crash that nothing can be told, nothing is held back. Entries are told of a suspect some time before the decision, and some other call of the service must be sound: a feature that all calls share cannot be told from a broken service.

--- a/src/connection/hosted/quarantineMessages.ts
+++ b/src/connection/hosted/quarantineMessages.ts
@@ -27,6 +27,7 @@
 
 const soundReportSchema = z.object({
     service: nameSchema,
+    /** Empty for a sound call without a suspected feature. */
     feature: nameSchema,
     /** Time since the call that was answered was sent to its endpoint, in milliseconds. */
     age: durationSchema,
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -54,7 +54,7 @@
 const minimumSuspectsPushInterval: Milliseconds = 50;
 
 /** The same time for each entry that is linked; the longer one applies. */
-const suspectsPushTimePerEntry: Milliseconds = 5;
+const suspectsPushTimePerEntry: Milliseconds = 3;
 
 type HostedLog = ReplicatedLog<HostedCommand, HostedOutcome>;
 
@@ -123,6 +123,8 @@
             clock,
             unixNow: () => this.medianClock.medianUnixTime(clock),
             eventLog,
+            endpointCount: service =>
+                endpointPoller.snapshot?.endpoints.filter(endpoint => endpoint.service === service).length ?? 0,
             onSuspectsChange: () => {
                 this.scheduleSuspectsPush();
             },
--- a/src/process/hosted/control/quarantineDuty.ts
+++ b/src/process/hosted/control/quarantineDuty.ts
@@ -37,6 +37,8 @@
     /** Wall-clock time that does not depend on the clock of this VM alone. */
     readonly unixNow: () => UnixMilliseconds;
     readonly eventLog: EventLog;
+    /** Number of endpoints of a service. */
+    readonly endpointCount: (service: string) => number;
     /** Called when the suspects may have changed. */
     readonly onSuspectsChange: () => void;
 }
@@ -49,11 +51,13 @@
  * neither a change of leader nor the restart of all processes lets the calls through.
  */
 export class QuarantineDuty {
-    private readonly ledger = new CrashLedger();
+    private readonly ledger: CrashLedger;
     private readonly decisions = new SerialQueue();
     private crashes = 0;
 
-    constructor(private readonly options: QuarantineDutyOptions) {}
+    constructor(private readonly options: QuarantineDutyOptions) {
+        this.ledger = new CrashLedger(options.endpointCount);
+    }
 
     /** The features whose calls are held back, for entries. */
     heldFeatures(): readonly HeldFeature[] {
@@ -75,7 +79,7 @@
     /** The leader's strongest suspects; undefined while this process does not lead. */
     suspects(): readonly Suspect[] | undefined {
         const { log, clock } = this.options;
-        return log.leadingTerm() === undefined ? undefined : this.ledger.suspects(clock.now());
+        return log.leadingTerm() === undefined ? undefined : this.ledger.publishSuspects(clock.now());
     }
 
     /** Records what an entry reports, and decides on it. */
@@ -104,6 +108,7 @@
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             if (this.ledger.size > 0) {
+                this.options.onSuspectsChange();
                 await this.decisions.run(() => this.holdBack());
             }
             await this.options.clock.sleep(evaluationInterval, signal);
--- a/src/process/hosted/entry/callQuarantine.ts
+++ b/src/process/hosted/entry/callQuarantine.ts
@@ -14,6 +14,9 @@
 /** Maximum number of reports that are kept. */
 const maximumReports = 256;
 
+/** Stands for all calls of a service: some are sound while those with a suspected feature are not. */
+const anyFeature = "";
+
 /** Number of incidents from which calls with a shared feature are suspicious; identical calls are from the first one. */
 const suspiciousIncidents = 2;
 
@@ -90,12 +93,24 @@
 
     /** Replaces the leader's suspects, and reports those that this entry knows to be sound. */
     applySuspects(suspects: readonly Suspect[], now: Milliseconds): void {
-        this.suspects = new Map(suspects.map(suspect => {
-            return [featureKey(suspect), { firstCrashAt: now - suspect.age, incidents: suspect.incidents }];
-        }));
-        suspects.forEach(({ service, feature, age }) => {
+        const known = new Map<string, KnownSuspect>();
+        for (const { service, feature, age, incidents } of suspects) {
+            const firstCrashAt = now - age;
+            known.set(featureKey({ service, feature }), { firstCrashAt, incidents });
+            const anyKey = featureKey({ service, feature: anyFeature });
+            const newestCrashAt = Math.max(firstCrashAt, known.get(anyKey)?.firstCrashAt ?? -Infinity);
+            known.set(anyKey, { firstCrashAt: newestCrashAt, incidents: 0 });
+        }
+        this.suspects = known;
+        for (const { service, feature, age } of suspects) {
             this.reportIfSound(service, feature, now - age, now);
-        });
+            this.reportIfSound(
+                service,
+                anyFeature,
+                known.get(featureKey({ service, feature: anyFeature }))?.firstCrashAt ?? Infinity,
+                now,
+            );
+        }
     }
 
     /** The holds that concern a call. */
@@ -137,7 +152,7 @@
 
     /** Records that a call did not make its endpoint crash. */
     recordSound(service: string, features: readonly string[], sentAt: Milliseconds, now: Milliseconds): void {
-        for (const feature of features) {
+        for (const feature of [...features, anyFeature]) {
             const key = featureKey({ service, feature });
             const newest = Math.max(sentAt, this.soundSentAt.get(key) ?? -Infinity);
             this.soundSentAt.delete(key);
--- a/tests/process/hosted/control/quarantineDuty.test.ts
+++ b/tests/process/hosted/control/quarantineDuty.test.ts
@@ -41,6 +41,8 @@
     async holdBack(): Promise<void> {
         for (let incident = 0; incident < 3; incident++) {
             await this.crash();
+            this.duty.suspects();
+            this.duty.recordEvidence({ crashes: [], sound: [{ service, feature: "", age: 0 }] });
             await this.wait(1_000);
         }
         await this.crash();
@@ -62,6 +64,7 @@
             clock: this.clock,
             unixNow: () => this.clock.unixNow(),
             eventLog: new EventLog("test", "hidden"),
+            endpointCount: () => 10,
             onSuspectsChange: () => undefined,
         });
     }
--- a/tests/process/replicatedLog/volatileCommandLog.ts
+++ b/tests/process/replicatedLog/volatileCommandLog.ts
@@ -30,7 +30,7 @@
         return undefined;
     }
 
-    override leadingTerm(): number {
+    override leadingTerm(): number | undefined {
         return 1;
     }
 
