test(soak): count the calls to a limited endpoint from its newest start

The trace shows that the endpoint had started again 8 s before, under a new id, and that the window began with its first answer: the limit holds from 4 s after an endpoint first named it, so the case is allowed. The check now begins anew at each start of an endpoint, with the same bounds.

--- a/tests/soak/outside/soakEndpoint.ts
+++ b/tests/soak/outside/soakEndpoint.ts
@@ -106,6 +106,9 @@
         });
         this.server = server;
         this.startCount++;
+        // Entries cannot know the limit of an endpoint that has just started.
+        this.limitedAt = performance.now();
+        this.arrivals.length = 0;
         await listen(server, privateAddressOf(this.publicAddress));
         await this.linkProxies.open(this.publicAddress);
     }
