--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -125,7 +125,7 @@
 
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
-            const hold = await this.findHold(call);
+            const hold = await this.resolveHold(call);
             if (hold !== undefined) {
                 this.refuseHeldCall(call, hold);
                 return;
@@ -180,8 +180,12 @@
         return withdrawn !== undefined;
     }
 
-    /** The hold because of which the call may not be sent; undefined if there is none or the call is let through. */
-    private async findHold(call: AdmittedCall): Promise<KnownHold | undefined> {
+    /**
+     * Asks the leader to let the call through if it is held back and a trial is due.
+     *
+     * @returns The hold because of which the call must not be sent; undefined if it may be sent.
+     */
+    private async resolveHold(call: AdmittedCall): Promise<KnownHold | undefined> {
         const { quarantine, grantSource, clock } = this.context;
         const { service, team } = call;
         const holds = (): readonly KnownHold[] =>
--- /dev/null
+++ b/tests/request/model/crashingRequest.test.ts
@@ -0,0 +1,82 @@
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { boundAddress, listen } from "../../../src/util/socketAddress.js";
+import { chatCall } from "../../connection/entry/testCaller.js";
+import { TestEntry } from "../../connection/entry/testEntry.js";
+import { formatRequest, openConnection } from "../../connection/leavingCaller.js";
+import { describe, it } from "../../describe.js";
+
+/** Crash after which engines are owed protection. */
+const decisiveCrash = 3;
+
+/** Repeats of the request that may still reach engines after that. */
+const acceptedRepeats = 3;
+
+/** Time after which an engine that crashed is back, in milliseconds. */
+const restartTime = 50;
+
+/** Starts engines that crash when they receive a request to run, and are back shortly after; returns their addresses. */
+async function startCrashingEngines(
+    store: DisposableStore,
+    count: number,
+    onRequest: () => void,
+): Promise<readonly string[]> {
+    const addresses: string[] = [];
+    let isDisposed = false;
+    const servers = new Map<number, Server>();
+    const start = async (index: number, address: string): Promise<void> => {
+        const server = createServer((request, response) => {
+            request.resume();
+            if (request.method !== "POST") {
+                response.end("{}");
+                return;
+            }
+            onRequest();
+            server.close();
+            server.closeAllConnections();
+            setTimeout(() => {
+                if (!isDisposed) {
+                    void start(index, addresses[index] ?? "");
+                }
+            }, restartTime);
+        });
+        servers.set(index, server);
+        await listen(server, address);
+        addresses[index] = boundAddress(server);
+    };
+    store.defer(() => {
+        isDisposed = true;
+        servers.forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    });
+    for (let index = 0; index < count; index++) {
+        await start(index, "127.0.0.1:0");
+    }
+    return addresses;
+}
+
+describe("model request", () => {
+    // Guards against a request that its caller repeats, and that crashes engine after engine.
+    it("is not sent to engines again and again if it crashes each of them", async t => {
+        await using store = new DisposableStore();
+        let arrivals = 0;
+        const engines = await startCrashingEngines(store, 6, () => arrivals++);
+        const entry = store.add(await TestEntry.start({ engines }));
+        const { path, body } = chatCall(5, "the same prompt");
+        const headers = { host: "calls.example", authorization: `Bearer ${entry.key}` };
+        const callers: Socket[] = [];
+        for (let repeat = 0; repeat < 20; repeat++) {
+            const caller = await openConnection(entry.address);
+            caller.write(formatRequest("POST", path, headers, body));
+            callers.push(caller);
+            await sleep(150);
+        }
+        callers.forEach(caller => caller.destroy());
+        t.true(arrivals <= decisiveCrash + acceptedRepeats, `${arrivals} requests reached engines`);
+    });
+});
