fix(hosted): keep to limits without a leader while control processes know no entry

All control processes had been killed; each that was back answered beats with 0 entries before it knew any, and the mean time between calls without a leader is proportional to that number. The entry that asks is one: at least 1 counts.

--- a/src/process/hosted/entry/limitedEndpoint.ts
+++ b/src/process/hosted/entry/limitedEndpoint.ts
@@ -55,7 +55,8 @@
      * know nothing of each other keeps to a fraction of the rate.
      */
     takeCallWithoutLeader(entryCount: number, now: Milliseconds): boolean {
-        const meanInterval = 1_000 * entryCount / (fractionWithoutLeader * this.callsPerSecond);
+        // A control process that has just started may know no entry yet.
+        const meanInterval = 1_000 * Math.max(1, entryCount) / (fractionWithoutLeader * this.callsPerSecond);
         this.nextCallWithoutLeaderAt ??= now + this.random.exponential(meanInterval);
         if (this.nextCallWithoutLeaderAt + validityWithoutLeader < now) {
             // Memoryless: what was not used in time has no effect on later calls.
--- a/tests/process/hosted/entry/endpointRateLimits.test.ts
+++ b/tests/process/hosted/entry/endpointRateLimits.test.ts
@@ -32,16 +32,49 @@
     }
 }
 
-function createLimits(clock: Clock): EndpointRateLimits {
+/** Never decides. */
+class NoLeader extends GrantSource {
+    override get leaderId(): undefined {
+        return undefined;
+    }
+
+    override requestGrant(): Promise<undefined> {
+        return Promise.resolve(undefined);
+    }
+
+    override requestTrial(): Promise<boolean> {
+        return Promise.resolve(false);
+    }
+}
+
+function createLimits(clock: Clock, entryCount = 1): EndpointRateLimits {
     return new EndpointRateLimits({
         clock,
         suspensionDetector: new SuspensionDetector(clock),
         random: new RandomSource(1),
         eventLog: new EventLog("test", "hidden"),
-        entryCount: () => 1,
+        entryCount: () => entryCount,
     });
 }
 
+describe("EndpointRateLimits without a leader", () => {
+    for (const entryCount of [0, 1]) {
+        // Guards against limits that end because a control process that has just started knows no entry yet.
+        it(`keep to the limit if control processes know ${entryCount} entries`, async t => {
+            const clock = new VirtualClock();
+            const limits = createLimits(clock, entryCount);
+            limits.recordStatement("e", { kind: "limited", callsPerSecond: 4, isAmbiguous: false }, 0);
+            let sent = 0;
+            for (let time = 0; time < 20_000; time += 10) {
+                await clock.runUntil(time);
+                sent += await limits.acquire("e", 0, new NoLeader()) ? 1 : 0;
+            }
+            t.true(sent <= 1.5 * 4 * 20 + 5, `${sent} calls`);
+            t.true(sent > 0);
+        });
+    }
+});
+
 /** Simulates a fleet whose endpoints state limits from time 0 on. */
 async function startFleet(
     seed: number,
