test(soak): count the calls to a limited endpoint from its first statement

The limit holds from 4 s after an endpoint first named it, which its first answer does; bounds are unchanged.

--- a/tests/soak/outside/soakEndpoint.ts
+++ b/tests/soak/outside/soakEndpoint.ts
@@ -69,7 +69,8 @@
     private fault: EndpointFault | undefined;
     private startCount = 0;
     private rateLimit: number | undefined;
-    private limitedAt: Milliseconds = 0;
+    /** When the endpoint first stated its limit since it started; undefined if it did not. */
+    private limitedAt: Milliseconds | undefined;
     private readonly arrivals: Milliseconds[] = [];
     /** Calls under which this endpoint crashed. */
     readonly harmfulArrivals: { readonly kind: "segment" | "repeated"; readonly at: Milliseconds; }[] = [];
@@ -106,8 +107,7 @@
         });
         this.server = server;
         this.startCount++;
-        // Entries cannot know the limit of an endpoint that has just started.
-        this.limitedAt = performance.now();
+        this.limitedAt = undefined;
         this.arrivals.length = 0;
         await listen(server, privateAddressOf(this.publicAddress));
         await this.linkProxies.open(this.publicAddress);
@@ -133,19 +133,19 @@
     }
 
     /** Lets the endpoint state a limit of the calls per second of all entries; undefined ends it. */
-    setRateLimit(callsPerSecond: number | undefined, now: Milliseconds): void {
+    setRateLimit(callsPerSecond: number | undefined): void {
         this.rateLimit = callsPerSecond;
-        this.limitedAt = now;
+        this.limitedAt = undefined;
         this.arrivals.length = 0;
     }
 
     /** Reports a window in which more calls arrived than one and a half times the stated limit allows, and five. */
     checkRateLimit(): void {
-        const { rateLimit } = this;
-        if (rateLimit === undefined) {
+        const { rateLimit, limitedAt } = this;
+        if (rateLimit === undefined || limitedAt === undefined) {
             return;
         }
-        const owed = this.arrivals.filter(time => time >= this.limitedAt + limitConvergenceTime);
+        const owed = this.arrivals.filter(time => time >= limitedAt + limitConvergenceTime);
         const counts = owed.map(end => owed.filter(time => time > end - limitWindow && time <= end).length);
         const most = Math.max(0, ...counts);
         const accepted = 1.5 * rateLimit * limitWindow / 1_000 + 5;
@@ -163,6 +163,7 @@
         request.resume();
         if (this.rateLimit !== undefined) {
             this.arrivals.push(performance.now());
+            this.limitedAt ??= performance.now();
             response.setHeader("server-limit", String(this.rateLimit));
         }
         const id = String(request.headers["gullhall-attempt-id"]);
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -153,10 +153,10 @@
         const random = new RandomSource(this.options.seed + 4);
         while (!signal.aborted) {
             const endpoint = random.pick(endpoints);
-            endpoint?.setRateLimit(0.2 + 4 * random.float(), performance.now());
+            endpoint?.setRateLimit(0.2 + 4 * random.float());
             await sleep(limitedPeriod, undefined, { signal }).catch(() => undefined);
             endpoint?.checkRateLimit();
-            endpoint?.setRateLimit(undefined, performance.now());
+            endpoint?.setRateLimit(undefined);
             await sleep(unlimitedPeriod, undefined, { signal }).catch(() => undefined);
         }
     }
