fix(hosted): let entries keep the suspects of the process that leads

A former leader sent an empty list once it had evaluated further evidence, which replaced the new leader's list at entries, and a new leader with an empty list sent none, so that entries kept the former leader's suspects. Found by reading the change; no test failed.

--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -43,7 +43,8 @@
     private hello: EntryHello | undefined;
     private sentVersion = 0;
     private sentHoldsRevision: number | undefined;
-    private sentSuspectsVersion = 0;
+    /** Undefined if the entry may know the list of another leader. */
+    private sentSuspectsVersion: number | undefined;
     private isObserver = false;
 
     constructor(socket: Socket, private readonly context: EntryLinkContext) {
@@ -97,8 +98,13 @@
         }
     }
 
-    /** Sends the suspects, unless the entry has been told. */
+    /** Sends the suspects if this process leads, unless the entry has been told. */
     pushSuspects(): void {
+        if (!this.context.isLeader()) {
+            // The list of another leader replaces this one at the entry.
+            this.sentSuspectsVersion = undefined;
+            return;
+        }
         const { suspectsVersion } = this.context.quarantine;
         if (this.hello?.understandsHolds === true && suspectsVersion !== this.sentSuspectsVersion) {
             this.sentSuspectsVersion = suspectsVersion;
