fix(hosted): tell calls without a body apart by their prompts

Cause: the digest of a call's content left out its prompt. A call whose prompt stands in a header alone, without a body, had the same digest as all others of its team on the same path, so that two crashes under one of them held all of them back.

Change: without a body, the segments are the content. With a body it stays as it is: a call that comes again repeats its path, caller and body.

--- a/src/request/hosted/callFeatures.ts
+++ b/src/request/hosted/callFeatures.ts
@@ -30,7 +30,9 @@
  */
 export function featuresOf(segments: readonly PromptSegment[], content: CallContent): readonly string[] {
     const shared = segments.slice(0, -1).slice(0, maximumSegments);
-    return [...new Set(shared.map(({ id }) => `segment:${shortId(id)}`)), `${callPrefix}${digestOf(content)}`];
+    const hasBody = content.body !== undefined && content.body.length > 0;
+    const callFeature = `${callPrefix}${digestOf(content, hasBody ? [] : segments)}`;
+    return [...new Set(shared.map(({ id }) => `segment:${shortId(id)}`)), callFeature];
 }
 
 /** Whether only identical calls share a feature. */
@@ -38,8 +40,10 @@
     return feature.startsWith(callPrefix);
 }
 
-function digestOf({ method, target, team = "", body }: CallContent): string {
-    const hash = createHash("sha256").update(`${method} ${target}\n${team}\n`);
+/** @param segments Segments that are the content of a call without a body. */
+function digestOf({ method, target, team = "", body }: CallContent, segments: readonly PromptSegment[]): string {
+    const prompt = segments.map(({ id }) => id).join();
+    const hash = createHash("sha256").update(`${method} ${target}\n${team}\n${prompt}\n`);
     return hash.update(body ?? "").digest("hex").slice(0, digestLength);
 }
 
--- a/tests/request/hosted/callFeatures.test.ts
+++ b/tests/request/hosted/callFeatures.test.ts
@@ -30,6 +30,17 @@
         t.is(features[0], featuresOf([], { ...content }).join());
     });
 
+    // Guards against different prompts that are held back as if they were one call.
+    it("tell calls apart by their prompts if they have no body", t => {
+        const callFeatureOf = (last: string, body: Buffer | undefined): string | undefined =>
+            featuresOf([{ id: "1", tokens: 5 }, { id: last, tokens: 5 }], { ...content, body }).at(-1);
+        for (const body of [undefined, Buffer.alloc(0)]) {
+            t.not(callFeatureOf("2", body), callFeatureOf("3", body));
+            t.is(callFeatureOf("2", body), callFeatureOf("2", body));
+        }
+        t.is(callFeatureOf("2", content.body), callFeatureOf("3", content.body), "the body is what a call repeats");
+    });
+
     it("stay bounded however many and long the segments are", t => {
         const segments = Array.from(Array(500).keys(), index => ({ id: `${index}`.repeat(100), tokens: 1 }));
         const features = featuresOf(segments, content);
