refactor(hosted): keep what a call has to do with crashes in a class of its own

CrashGuard asks for trials and records what attempts tell about crashes; the features belong to the admitted call.

--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -8,6 +8,7 @@
 import type { DeploymentIndex } from "../../version/deploymentIndex.js";
 import { selectService } from "../../version/deploymentIndex.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
+import { featuresOf } from "./callFeatures.js";
 import type { CallTraits } from "./callTraits.js";
 
 /** Maximum time for which a call waits until the entry may serve calls (until it has a permit). */
@@ -56,7 +57,12 @@
     const readmitted = indexAfterBody === indexBeforeBody
         ? admitted
         : resolveCall(request, traits, indexAfterBody, context.random.float());
-    return readmitted.ok ? Ok({ ...readmitted.val, body: body.val }) : readmitted;
+    if (readmitted.err) {
+        return readmitted;
+    }
+    const { method = "GET", url = "/" } = request;
+    const content = { method, target: url, team: readmitted.val.team?.name, body: body.val };
+    return Ok({ ...readmitted.val, body: body.val, features: featuresOf(traits.promptSegments, content) });
 }
 
 /**
@@ -113,6 +119,7 @@
         service,
         team,
         body: undefined,
+        features: [],
         minimumEventGapTarget: deploymentIndex.minimumEventGapTarget(service.name),
         urgency: deploymentIndex.urgencyOf(route, team),
         version: deploymentIndex.version,
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -47,6 +47,8 @@
     readonly team: DeployedTeam | undefined;
     /** Undefined if the request has no body. */
     readonly body: Buffer | undefined;
+    /** What the call has in common with others; empty until its body was read. */
+    readonly features: readonly string[];
     /** Smallest target for the gap between events among all routes of the service; undefined if none has a target. */
     readonly minimumEventGapTarget: Milliseconds | undefined;
     /** Priority at the endpoints, from 0 (highest) to 9. */
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readCallTraits } from "../../../platform/callHeaders.js";
 import { createCallerAbortSignal } from "../../connection/callerAbortSignal.js";
-import type { KnownHold } from "../../process/hosted/entry/callQuarantine.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -10,8 +9,8 @@
 import { admitCall, withdrawnAdmission } from "./callAdmission.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
 import { CallerResponse } from "./callerResponse.js";
-import { featuresOf } from "./callFeatures.js";
 import type { CallTraits } from "./callTraits.js";
+import { CrashGuard } from "./crashGuard.js";
 import { EndpointAttempt } from "./endpointAttempt.js";
 import type { AttemptOutcome, FailedOutcome } from "./endpointAttempt.js";
 import type { Placement, PlacementRequest } from "./endpointChooser.js";
@@ -63,8 +62,6 @@
 export class HostedCall {
     private readonly traits: CallTraits;
     private readonly arrivedAt: Milliseconds;
-    /** What the call has in common with others; empty until it is admitted. */
-    private features: readonly string[] = [];
     private readonly callerResponse: CallerResponse;
     private readonly triedEndpoints = new Set<HostedEndpoint>();
     private attempt: EndpointAttempt | undefined;
@@ -77,10 +74,7 @@
     /** Number of calls to endpoints with limited rates that were not granted. */
     private denials = 0;
     private lastFailure: FailedAttempt | undefined;
-    /** Features because of which calls are held back, and with which this call is let through. */
-    private readonly trials = new Set<string>();
-    /** Whether the endpoint of the newest attempt does not crash because of the call. */
-    private isEstablished = false;
+    private readonly crashGuard: CrashGuard;
 
     constructor(
         private readonly request: IncomingMessage,
@@ -89,6 +83,7 @@
     ) {
         this.traits = readCallTraits(request.headers);
         this.arrivedAt = context.clock.now();
+        this.crashGuard = new CrashGuard(context);
         const abortSignal = createCallerAbortSignal(request, response);
         this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, abortSignal);
         abortSignal.addEventListener("abort", () => {
@@ -101,9 +96,6 @@
         const call = await admitCall(this.request, this.traits, this.context);
         if (call.ok) {
             this.context.retryBudget.recordCall(call.val.service.name, this.context.clock.now());
-            const { method = "GET", url = "/" } = this.request;
-            const { team, body } = call.val;
-            this.features = featuresOf(this.traits.promptSegments, { method, target: url, team: team?.name, body });
             await this.serve(call.val);
         }
         else {
@@ -125,12 +117,7 @@
 
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
-            const hold = await this.resolveHold(call);
-            if (hold !== undefined) {
-                this.refuseHeldCall(call, hold);
-                return;
-            }
-            if (this.trials.size > 0 && this.refuseIfWithdrawn(call)) {
+            if (await this.endIfHeldBack(call)) {
                 return;
             }
             const selection = this.remainingTime(call.route) < minimumAttemptTime ? undefined : this.select(call);
@@ -169,6 +156,25 @@
         }
     }
 
+    /** Ends a call that is held back, or that was withdrawn while it waited to be let through; returns whether it ended. */
+    private async endIfHeldBack(call: AdmittedCall): Promise<boolean> {
+        const mayBeTried = (): boolean => this.executions === 0 && !this.callerResponse.hasCallerDisconnected();
+        const hold = await this.crashGuard.resolveHold(call, mayBeTried);
+        if (this.callerResponse.hasCallerDisconnected()) {
+            return true;
+        }
+        if (hold === undefined) {
+            return this.crashGuard.isOnTrial && this.refuseIfWithdrawn(call);
+        }
+        if (this.executions > 0) {
+            this.callerResponse.fail(failure("callOutcomeUnknown"), call);
+        }
+        else {
+            this.callerResponse.refuse(this.crashGuard.refuse(call, hold, this.context.clock.now()));
+        }
+        return true;
+    }
+
     /** Refuses a call that has not run if its key, its route or the permit has lapsed while it waited. */
     private refuseIfWithdrawn(call: AdmittedCall): boolean {
         const withdrawn = this.executions > 0
@@ -180,52 +186,6 @@
         return withdrawn !== undefined;
     }
 
-    /**
-     * Asks the leader to let the call through if it is held back and a trial is due.
-     *
-     * @returns The hold because of which the call must not be sent; undefined if it may be sent.
-     */
-    private async resolveHold(call: AdmittedCall): Promise<KnownHold | undefined> {
-        const { quarantine, grantSource, clock } = this.context;
-        const { service, team } = call;
-        const holds = (): readonly KnownHold[] =>
-            quarantine.holdsOf(service.name, team?.name, this.features).filter(({ feature }) =>
-                !this.trials.has(feature)
-            );
-        while (!this.callerResponse.hasCallerDisconnected()) {
-            const known = holds();
-            const hold = known.find(({ nextTrialAt }) => nextTrialAt > clock.now()) ?? known[0];
-            if (hold === undefined || hold.nextTrialAt > clock.now() || this.executions > 0) {
-                return hold;
-            }
-            const isGranted = await grantSource.requestTrial(service.name, hold.feature, this.features);
-            await waitForSocketPoll();
-            if (!isGranted) {
-                return hold;
-            }
-            quarantine.recordTrial();
-            this.trials.add(hold.feature);
-        }
-        return undefined;
-    }
-
-    private refuseHeldCall(call: AdmittedCall, hold: KnownHold): void {
-        const { quarantine, clock } = this.context;
-        if (this.executions > 0) {
-            this.callerResponse.fail(failure("callOutcomeUnknown"), call);
-            return;
-        }
-        quarantine.recordRefusal();
-        const { feature } = hold;
-        const retryAfter = quarantine.retryAfter(hold, clock.now());
-        this.callerResponse.refuse({ reason: failure("callHeldBack", { feature }), call, retryAfter, feature });
-    }
-
-    /** Whether the call may be the cause of crashes, so that few other calls should run where it does. */
-    private isSuspicious({ service }: AdmittedCall): boolean {
-        return this.trials.size > 0 || this.context.quarantine.isSuspicious(service.name, this.features);
-    }
-
     /**
      * Chooses an endpoint: one that is due for a probe, or the best of those that may take a call now, or the best of
      * those that may take one after a delay; undefined if there is none.
@@ -245,7 +205,7 @@
         }
         for (const maximumGrantDelay of [0, this.maximumGrantDelay(call)]) {
             const available = untried.filter(({ id }) => rateLimits.timeUntilRequest(id, maximumGrantDelay, now) === 0);
-            const open = this.isSuspicious(call) ? leastLoaded(available, now) : available;
+            const open = this.crashGuard.isSuspicious(call) ? leastLoaded(available, now) : available;
             const placement = open.length === 0 ? undefined : this.place(call, open);
             if (placement !== undefined) {
                 return { placement, maximumGrantDelay };
@@ -321,12 +281,12 @@
 
     private async runAttempt(call: AdmittedCall, placement: Placement): Promise<AttemptOutcome> {
         const { endpoint, uncachedTokens } = placement;
-        const { clock, chooser, quarantine } = this.context;
-        const { route, service } = call;
+        const { clock, chooser } = this.context;
+        const { route } = call;
         const sentAt = clock.now();
         const outstandingCall = { pendingPrefillTokens: uncachedTokens, urgency: call.urgency, sentAt };
         this.dispatchedAt = sentAt;
-        this.isEstablished = false;
+        this.crashGuard.beginAttempt();
         this.triedEndpoints.add(endpoint);
         endpoint.addCall(outstandingCall, sentAt);
         this.logDispatch(call, placement);
@@ -344,15 +304,15 @@
                 chooser.recordStart(this.placementRequest(call), placement, clock.now() - sentAt, clock.now());
             },
             onEstablished: () => {
-                this.isEstablished = true;
-                quarantine.recordSound(service.name, this.features, sentAt, clock.now());
+                this.crashGuard.recordEstablished(call, sentAt, clock.now());
             },
         }, this.context);
         const outcome = await this.attempt.run();
         this.attempt = undefined;
         endpoint.removeCall(outstandingCall);
         this.executions += outcome.kind === "notRun" ? 0 : 1;
-        this.recordOutcome(call, endpoint, outcome, sentAt);
+        this.crashGuard.recordOutcome(call, endpoint, outcome, sentAt, clock.now());
+        this.recordOutcome(endpoint, outcome, sentAt);
         return outcome;
     }
 
@@ -364,7 +324,8 @@
         const hasOpenEndpoint = this.untriedEndpoints(service).some(({ id }) =>
             rateLimits.timeUntilRequest(id, 0, now) === 0
         );
-        const mayBeCause = outcome.kind === "lost" && outcome.wasDisconnected && this.isSuspicious(call);
+        const mayBeCause = outcome.kind === "lost" && outcome.wasDisconnected
+            && this.crashGuard.isSuspicious(call);
         if (
             mayBeCause || this.callerResponse.isBodyForwarded || !hasOpenEndpoint
             || this.remainingTime(route) < minimumAttemptTime
@@ -432,19 +393,10 @@
     }
 
     /** Updates the endpoint's health from the outcome of an attempt, and logs a failed one. */
-    private recordOutcome(
-        call: AdmittedCall,
-        endpoint: HostedEndpoint,
-        outcome: AttemptOutcome,
-        sentAt: Milliseconds,
-    ): void {
+    private recordOutcome(endpoint: HostedEndpoint, outcome: AttemptOutcome, sentAt: Milliseconds): void {
         const now = this.context.clock.now();
-        const { quarantine, crashObserver } = this.context;
         if (outcome.kind === "delivered") {
             endpoint.recordSuccess();
-            if (outcome.isFramed) {
-                quarantine.recordSound(call.service.name, this.features, sentAt, now);
-            }
             return;
         }
         if (this.callerResponse.hasCallerDisconnected()) {
@@ -452,8 +404,6 @@
         }
         if (outcome.kind === "failedAnswer") {
             endpoint.recordErrorResponse();
-            // An endpoint that responds with an error has not crashed.
-            quarantine.recordSound(call.service.name, this.features, sentAt, now);
         }
         else if (outcome.kind === "notRun" && outcome.cause === "full") {
             endpoint.recordAtCapacity(now);
@@ -461,9 +411,6 @@
         else {
             endpoint.recordFailure(now);
         }
-        if (outcome.kind === "lost" && outcome.wasDisconnected && !this.isEstablished) {
-            crashObserver.recordLostCall(endpoint, { team: call.team?.name, features: this.features });
-        }
         this.context.counters.count("attemptFailed");
         this.context.eventLog.write("callAttemptFailed", {
             requestId: this.traits.callId,
