refactor(hosted): decide on holds in functions that take the time

QuarantineDuty read its clock inside its decisions. They are functions of a hold, the evidence and the present time now (holdPolicy.ts); the duty asks the clock and stores the result.

--- a/src/process/hosted/control/quarantineDuty.ts
+++ b/src/process/hosted/control/quarantineDuty.ts
@@ -9,23 +9,9 @@
 import { compareEvidence, maximumHolds } from "../featureHold.js";
 import { CrashLedger } from "./crashLedger.js";
 import type { CrashVerdict } from "./crashLedger.js";
+import { beginTrial, createHold, isDisproved, recordCrash } from "./holdPolicy.js";
 import type { HostedCommand, HostedOutcome, HostedState } from "./hostedState.js";
 
-/** Time from a failed trial to the next one, by the number of trials so far; after the last, an operator decides. */
-const trialIntervals: readonly Milliseconds[] = [60_000, 600_000];
-
-/** Longest time between two trials whose outcomes remain unknown. */
-const longestTrialInterval: Milliseconds = 600_000;
-
-/** Time after which another trial may begin if the outcome of the first one remains unknown. */
-const trialTimeout: Milliseconds = 5_000;
-
-/**
- * Time for which a trial is left to calls without other suspected features: a crash under one with them tells little
- * about the feature that is tried.
- */
-const unambiguousCallTime: Milliseconds = 5_000;
-
 /** Timeout of a commit. */
 const commitTimeout: Milliseconds = 850;
 
@@ -35,9 +21,6 @@
 /** Time for which evidence is collected before it is evaluated: many entries may report the same crash. */
 const collectionTime: Milliseconds = 20;
 
-/** Maximum number of crashed endpoints that are stored with a hold. */
-const maximumStoredEndpoints = 16;
-
 /** Dependencies of {@link QuarantineDuty}. */
 export interface QuarantineDutyOptions {
     readonly log: CommandLog<HostedCommand, HostedOutcome>;
@@ -152,17 +135,15 @@
             if (hold === undefined) {
                 return true;
             }
-            const now = unixNow();
             const others = features.filter(each => each !== feature);
             const isAmbiguous = others.some(other => this.ledger.isSuspected(service, other));
-            if (now < (hold.nextTrialAt ?? Infinity) + (isAmbiguous ? unambiguousCallTime : 0)) {
+            const tried = beginTrial(hold, isAmbiguous, unixNow());
+            if (tried === undefined) {
                 return false;
             }
-            const trials = hold.trials + 1;
-            const timeout = trials === 1 ? trialTimeout : trialIntervals[trials - 2] ?? longestTrialInterval;
-            const isStored = await this.store({ ...hold, trials, isTrialRunning: true, nextTrialAt: now + timeout });
+            const isStored = await this.store(tried);
             if (isStored) {
-                eventLog.write("holdTrialBegan", { service, feature, trials });
+                eventLog.write("holdTrialBegan", { service, feature, trials: tried.trials });
             }
             return isStored;
         });
@@ -240,21 +221,10 @@
         }
     }
 
-    private async hold({ service, feature, teams, crashedEndpoints, firstCrashAt }: CrashVerdict): Promise<void> {
+    private async hold(verdict: CrashVerdict): Promise<void> {
         const { clock, unixNow, eventLog } = this.options;
-        const heldAt = unixNow();
-        const isStored = await this.store({
-            service,
-            feature,
-            teams: teams.length > 1 ? undefined : teams,
-            crashedEndpoints: crashedEndpoints.slice(-maximumStoredEndpoints),
-            firstCrashAt: heldAt - (clock.now() - firstCrashAt),
-            heldAt,
-            trials: 0,
-            isTrialRunning: false,
-            // The first trial may begin at once: it soon shows if the evidence was misleading.
-            nextTrialAt: heldAt,
-        });
+        const { service, feature, teams, crashedEndpoints, firstCrashAt } = verdict;
+        const isStored = await this.store(createHold(verdict, clock.now() - firstCrashAt, unixNow()));
         if (isStored) {
             eventLog.write("callsHeldBack", {
                 service,
@@ -266,31 +236,13 @@
     }
 
     /** Takes a crash under calls that are held back for a failed trial, and for evidence against further teams. */
-    private async recordCrashOfHeldCalls({ endpoint, service, calls, age }: CrashReport): Promise<void> {
+    private async recordCrashOfHeldCalls(crash: CrashReport): Promise<void> {
         const { state, log, eventLog, unixNow } = this.options;
         for (const hold of log.leadingTerm() === undefined ? [] : state.holds) {
-            const affected = calls.filter(({ features }) => features.includes(hold.feature));
-            const isKnown = hold.crashedEndpoints.includes(endpoint);
-            if (hold.service !== service || affected.length === 0) {
-                continue;
-            }
-            const concernsOthers = affected.some(({ team = "" }) => hold.teams?.includes(team) === false);
-            if (isKnown && !concernsOthers) {
-                continue;
-            }
-            const hasTrialFailed = hold.isTrialRunning && unixNow() - age > hold.heldAt;
-            const interval = trialIntervals[hold.trials - 1];
-            const nextTrialAt = interval === undefined ? undefined : unixNow() + interval;
-            await this.store({
-                ...hold,
-                teams: concernsOthers ? undefined : hold.teams,
-                crashedEndpoints: [...hold.crashedEndpoints, ...isKnown ? [] : [endpoint]].slice(
-                    -maximumStoredEndpoints,
-                ),
-                ...hasTrialFailed ? { isTrialRunning: false, nextTrialAt } : {},
-            });
-            if (hasTrialFailed) {
-                eventLog.write("holdTrialFailed", { service, feature: hold.feature, endpoint, trials: hold.trials });
+            const changed = recordCrash(hold, crash, unixNow());
+            if (changed !== undefined && await this.store(changed) && hold.isTrialRunning && !changed.isTrialRunning) {
+                const { service, feature, trials } = hold;
+                eventLog.write("holdTrialFailed", { service, feature, endpoint: crash.endpoint, trials });
             }
         }
     }
@@ -299,7 +251,7 @@
     private async releaseIfSound(service: string, feature: string, age: Milliseconds): Promise<void> {
         const { state, log, unixNow } = this.options;
         const hold = state.findHold(service, feature);
-        if (hold !== undefined && log.leadingTerm() !== undefined && unixNow() - age > hold.firstCrashAt) {
+        if (hold !== undefined && log.leadingTerm() !== undefined && isDisproved(hold, age, unixNow())) {
             await this.endHold(service, feature, "sound");
         }
     }
