--- /dev/null
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -0,0 +1,138 @@
+import { connect, createServer } from "node:net";
+import { EntryLink } from "../../../src/connection/hosted/entryLink.js";
+import { linkProtocolVersion } from "../../../src/connection/hosted/linkMessages.js";
+import type { ControlMessage, EntryMessage } from "../../../src/connection/hosted/linkMessages.js";
+import { MessageConnection } from "../../../src/connection/messageConnection.js";
+import { EventLog } from "../../../src/logEvent/eventLog.js";
+import { EntryRegistry } from "../../../src/process/hosted/control/entryRegistry.js";
+import { HostedState } from "../../../src/process/hosted/control/hostedState.js";
+import { QuarantineDuty } from "../../../src/process/hosted/control/quarantineDuty.js";
+import { RateLimitLedger } from "../../../src/process/hosted/control/rateLimitLedger.js";
+import { SystemClock } from "../../../src/util/clock.js";
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { MedianClock } from "../../../src/util/medianClock.js";
+import { listen, splitAddress } from "../../../src/util/socketAddress.js";
+import { describe, it } from "../../describe.js";
+import { VolatileCommandLog } from "../../process/replicatedLog/volatileCommandLog.js";
+
+const service = "drafting";
+const clock = new SystemClock();
+const eventLog = new EventLog("test", "hidden");
+
+const hello: EntryMessage = {
+    kind: "hello",
+    protocol: linkProtocolVersion,
+    entry: "entry-1",
+    incarnation: "1",
+    failureDomain: "north",
+    callerAddress: "127.0.0.1:80",
+    version: 0,
+    understandsHolds: true,
+};
+
+function crashOf(endpoint: string): EntryMessage {
+    const calls = [{ features: ["segment:1"] }];
+    return { kind: "evidence", crashes: [{ endpoint, service, age: 0, calls }], sound: [] };
+}
+
+/** A control process that may lead, and a link of an entry to it. */
+class LinkedControl implements AsyncDisposable {
+    isLeading = true;
+    private readonly store = new DisposableStore();
+    private readonly received: ControlMessage[] = [];
+    private connection: MessageConnection | undefined;
+    private heartbeats = 0;
+
+    static async start(): Promise<LinkedControl> {
+        const control = new LinkedControl();
+        const state = new HostedState(() => undefined);
+        const quarantine = new QuarantineDuty({
+            log: new VolatileCommandLog(state),
+            state,
+            clock,
+            unixNow: () => clock.unixNow(),
+            eventLog,
+            endpointCount: () => 10,
+            onSuspectsChange: () => undefined,
+        });
+        const server = createServer(socket => {
+            void new EntryLink(socket, {
+                clock,
+                eventLog,
+                medianClock: new MedianClock(),
+                registry: new EntryRegistry(),
+                document: () => undefined,
+                endpoints: () => undefined,
+                confirmVersion: () => Promise.resolve(undefined),
+                isLeader: () => control.isLeading,
+                controlHosts: () => [],
+                leaderHost: () => undefined,
+                rateLimits: new RateLimitLedger(eventLog),
+                mayGrant: () => control.isLeading,
+                quarantine,
+                holdsRevision: () => state.holdsRevision,
+            }).run();
+        });
+        control.store.defer(() => {
+            server.close();
+        });
+        const connection = new MessageConnection(connect(splitAddress(await listen(server, "127.0.0.1:0"))));
+        control.store.add(connection);
+        control.connection = connection;
+        void control.receive(connection);
+        return control;
+    }
+
+    send(message: EntryMessage): void {
+        this.connection?.send(message);
+    }
+
+    /** Sends a heartbeat; returns the lists of suspects that arrived since the previous one, by their lengths. */
+    async suspectsWithHeartbeat(): Promise<readonly number[]> {
+        // Longer than evidence is collected before it is evaluated.
+        await clock.sleep(60);
+        const number = ++this.heartbeats;
+        this.send({
+            kind: "beat",
+            number,
+            unixTime: 0,
+            version: 0,
+            isReady: true,
+            interval: 400,
+            wantsPermit: false,
+            work: {},
+        });
+        while (!this.received.some(message => message.kind === "beatAnswer" && message.number === number)) {
+            await clock.sleep(5);
+        }
+        const messages = this.received.splice(0);
+        return messages.flatMap(message => message.kind === "suspects" ? [message.suspects.length] : []);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.store.dispose();
+    }
+
+    private async receive(connection: MessageConnection): Promise<void> {
+        for await (const message of connection.messages()) {
+            this.received.push(message as ControlMessage);
+        }
+    }
+}
+
+describe("EntryLink", () => {
+    // Guards against a former leader that replaces the suspects of the one that leads now.
+    it("sends suspects only while its process leads, and each first time it does", async t => {
+        await using control = await LinkedControl.start();
+        control.send(hello);
+        t.deepEqual(await control.suspectsWithHeartbeat(), [0], "also an empty list, which replaces another leader's");
+        control.send(crashOf("e0"));
+        t.deepEqual(await control.suspectsWithHeartbeat(), [1]);
+        t.deepEqual(await control.suspectsWithHeartbeat(), [], "the entry has been told");
+        control.isLeading = false;
+        control.send(crashOf("e1"));
+        t.deepEqual(await control.suspectsWithHeartbeat(), []);
+        control.isLeading = true;
+        t.deepEqual(await control.suspectsWithHeartbeat(), [1]);
+    });
+});
