fix(hosted): take evidence only from entries that have said who they are

A link recorded a report of crashes that came before the entry's first message, and closed only then.

--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -139,11 +139,17 @@
                 this.respondToGrantRequest(message, this.hello);
                 return true;
             case "evidence":
+                if (this.hello === undefined) {
+                    return false;
+                }
                 this.context.quarantine.recordEvidence(message);
-                return this.hello !== undefined;
+                return true;
             case "trialRequest":
+                if (this.hello === undefined) {
+                    return false;
+                }
                 void this.respondToTrialRequest(message);
-                return this.hello !== undefined;
+                return true;
             case "beat":
                 if (this.hello === undefined) {
                     return false;
--- a/tests/connection/hosted/entryLink.test.ts
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -42,6 +42,12 @@
     private readonly received: ControlMessage[] = [];
     private connection: MessageConnection | undefined;
     private heartbeats = 0;
+    private quarantine: QuarantineDuty | undefined;
+
+    /** Number of features that the process suspects. */
+    get suspectCount(): number {
+        return this.quarantine?.suspects().length ?? 0;
+    }
 
     static async start(): Promise<LinkedControl> {
         const control = new LinkedControl();
@@ -55,6 +61,7 @@
             endpointCount: () => 10,
             onSuspectsChange: () => undefined,
         });
+        control.quarantine = quarantine;
         const server = createServer(socket => {
             void new EntryLink(socket, {
                 clock,
@@ -135,4 +142,12 @@
         control.isLeading = true;
         t.deepEqual(await control.suspectsWithHeartbeat(), [1]);
     });
+
+    // Guards against evidence of a peer that has not said who it is.
+    it("takes no evidence before the first message of an entry", async t => {
+        await using control = await LinkedControl.start();
+        control.send(crashOf("e0"));
+        await clock.sleep(100);
+        t.is(control.suspectCount, 0);
+    });
 });
