feat(hosted): show the software versions of endpoints in logs and metrics

The logs named neither the versions of endpoints nor the calls that continue streams, so that the hypotheses could not be told apart.

Change: the platform's list is decoded with the software version, which entries learn with the list; event 2460 names it, the attempt that the caller continues, and the last event; two gauges count endpoints and calls by version. Nothing is decided by them yet.

--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -120,6 +120,7 @@
     warmUpTime: z.number(),
     /** Start time, in Unix milliseconds. */
     startedAt: z.number().optional(),
+    softwareVersion: z.string().optional(),
     isSpot: z.boolean(),
 }).readonly();
 
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -172,6 +172,9 @@
             "listAge",
             "permitAge",
             "remaining",
+            "softwareVersion",
+            "resumedCallId",
+            "lastEventId",
         ],
     },
     callAttemptFailed: {
--- a/src/process/hosted/endpointRecord.ts
+++ b/src/process/hosted/endpointRecord.ts
@@ -16,6 +16,11 @@
     readonly warmUpTime: Milliseconds;
     /** Start time; undefined if the platform does not state it. */
     readonly startedAt?: UnixMilliseconds | undefined;
+    /**
+     * Version of the endpoint's software, a name without an order; undefined if the platform does not state it. Unrelated
+     * to the version of a model's weights.
+     */
+    readonly softwareVersion?: string | undefined;
     /** Whether the endpoint runs on spot capacity, which the platform may reclaim. */
     readonly isSpot: boolean;
 }
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -1,5 +1,6 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
+import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 import { HostedEndpoint } from "./hostedEndpoint.js";
 
@@ -48,6 +49,25 @@
         return Math.round(now - this.listReadAt);
     }
 
+    write(writer: ExpositionWriter): void {
+        const endpointsFamily = "gullhall_endpoints_by_version";
+        const callsFamily = "gullhall_endpoint_calls_by_version";
+        writer.family(endpointsFamily, "gauge", "Listed endpoints, by service and software version.");
+        writer.family(
+            callsFamily,
+            "gauge",
+            "Calls of this entry that run at endpoints, by service and software version.",
+        );
+        for (const [service, endpoints] of this.byService) {
+            for (const version of new Set(endpoints.map(({ record }) => record.softwareVersion))) {
+                const ofVersion = endpoints.filter(({ record }) => record.softwareVersion === version);
+                const labels = { service, version: version ?? "unknown" };
+                writer.sample(endpointsFamily, labels, ofVersion.length);
+                writer.sample(callsFamily, labels, ofVersion.reduce((sum, each) => sum + each.outstandingCount, 0));
+            }
+        }
+    }
+
     /** The endpoints of a service that accept new calls. */
     serving(service: string): readonly HostedEndpoint[] {
         return this.byService.get(service)?.filter(endpoint => !endpoint.record.isLeaving) ?? [];
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -179,6 +179,7 @@
                 exposition: () => {
                     const writer = new ExpositionWriter();
                     counters.write(writer);
+                    this.fleet.write(writer);
                     eventLoopDelay.write(writer);
                     rateLimits.write(writer);
                     quarantine.write(writer);
--- a/src/request/hosted/callTraits.ts
+++ b/src/request/hosted/callTraits.ts
@@ -19,6 +19,10 @@
     readonly maximumOutputTokens: number;
     /** Segments of the prompt in order; the last one is specific to this call or its session, and not shared. */
     readonly promptSegments: readonly PromptSegment[];
+    /** Id of the last event that the caller has received of the stream; undefined unless it continues a stream. */
+    readonly lastEventId: string | undefined;
+    /** Identifier of the caller's attempt that received the first event of the stream; undefined if it names none. */
+    readonly resumedCallId: string | undefined;
 }
 
 /** Properties of an endpoint's response, read from its status and headers. */
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -435,6 +435,9 @@
             listAge: fleet.listAge(clock.now()),
             permitAge: view.loggedPermitAge(suspensionDetector.now()),
             remaining: Math.round(this.remainingTime(call.route)),
+            softwareVersion: endpoint.record.softwareVersion,
+            resumedCallId: this.traits.resumedCallId,
+            lastEventId: this.callerResponse.lastEventId ?? this.traits.lastEventId,
         });
     }
 }
--- a/tests/platform/callHeaders.test.ts
+++ b/tests/platform/callHeaders.test.ts
@@ -50,6 +50,13 @@
         t.deepEqual(traits.promptSegments, [{ id: "5c", tokens: 800 }, { id: "e4", tokens: 250 }]);
     });
 
+    it("name the stream that a call continues", t => {
+        const traits = readCallTraits({ "last-event-id": "12", "resumes": "a0" });
+        t.is(traits.lastEventId, "12");
+        t.is(traits.resumedCallId, "a0");
+        t.is(readCallTraits({ "last-event-id": "" }).lastEventId, undefined);
+    });
+
     const unlimited = { kind: "unlimited" };
     const malformed = { kind: "malformed" };
     const limitedTo = (callsPerSecond: number, isAmbiguous = false): object => ({
--- a/tests/platform/endpointList.test.ts
+++ b/tests/platform/endpointList.test.ts
@@ -22,6 +22,19 @@
         t.false(page?.endpoints[0]?.isSpot);
     });
 
+    const versions: readonly (readonly [unknown, string | undefined])[] = [
+        ["v1.2", "v1.2"],
+        [undefined, undefined],
+        [3, undefined],
+        ["", undefined],
+    ];
+    for (const [listed, version] of versions) {
+        it(`reads the software version ${JSON.stringify(listed)} as ${String(version)}`, t => {
+            const page = readEndpointPage({ instances: [{ ...row, version: listed }] });
+            t.is(page?.endpoints[0]?.softwareVersion, version);
+        });
+    }
+
     it("returns no next page for the last page", t => {
         t.is(readEndpointPage({ instances: [], next: undefined })?.nextPage, undefined);
     });
