test(hosted): streams go on only at the software version that began them

Failing: endpoints of two versions serve side by side at three entries with real control processes. Within one answer, and when callers take streams up again at other entries, events of both versions are joined; so are those of two services of a split route, and a stream is continued whatever its caller names.

--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -45,6 +45,7 @@
     readonly receivedCalls: ReceivedCall[] = [];
     private readonly store = new DisposableStore();
     private readonly controls = new Map<number, StartedControl>();
+    private readonly entries = new Map<number, HostedEntryProcess>();
     private platformAddress = "";
     private endpointAddress = "";
     private readonly firstInternalPort: number;
@@ -105,6 +106,25 @@
         await this.controls.get(index)?.process[Symbol.asyncDispose]();
     }
 
+    /** Index of the control process that leads. */
+    async findLeader(): Promise<number> {
+        for (;;) {
+            for (const index of this.controls.keys()) {
+                const result = await httpCall({
+                    address: this.operatorAddress(index),
+                    method: "DELETE",
+                    path: "/v1/held-calls",
+                    body: JSON.stringify({ service: "none", feature: "none" }),
+                    timeout: 2_000,
+                });
+                if (result.ok && result.val.status !== 307 && result.val.status !== 503) {
+                    return index;
+                }
+            }
+            await clock.sleep(50);
+        }
+    }
+
     /** Erases the disk of a stopped control process. */
     async wipeControl(index: number): Promise<void> {
         await rm(this.controls.get(index)?.folder ?? "", { recursive: true, force: true });
@@ -290,6 +310,13 @@
         return callerAddress;
     }
 
+    /** Stops an entry; connections of callers that remain are closed. */
+    async stopEntry(index: number): Promise<void> {
+        const entry = this.entries.get(index);
+        this.entries.delete(index);
+        await entry?.[Symbol.asyncDispose]();
+    }
+
     private async startEntry(index = 100, callerAddress = this.callerAddress): Promise<void> {
         const settings = { ...this.settingsOf(index, true, undefined), callerAddress };
         const entry = new HostedEntryProcess(
@@ -297,7 +324,8 @@
             clock,
             new EventLog(settings.name, "hidden"),
         );
-        this.store.add(entry);
+        this.store.defer(() => this.stopEntry(index));
+        this.entries.set(index, entry);
         await entry.start();
     }
 
