fix(hosted): continue streams only at the software version that began them

Cause: an entry continued a stream at any endpoint of the route's service, within one answer and when a caller took it up again, and no process but the entry could know what had begun it. The class of fault: a decision that needs what another process has done, taken without asking it.

Seven of eight tests with three entries, real control processes and two versions failed.

Change: a stream's origin is the service and version of its first event. The entry keeps to it, reports it to the linked control processes, and asks them when a caller takes up a stream that it does not know. Unknown origins are refused as not run, unless one version alone was listed for as long as such streams last. It works whatever the entry that began the stream does, since the reports outlive it, and a change of leader, since all linked control processes hold them.

Endpoints in tests have a version now, as the platform always lists one: an unknown version is never taken for the same, so the tests that resume streams would test the refusal otherwise.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -6,6 +6,7 @@
 import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
+import type { StreamOrigins } from "../../process/hosted/entry/streamOrigins.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
 import type { GrantDecision } from "../../process/hosted/grantDecision.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -14,7 +15,13 @@
 import type { SuspensionDetector } from "../../util/suspensionDetector.js";
 import { MessageConnection } from "../messageConnection.js";
 import { controlMessageSchema, linkProtocolVersion } from "./linkMessages.js";
-import type { ControlMessage, EntryMessage, HeartbeatResponse, ServiceWork } from "./linkMessages.js";
+import type {
+    ControlMessage,
+    EntryMessage,
+    HeartbeatResponse,
+    ServiceWork,
+    StreamOriginResponse,
+} from "./linkMessages.js";
 import type { ReopenableLink } from "./linkSet.js";
 import type { LimitStatement } from "./rateLimitMessages.js";
 
@@ -33,6 +40,9 @@
 /** Time within which the leader must respond to a request for a trial, which it stores in the log before. */
 const trialTimeout: Milliseconds = 600;
 
+/** Time within which a control process must respond to a request for the origin of a stream. */
+const streamOriginTimeout: Milliseconds = 150;
+
 /** Dependencies and callbacks that all control links of an entry share. */
 export interface ControlLinkContext {
     readonly entry: string;
@@ -57,6 +67,7 @@
     readonly onEntryCount: (entries: number) => void;
     readonly rateLimits: EndpointRateLimits;
     readonly quarantine: CallQuarantine;
+    readonly streamOrigins: StreamOrigins;
 }
 
 /** Connection of this entry to one control process. */
@@ -75,6 +86,11 @@
     private nextTrialNumber = 1;
     /** Resolve the requests for trials without a response so far, by number. */
     private readonly pendingTrials = new Map<number, (isGranted: boolean) => void>();
+    private nextStreamRequestNumber = 1;
+    /** Resolve the requests for origins of streams without a response so far, by number. */
+    private readonly pendingStreamRequests = new Map<number, (response: StreamOriginResponse | undefined) => void>();
+    private keepsStreamOrigins = false;
+    private sentStream = 0;
     private understandsEvidence = false;
     private sentEvidenceVersion = 0;
     private lastReceivedAt: Milliseconds;
@@ -119,6 +135,9 @@
         this.pendingTrials.forEach(resolve => {
             resolve(false);
         });
+        this.pendingStreamRequests.forEach(resolve => {
+            resolve(undefined);
+        });
         if (this.hasSentHello) {
             this.context.eventLog.write("controlLinkEnded", { address: this.address, reason: this.closeReason });
         }
@@ -204,6 +223,36 @@
         return isGranted;
     }
 
+    /** Asks the control process for the origin of a stream; undefined if it does not respond in time. */
+    async requestStreamOrigin(team: string | undefined, callId: string): Promise<StreamOriginResponse | undefined> {
+        if (!this.keepsStreamOrigins || this.connection.closed) {
+            return undefined;
+        }
+        const number = this.nextStreamRequestNumber++;
+        const response = new Promise<StreamOriginResponse | undefined>(resolve => {
+            this.pendingStreamRequests.set(number, resolve);
+        });
+        const timer = setTimeout(() => this.pendingStreamRequests.get(number)?.(undefined), streamOriginTimeout);
+        this.send({ kind: "streamOriginRequest", number, ...team === undefined ? {} : { team }, callId });
+        const origin = await response;
+        clearTimeout(timer);
+        this.pendingStreamRequests.delete(number);
+        return origin;
+    }
+
+    /** Sends the streams that began at this entry since the previous message, if the control process keeps them. */
+    sendStartedStreams(now: Milliseconds): void {
+        const { streamOrigins } = this.context;
+        if (!this.keepsStreamOrigins || this.connection.closed || this.sentStream === streamOrigins.newestStream) {
+            return;
+        }
+        const streams = streamOrigins.startedSince(this.sentStream, now);
+        this.sentStream = streamOrigins.newestStream;
+        if (streams.length > 0) {
+            this.send({ kind: "streamsStarted", streams });
+        }
+    }
+
     /** Sends what this entry learnt about crashes since the previous message, if the control process understands it. */
     sendEvidence(now: Milliseconds): void {
         const { quarantine } = this.context;
@@ -269,6 +318,9 @@
             .with({ kind: "trial" }, ({ number, isGranted }) => {
                 this.pendingTrials.get(number)?.(isGranted);
             })
+            .with({ kind: "streamOrigin" }, response => {
+                this.pendingStreamRequests.get(response.number)?.(response);
+            })
             .with({ kind: "presence" }, () => {
                 this.close("received a message that only control processes may receive");
             })
@@ -291,6 +343,8 @@
         if (response.isLeader) {
             this.context.onTotalWork(response.work);
         }
+        this.keepsStreamOrigins = response.keepsStreamOrigins === true;
+        this.sendStartedStreams(clock.now());
         this.canGrant = response.limits !== undefined;
         if (response.isLeader && response.limits !== undefined) {
             this.context.rateLimits.applyEnforcedLimits(response.limits, this.address, clock.now());
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -5,6 +5,7 @@
 import type { StoredDocument } from "../../process/hosted/control/hostedState.js";
 import type { QuarantineDuty } from "../../process/hosted/control/quarantineDuty.js";
 import type { RateLimitLedger } from "../../process/hosted/control/rateLimitLedger.js";
+import type { StreamOriginStore } from "../../process/hosted/streamOriginStore.js";
 import type { Clock } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
 import { MessageConnection } from "../messageConnection.js";
@@ -12,6 +13,7 @@
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
 import type { TrialRequest } from "./quarantineMessages.js";
 import type { GrantRequest } from "./rateLimitMessages.js";
+import type { StartedStreams, StreamOriginRequest } from "./streamMessages.js";
 
 /** Maximum size of a frame from an entry, in bytes. */
 const maximumEntryFrameBytes = 1024 * 1024;
@@ -35,6 +37,8 @@
     readonly quarantine: QuarantineDuty;
     /** Increases with each change of the calls that are held back. */
     readonly holdsRevision: () => number;
+    /** Origins of the streams that entries reported. */
+    readonly streamOrigins: StreamOriginStore;
 }
 
 /** Server side of a link: a connection from an entry, or from another control process that observes the entries. */
@@ -144,6 +148,18 @@
                 }
                 this.context.quarantine.recordEvidence(message);
                 return true;
+            case "streamsStarted":
+                if (this.hello === undefined) {
+                    return false;
+                }
+                this.recordStreams(message.streams);
+                return true;
+            case "streamOriginRequest":
+                if (this.hello === undefined) {
+                    return false;
+                }
+                this.respondToStreamOriginRequest(message);
+                return true;
             case "trialRequest":
                 if (this.hello === undefined) {
                     return false;
@@ -187,6 +203,24 @@
         this.send({ kind: "grant", number, isDecided, ...decision });
     }
 
+    private recordStreams(streams: readonly StartedStreams[]): void {
+        const now = this.context.clock.now();
+        for (const { team = "", origin, lifetime, callIds } of streams) {
+            for (const callId of callIds) {
+                this.context.streamOrigins.record(team, callId, {
+                    service: origin.service,
+                    softwareVersion: origin.softwareVersion,
+                }, now + lifetime);
+            }
+        }
+    }
+
+    private respondToStreamOriginRequest({ number, team = "", callId }: StreamOriginRequest): void {
+        const { clock, streamOrigins } = this.context;
+        const origin = streamOrigins.find(team, callId, clock.now());
+        this.send({ kind: "streamOrigin", number, ...origin === undefined ? {} : { origin } });
+    }
+
     private async respondToTrialRequest({ number, service, feature, features }: TrialRequest): Promise<void> {
         const { mayGrant, quarantine } = this.context;
         const isGranted = mayGrant() && await quarantine.requestTrial(service, feature, features);
@@ -218,6 +252,7 @@
             entryCount: registry.count(clock.now()),
             work: registry.work(clock.now()),
             limits: isLeader ? rateLimits.enforcedLimits(clock.now()) : [],
+            keepsStreamOrigins: true,
         });
     }
 
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -13,6 +13,7 @@
     grantResponseSchema,
     limitStatementSchema,
 } from "./rateLimitMessages.js";
+import { streamOriginRequestSchema, streamOriginResponseSchema, streamsStartedSchema } from "./streamMessages.js";
 
 /** Version of the link protocol, spoken between entries and control processes and among control processes. */
 export const linkProtocolVersion = 2;
@@ -77,6 +78,8 @@
     grantRequestSchema,
     evidenceSchema,
     trialRequestSchema,
+    streamsStartedSchema,
+    streamOriginRequestSchema,
     z.object({
         /** Subscribes a control process to the entries that are linked to the receiver. */
         kind: z.literal("observe"),
@@ -153,11 +156,14 @@
          * grants.
          */
         limits: z.array(enforcedLimitSchema).readonly().optional(),
+        /** Whether the sender keeps the origins of streams. */
+        keepsStreamOrigins: z.boolean().optional(),
     }),
     grantResponseSchema,
     holdsSchema,
     suspectsSchema,
     trialResponseSchema,
+    streamOriginResponseSchema,
     z.object({
         kind: z.literal("endpoints"),
         /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
@@ -176,3 +182,6 @@
 
 /** The response to a heartbeat. */
 export type HeartbeatResponse = Extract<ControlMessage, { kind: "beatAnswer"; }>;
+
+/** The response to a request for the origin of a stream. */
+export type StreamOriginResponse = Extract<ControlMessage, { kind: "streamOrigin"; }>;
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -23,6 +23,7 @@
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
 import { startMetrics } from "../startMetrics.js";
+import { StreamOriginStore } from "../streamOriginStore.js";
 import { DocumentService } from "./documentService.js";
 import { DutyLease } from "./dutyLease.js";
 import { EndpointListPoller } from "./endpointListPoller.js";
@@ -56,6 +57,9 @@
 /** The same time for each entry that is linked; the longer one applies. */
 const suspectsPushTimePerEntry: Milliseconds = 3;
 
+/** Maximum number of streams whose origin is kept. */
+const maximumStreamOrigins = 131_072;
+
 type HostedLog = ReplicatedLog<HostedCommand, HostedOutcome>;
 
 /**
@@ -70,6 +74,7 @@
         this.schedulePresencePush();
     });
     private readonly medianClock = new MedianClock();
+    private readonly streamOrigins = new StreamOriginStore(maximumStreamOrigins);
     private readonly rateLimits: RateLimitLedger;
     private readonly suspensionDetector: SuspensionDetector;
     private parsedServices: readonly DeployedService[] = [];
@@ -231,6 +236,7 @@
             rateLimits,
             quarantine,
             holdsRevision: () => state.holdsRevision,
+            streamOrigins: this.streamOrigins,
             mayGrant: () =>
                 log.lease(clock.now(), 0) !== undefined
                 && suspensionDetector.timeSinceSuspension() >= defaultLogTiming.leaseDuration,
@@ -346,6 +352,7 @@
             const currentWindow = Math.floor(medianClock.medianUnixTime(clock) / usageWindow);
             registry.pruneBefore(currentWindow - retainedWindows, clock.now());
             this.rateLimits.prune(clock.now());
+            this.streamOrigins.prune(clock.now());
         }
     }
 
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -7,6 +7,7 @@
 import type { GrantDecision } from "../grantDecision.js";
 import { heartbeatIntervalFor, selectControls, updateMembers } from "./controlSelection.js";
 import { GrantSource } from "./grantSource.js";
+import type { StreamOriginAnswer } from "./streamOrigins.js";
 
 /** Age of the newest confirmation above which all linked control processes are asked for one, not only the leader. */
 const permitRenewalAge: Milliseconds = 1_000;
@@ -101,6 +102,27 @@
         });
     }
 
+    /** Tells all linked control processes the streams that began at this entry: any of them may become leader. */
+    sendStartedStreams(): void {
+        const now = this.context.clock.now();
+        this.links.links.forEach(link => {
+            link.sendStartedStreams(now);
+        });
+    }
+
+    /** Asks the leader for the origin of a stream, then the other linked control processes if it knows none. */
+    async findStreamOrigin(team: string | undefined, callId: string): Promise<StreamOriginAnswer> {
+        const { leaderLink } = this;
+        const response = await leaderLink?.requestStreamOrigin(team, callId);
+        const others = response?.origin === undefined ? this.links.links.filter(link => link !== leaderLink) : [];
+        const otherResponses = await Promise.all(others.map(link => link.requestStreamOrigin(team, callId)));
+        const origin = [response, ...otherResponses].find(each => each?.origin !== undefined)?.origin;
+        return {
+            origin: origin && { service: origin.service, softwareVersion: origin.softwareVersion },
+            isFromLeader: response !== undefined,
+        };
+    }
+
     override async requestTrial(service: string, feature: string, features: readonly string[]): Promise<boolean> {
         return await this.leaderLink?.requestTrial(service, feature, features) ?? false;
     }
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import type { EndpointRecord } from "../endpointRecord.js";
+import type { StreamOrigin } from "../streamOrigin.js";
 import { HostedEndpoint } from "./hostedEndpoint.js";
 
 /** Time for which connections to an endpoint that is no longer listed stay open for its running calls. */
@@ -13,6 +14,10 @@
     private readonly closeTimers = new Set<NodeJS.Timeout>();
     private byService = new Map<string, readonly HostedEndpoint[]>();
     private listReadAt: Milliseconds = -Infinity;
+    /** When the first list was applied. */
+    private listedSince: Milliseconds = Infinity;
+    /** When each software version of a service was last listed, by service. */
+    private readonly versionsSeenAt = new Map<string, Map<string | undefined, Milliseconds>>();
 
     constructor(private readonly eventLog: EventLog) {}
 
@@ -31,6 +36,8 @@
             return;
         }
         this.listReadAt = now - age;
+        this.listedSince = Math.min(this.listedSince, now);
+        this.recordVersions(now);
         const listed = new Set(records.map(incarnationKey));
         const removed = [...this.endpoints].filter(([key]) => !listed.has(key));
         removed.forEach(([key, endpoint]) => {
@@ -39,6 +46,7 @@
         });
         const added = records.filter(record => this.addOrUpdate(record)).length;
         this.byService = groupByService(this.endpoints.values());
+        this.recordVersions(now);
         const leaving = records.filter(record => record.isLeaving).length;
         const fields = { endpoints: records.length, added, removed: removed.length, leaving, age: Math.round(age) };
         this.eventLog.write("endpointListTaken", fields);
@@ -49,6 +57,21 @@
         return Math.round(now - this.listReadAt);
     }
 
+    /**
+     * The only software version of a service, if no other one was listed for a time.
+     *
+     * @param duration Time for which streams may be continued.
+     */
+    onlyOrigin(service: string, duration: Milliseconds, now: Milliseconds): StreamOrigin | undefined {
+        const versions = [...this.versionsSeenAt.get(service) ?? []].filter(([version, seenAt]) => {
+            return now - seenAt < duration || this.isListed(service, version);
+        });
+        const softwareVersion = versions.length === 1 ? versions[0]?.[0] : undefined;
+        return softwareVersion === undefined || now - this.listedSince < duration
+            ? undefined
+            : { service, softwareVersion };
+    }
+
     write(writer: ExpositionWriter): void {
         const endpointsFamily = "gullhall_endpoints_by_version";
         const callsFamily = "gullhall_endpoint_calls_by_version";
@@ -80,6 +103,17 @@
         });
     }
 
+    private isListed(service: string, version: string | undefined): boolean {
+        return this.byService.get(service)?.some(({ record }) => record.softwareVersion === version) === true;
+    }
+
+    private recordVersions(now: Milliseconds): void {
+        for (const { record: { service, softwareVersion } } of this.endpoints.values()) {
+            const versions = this.versionsSeenAt.get(service) ?? new Map<string | undefined, Milliseconds>();
+            this.versionsSeenAt.set(service, versions.set(softwareVersion, now));
+        }
+    }
+
     /** @returns Whether the endpoint is new. */
     private addOrUpdate(record: EndpointRecord): boolean {
         const known = this.endpoints.get(incarnationKey(record));
@@ -100,9 +134,12 @@
     }
 }
 
-/** Identifies one run of an endpoint: a restarted endpoint may keep its id, but not its caches and connections. */
-function incarnationKey(record: EndpointRecord): string {
-    return `${record.id} ${record.address} ${record.startedAt ?? ""}`;
+/**
+ * Identifies one run of an endpoint: a restarted endpoint may keep its id, but not its caches and connections, nor its
+ * software version.
+ */
+function incarnationKey({ id, address, startedAt, softwareVersion }: EndpointRecord): string {
+    return JSON.stringify([id, address, startedAt, softwareVersion]);
 }
 
 function groupByService(endpoints: Iterable<HostedEndpoint>): Map<string, readonly HostedEndpoint[]> {
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -32,6 +32,7 @@
 import { EndpointRateLimits } from "./endpointRateLimits.js";
 import { EntryCounters } from "./entryCounters.js";
 import { HostedRetryBudget } from "./hostedRetryBudget.js";
+import { StreamOrigins } from "./streamOrigins.js";
 import { UsageCounts } from "./usageCounts.js";
 
 /**
@@ -95,6 +96,14 @@
         const quarantine = new CallQuarantine(() => {
             this.controlLinks.sendEvidence();
         });
+        const streamOrigins = new StreamOrigins({
+            clock,
+            entryCount: () => this.entryCount,
+            ask: (team, callId) => this.controlLinks.findStreamOrigin(team, callId),
+            onReportDue: () => {
+                this.controlLinks.sendStartedStreams();
+            },
+        });
         this.controlLinks = new ControlLinks(
             {
                 entry: name,
@@ -109,6 +118,7 @@
                 usageCounts,
                 rateLimits,
                 quarantine,
+                streamOrigins,
                 isReady: () => this.isReady(),
                 ownWork: now => this.callContext.chooser.ownWork(now),
                 onTotalWork: work => {
@@ -150,6 +160,7 @@
                 },
             }),
             quarantine,
+            streamOrigins,
         };
         this.server = this.createServer();
     }
--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -86,6 +86,16 @@
     return resolved.err ? resolved.val : undefined;
 }
 
+/** The call at another service, if its route still leads there; undefined if it does not. */
+export function withService(call: AdmittedCall, name: string, { view }: CallContext): AdmittedCall | undefined {
+    if (call.service.name === name) {
+        return call;
+    }
+    const isTarget = call.route.targets.some(({ service, weight }) => service === name && weight > 0);
+    const service = isTarget ? view.current?.findService(name) : undefined;
+    return service && { ...call, service, minimumEventGapTarget: view.current?.minimumEventGapTarget(name) };
+}
+
 /** The current configuration once a recent quorum confirmation permits calls; undefined if that takes too long. */
 async function waitForPermittedIndex(
     { view, suspensionDetector, clock }: CallContext,
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -7,6 +7,7 @@
 import type { EntryCounters } from "../../process/hosted/entry/entryCounters.js";
 import type { GrantSource } from "../../process/hosted/entry/grantSource.js";
 import type { HostedRetryBudget } from "../../process/hosted/entry/hostedRetryBudget.js";
+import type { StreamOrigins } from "../../process/hosted/entry/streamOrigins.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -38,6 +39,7 @@
     readonly grantSource: GrantSource;
     readonly crashObserver: CrashObserver;
     readonly quarantine: CallQuarantine;
+    readonly streamOrigins: StreamOrigins;
 }
 
 /** A call whose route, service and team have been resolved. */
--- a/src/request/hosted/callFeatures.ts
+++ b/src/request/hosted/callFeatures.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import type { PromptSegment } from "./callTraits.js";
+import { shortId } from "./shortId.js";
 
 /** Maximum number of segments of one call; a call with more is known by its first ones. */
 const maximumSegments = 63;
@@ -7,9 +8,6 @@
 /** Length of the digest of a call, in hexadecimal digits. */
 const digestLength = 32;
 
-/** Maximum length of an id that is used as it is; a longer one is replaced by its digest. */
-const maximumIdLength = 64;
-
 /** Prefix of the feature that only identical calls share. */
 const callPrefix = "call:";
 
@@ -46,7 +44,3 @@
     const hash = createHash("sha256").update(`${method} ${target}\n${team}\n${prompt}\n`);
     return hash.update(body ?? "").digest("hex").slice(0, digestLength);
 }
-
-function shortId(id: string): string {
-    return id.length <= maximumIdLength ? id : createHash("sha256").update(id).digest("hex");
-}
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -15,6 +15,7 @@
 import type { AttemptOutcome, FailedOutcome } from "./endpointAttempt.js";
 import type { Placement, PlacementRequest } from "./endpointChooser.js";
 import { decideRetry } from "./retryRule.js";
+import { StreamContinuation } from "./streamContinuation.js";
 
 /** Minimum remaining time for another attempt. */
 const minimumAttemptTime: Milliseconds = 50;
@@ -75,6 +76,7 @@
     private denials = 0;
     private lastFailure: FailedAttempt | undefined;
     private readonly crashGuard: CrashGuard;
+    private readonly continuation: StreamContinuation;
 
     constructor(
         private readonly request: IncomingMessage,
@@ -84,6 +86,7 @@
         this.traits = readCallTraits(request.headers);
         this.arrivedAt = context.clock.now();
         this.crashGuard = new CrashGuard(context);
+        this.continuation = new StreamContinuation(this.traits, context);
         const abortSignal = createCallerAbortSignal(request, response);
         this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, abortSignal);
         abortSignal.addEventListener("abort", () => {
@@ -96,7 +99,7 @@
         const call = await admitCall(this.request, this.traits, this.context);
         if (call.ok) {
             this.context.retryBudget.recordCall(call.val.service.name, this.context.clock.now());
-            await this.serve(call.val);
+            await this.resolveAndServe(call.val);
         }
         else {
             this.request.resume();
@@ -115,6 +118,16 @@
         }
     }
 
+    private async resolveAndServe(call: AdmittedCall): Promise<void> {
+        const resolved = await this.continuation.resolve(call);
+        if (resolved.err) {
+            this.callerResponse.refuse(resolved.val);
+        }
+        else if (!this.continuation.isContinued || !this.refuseIfWithdrawn(resolved.val)) {
+            await this.serve(resolved.val);
+        }
+    }
+
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
             if (await this.endIfHeldBack(call)) {
@@ -244,7 +257,8 @@
         if (call.service.engine === undefined) {
             return false;
         }
-        const isRetried = retryDetector.isLikelyRetry(call.route, this.traits.remainingTime, clock.now());
+        const isRetried = this.continuation.isContinued
+            || retryDetector.isLikelyRetry(call.route, this.traits.remainingTime, clock.now());
         const longestWait = isRetried
             ? this.remainingTime(call.route) * retriedCallWaitFraction
             : call.route.targetLatency * refusalWaitFactor;
@@ -258,7 +272,9 @@
     }
 
     private untriedEndpoints(service: DeployedService): readonly HostedEndpoint[] {
-        return this.context.fleet.serving(service.name).filter(endpoint => !this.triedEndpoints.has(endpoint));
+        return this.context.fleet.serving(service.name).filter(endpoint =>
+            !this.triedEndpoints.has(endpoint) && this.continuation.accepts(endpoint)
+        );
     }
 
     private place(call: AdmittedCall, candidates: readonly HostedEndpoint[]): Placement | undefined {
@@ -301,6 +317,9 @@
             earlierExecutions: this.executions,
             onResponseStarted: () => {
                 outstandingCall.pendingPrefillTokens = 0;
+                if (route.streaming) {
+                    this.continuation.recordFirstEvent(call, endpoint, clock.now());
+                }
                 chooser.recordStart(this.placementRequest(call), placement, clock.now() - sentAt, clock.now());
             },
             onEstablished: () => {
--- a/src/resultCode/hostedCodes.ts
+++ b/src/resultCode/hostedCodes.ts
@@ -77,6 +77,20 @@
         text: "Calls like this one ({feature}) are held back because endpoints crashed under them.",
         advice: "Change the call, or try again at the time that Retry-After names; operators can release such calls.",
     },
+    streamOriginUnknown: {
+        number: 1624,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "It is not known which version of the service began this stream.",
+        advice: "Name the attempt that brought the first event, or begin the stream anew.",
+    },
+    streamVersionUnavailable: {
+        number: 1625,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "The stream was begun by version {version} of service {service}, of which no endpoint serves this route.",
+        advice: "Begin the stream anew.",
+    },
     callOutcomeUnknown: {
         number: 1630,
         httpStatus: 502,
--- a/tests/connection/hosted/entryLink.test.ts
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -8,6 +8,7 @@
 import { HostedState } from "../../../src/process/hosted/control/hostedState.js";
 import { QuarantineDuty } from "../../../src/process/hosted/control/quarantineDuty.js";
 import { RateLimitLedger } from "../../../src/process/hosted/control/rateLimitLedger.js";
+import { StreamOriginStore } from "../../../src/process/hosted/streamOriginStore.js";
 import { SystemClock } from "../../../src/util/clock.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { MedianClock } from "../../../src/util/medianClock.js";
@@ -78,6 +79,7 @@
                 mayGrant: () => control.isLeading,
                 quarantine,
                 holdsRevision: () => state.holdsRevision,
+                streamOrigins: new StreamOriginStore(16),
             }).run();
         });
         control.store.defer(() => {
--- a/tests/process/hosted/entry/testEndpoints.ts
+++ b/tests/process/hosted/entry/testEndpoints.ts
@@ -12,6 +12,7 @@
         isLeaving: false,
         warmUpTime: 0,
         isSpot: false,
+        softwareVersion: "v1",
         ...changes,
     };
 }
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -241,6 +241,7 @@
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
+        await Promise.all([...this.entries.keys()].map(index => this.stopEntry(index)));
         await this.store.dispose();
         for (const { process, folder } of this.controls.values()) {
             await process[Symbol.asyncDispose]();
@@ -324,7 +325,6 @@
             clock,
             new EventLog(settings.name, "hidden"),
         );
-        this.store.defer(() => this.stopEntry(index));
         this.entries.set(index, entry);
         await entry.start();
     }
--- a/tests/process/hosted/streamVersions.test.ts
+++ b/tests/process/hosted/streamVersions.test.ts
@@ -43,8 +43,10 @@
     breaksOff?: (arrival: VersionedArrival) => boolean,
 ): Promise<{ readonly fleet: VersionedFleet; readonly installation: HostedInstallation; readonly entries: string[]; }> {
     const fleet = store.add(new VersionedFleet(breaksOff));
-    await fleet.start("writers", "v1", 3);
-    await fleet.start("writers", "v2", 3);
+    for (let pair = 0; pair < 3; pair++) {
+        await fleet.start("writers", "v1", 1);
+        await fleet.start("writers", "v2", 1);
+    }
     const installation = store.add(
         await HostedInstallation.start(network, () => undefined, 0, () => fleet.listRows()),
     );
--- a/tests/process/hosted/versionedFleet.ts
+++ b/tests/process/hosted/versionedFleet.ts
@@ -42,7 +42,7 @@
     /** Starts endpoints of one version; undefined if the platform does not state it. */
     async start(service: string, version: string | undefined, count: number): Promise<void> {
         for (let index = 0; index < count; index++) {
-            const id = `i-${service}-${String(version)}-${index}`;
+            const id = `i-${service}-${String(version)}-${this.endpoints.length}`;
             const server = createServer((request, response) => {
                 request.resume();
                 request.once("end", () => {
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -10,6 +10,7 @@
 import { EntryCounters } from "../../../src/process/hosted/entry/entryCounters.js";
 import { GrantSource } from "../../../src/process/hosted/entry/grantSource.js";
 import { HostedRetryBudget } from "../../../src/process/hosted/entry/hostedRetryBudget.js";
+import { StreamOrigins } from "../../../src/process/hosted/entry/streamOrigins.js";
 import { UsageCounts } from "../../../src/process/hosted/entry/usageCounts.js";
 import type { CallContext } from "../../../src/request/hosted/callContext.js";
 import { HostedCall } from "../../../src/request/hosted/hostedCall.js";
@@ -86,6 +87,12 @@
                 onCrash: () => undefined,
             }),
             quarantine: new CallQuarantine(() => undefined),
+            streamOrigins: new StreamOrigins({
+                clock,
+                entryCount,
+                ask: () => Promise.resolve({ origin: undefined, isFromLeader: false }),
+                onReportDue: () => undefined,
+            }),
         };
     }
 
