fix(model): resume a response only at the model version that began it

What callers would see: an answer that one version of a model began and another one continued, where a route names no version and the engines of its pool report different ones.

Change: after the first token, further attempts require the version that the endpoint reported; the queue takes a request back with its new requirement. An endpoint that reports no version is taken as before.

--- a/src/request/admission/tieredQueue.ts
+++ b/src/request/admission/tieredQueue.ts
@@ -184,7 +184,7 @@
         if (original === undefined) {
             return;
         }
-        const queued: QueuedRequest = { ...original, preempted: true };
+        const queued: QueuedRequest = { ...original, request, preempted: true };
         const classQueue = queued.teamQueue.classQueue;
         this.tierQueues.tierQueueOf(classQueue.tier).raiseIdleCounter(classQueue);
         classQueue.appendPreempted(queued);
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -41,7 +41,7 @@
  */
 export class ModelRequest {
     private readonly writer: ResponseWriter;
-    private readonly pendingRequest: PendingRequest;
+    private pendingRequest: PendingRequest;
     /** Labels of the request's metrics; the team is `open` on a public route. */
     private readonly labels;
     private readonly progress: ResponseProgress;
@@ -92,12 +92,16 @@
             const result = await new ModelAttempt({ context, body, pendingRequest, writer, progress }, placement).run();
             this.endpointTime += clock.now() - placement.startedAt;
             this.countAttempt(result, tokensBefore);
+            this.keepVersion(placement);
             if (!this.shouldAttemptAgain(result)) {
                 this.handleFinalResult(result, placement);
                 return;
             }
             this.recordNextAttempt(result, placement);
-            placementResult = await dispatcher.reacquire(placement, callerAbortSignal);
+            placementResult = await dispatcher.reacquire(
+                { ...placement, request: this.pendingRequest },
+                callerAbortSignal,
+            );
         }
         this.handleRefusal(placementResult.val);
     }
@@ -115,6 +119,15 @@
         this.interruptedAttempts += result.kind === "broken" ? 1 : 0;
     }
 
+    /** Requires the model version that sent the first token, if it is known, of all further attempts. */
+    private keepVersion({ endpoint }: Placement): void {
+        const { model, version } = endpoint.lastReport ?? {};
+        const isOfModel = model === this.pendingRequest.model;
+        if (this.progress.nextToken > 0 && this.pendingRequest.version === undefined && isOfModel) {
+            this.pendingRequest = { ...this.pendingRequest, version };
+        }
+    }
+
     /** Whether to make another attempt; resuming after a delivered token does not use the retry budget. */
     private shouldAttemptAgain(result: ModelAttemptResult): boolean {
         if (result.kind === "preempted") {
--- a/tests/request/model/modelRequest.test.ts
+++ b/tests/request/model/modelRequest.test.ts
@@ -69,6 +69,38 @@
         t.is(entry.state.metrics.counters.countOf("stalledAnswers"), 1);
     });
 
+    // Guards against an answer that one version of a model begins and another one continues.
+    it("resumes a response only at the model version that began it", async t => {
+        await using store = new DisposableStore();
+        const clock = new SystemClock();
+        const versions = ["1", "2", "1", "2"];
+        const engines = await Promise.all(versions.map(async (version, index) => {
+            const [engine] = await startEngines(store, 1, {
+                name: `engine-${index + 1}`,
+                version,
+                stepMilliseconds: 2,
+            });
+            return engine;
+        }));
+        const entry = store.add(await TestEntry.start({ engines: engines.map(engine => engine?.address ?? "") }));
+        entry.engines.table.all.forEach((endpoint, index) => {
+            const report = { model: "alpha", version: versions[index], maximumRunningRequests: 8, runningRequests: 0 };
+            const current = { ...report, reportedAt: clock.unixNow(), waitingRequests: 0, leaving: false };
+            endpoint.applyReport(current, clock.now(), clock.unixNow());
+        });
+        engines.forEach(engine => engine?.faults.set({ kind: "breakStreams", afterTokens: 7, times: 2 }));
+        const prompts = numberedPrompts("version", 12).map(prompt => `${prompt}!`);
+        const responses = await Promise.all(prompts.map(text => ask(entry, chatCall(30, text))));
+        t.deepEqual(responses.map(streamedText), prompts.map(text => chatText(30, text)));
+        const mixed = prompts.filter(text => {
+            const ran = engines.filter(engine => {
+                return engine?.requestLog.findContaining(text).some(({ status }) => status === 200);
+            });
+            return new Set(ran.map(engine => versions[engines.indexOf(engine)])).size > 1;
+        });
+        t.deepEqual(mixed, []);
+    });
+
     it("reports the outcome as unknown, not as not run, when every attempt was interrupted", async t => {
         await using store = new DisposableStore();
         const [engine] = await startEngines(store, 1);
