test(hosted): an entry that reaches no endpoint serves its callers

Failing: an entry loses its links to all endpoints in three ways (silence, resets, only old connections live on), alone or with most others, while callers, control processes and other entries still reach it. Connections to endpoints can be replaced for tests now.

--- a/src/connection/hosted/endpointAgent.ts
+++ b/src/connection/hosted/endpointAgent.ts
@@ -1,6 +1,7 @@
 import { Agent } from "node:http";
 import type { ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import { connect } from "node:net";
+import type { NetConnectOpts, Socket } from "node:net";
 import type { Milliseconds } from "../../util/clock.js";
 
 /**
@@ -12,6 +13,9 @@
 /** Maximum number of idle connections to one endpoint. */
 const maximumIdleConnections = 64;
 
+/** Opens a connection to an endpoint. */
+export type OpenConnection = (options: NetConnectOpts) => Socket;
+
 /**
  * Connection pool of one endpoint.
  *
@@ -19,7 +23,7 @@
  * take it for its response.
  */
 export class EndpointAgent extends Agent {
-    constructor() {
+    constructor(private readonly openConnection: OpenConnection = connect) {
         super({
             keepAlive: true,
             scheduling: "lifo",
@@ -29,6 +33,11 @@
         });
     }
 
+    /** Called by `node:http`. */
+    override createConnection(options: NetConnectOpts): Socket {
+        return this.openConnection(options);
+    }
+
     override keepSocketAlive(socket: Socket): boolean {
         // eslint-disable-next-line @typescript-eslint/no-confusing-void-expression -- the type declares no result
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
--- a/src/connection/probeListener.ts
+++ b/src/connection/probeListener.ts
@@ -1,14 +1,19 @@
 import { connect } from "node:net";
 import type { Milliseconds } from "../util/clock.js";
 import { splitAddress } from "../util/socketAddress.js";
+import type { OpenConnection } from "./hosted/endpointAgent.js";
 
 /** What an attempt to connect tells about an address; `unreachable`: neither accepted nor refused in time. */
 export type ListenerState = "listening" | "refused" | "unreachable";
 
 /** Tells whether a process listens at an address. */
-export function probeListener(address: string, timeout: Milliseconds): Promise<ListenerState> {
+export function probeListener(
+    address: string,
+    timeout: Milliseconds,
+    openConnection: OpenConnection = connect,
+): Promise<ListenerState> {
     return new Promise(resolve => {
-        const socket = connect(splitAddress(address));
+        const socket = openConnection(splitAddress(address));
         const finish = (state: ListenerState): void => {
             clearTimeout(timer);
             socket.destroy();
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -1,3 +1,4 @@
+import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
@@ -19,7 +20,7 @@
     /** When each software version of a service was last listed, by service. */
     private readonly versionsSeenAt = new Map<string, Map<string | undefined, Milliseconds>>();
 
-    constructor(private readonly eventLog: EventLog) {}
+    constructor(private readonly eventLog: EventLog, private readonly openConnection?: OpenConnection) {}
 
     /** Whether an endpoint list was received. */
     get hasList(): boolean {
@@ -119,7 +120,7 @@
         const known = this.endpoints.get(incarnationKey(record));
         known?.updateRecord(record);
         if (known === undefined) {
-            this.endpoints.set(incarnationKey(record), new HostedEndpoint(record));
+            this.endpoints.set(incarnationKey(record), new HostedEndpoint(record, this.openConnection));
         }
         return known === undefined;
     }
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -1,4 +1,5 @@
 import { EndpointAgent } from "../../../connection/hosted/endpointAgent.js";
+import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import type { ReportedLoad } from "../../../request/hosted/callTraits.js";
 import { hashText } from "../../../request/routing/hashText.js";
 import type { Milliseconds } from "../../../util/clock.js";
@@ -37,7 +38,7 @@
 
 /** State of one endpoint at this entry: connections, load estimate and health. */
 export class HostedEndpoint implements Disposable {
-    readonly agent = new EndpointAgent();
+    readonly agent: EndpointAgent;
     /** 32-bit hash of the id, the same at all entries. */
     readonly idHash: number;
     private currentRecord: EndpointRecord;
@@ -52,7 +53,8 @@
     private ejectedUntil: Milliseconds = -Infinity;
     private weightedFailureRate = 0;
 
-    constructor(record: EndpointRecord) {
+    constructor(record: EndpointRecord, openConnection?: OpenConnection) {
+        this.agent = new EndpointAgent(openConnection);
         this.currentRecord = record;
         this.idHash = hashText(record.id);
     }
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -1,8 +1,10 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { servedCalls } from "../../../../platform/servedCalls.js";
+import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import { controlLinkPortOffset } from "../../../connection/hosted/linkMessages.js";
 import { sendFailure, sendJson } from "../../../connection/httpResponse.js";
 import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
@@ -77,10 +79,11 @@
         private readonly settings: () => HostedSettings,
         private readonly clock: Clock,
         eventLog: EventLog,
+        openConnection: OpenConnection = connect,
     ) {
         const { bounds, name, failureDomain, callerAddress = "", firstInternalPort, seedOperatorAddresses } =
             settings();
-        this.fleet = this.disposables.add(new EndpointFleet(eventLog));
+        this.fleet = this.disposables.add(new EndpointFleet(eventLog, openConnection));
         this.view = new DeploymentView(bounds.keyWithdrawal, eventLog);
         this.suspensionDetector = new SuspensionDetector(clock);
         const medianClock = new MedianClock();
@@ -154,7 +157,7 @@
             crashObserver: new CrashObserver({
                 clock,
                 eventLog,
-                probe: address => probeListener(address, crashProbeTimeout),
+                probe: address => probeListener(address, crashProbeTimeout, openConnection),
                 onCrash: crash => {
                     quarantine.recordCrash(crash, clock.now());
                 },
--- /dev/null
+++ b/tests/process/hosted/cuttableNetwork.ts
@@ -0,0 +1,112 @@
+import { connect, createServer, Socket } from "node:net";
+import type { NetConnectOpts, Server } from "node:net";
+import { boundAddress, listen, splitAddress } from "../../../src/util/socketAddress.js";
+
+/**
+ * How an entry is cut off from all endpoints: new connections hang and old ones fall silent, new ones are refused and
+ * old ones reset, or new ones are refused and old ones live on.
+ */
+export const cuts = ["silent", "reset", "refused"] as const;
+
+/** One of {@link cuts}. */
+export type Cut = typeof cuts[number];
+
+/** An address on which nothing listens: port 1 (tcpmux) of a loopback address that no test uses. */
+const refusingAddress = { host: "127.0.0.254", port: 1 };
+
+/** The links of one entry to all endpoints, which pass through proxies and can be cut. */
+export class CuttableNetwork implements AsyncDisposable {
+    private readonly proxies = new Map<string, Promise<Server>>();
+    private readonly pairs = new Set<readonly [Socket, Socket]>();
+    private readonly hanging = new Set<Socket>();
+    private cut: Cut | undefined;
+
+    /** Number of connections that were opened, or tried. */
+    attempts = 0;
+
+    /** Opens a connection to an endpoint. */
+    readonly open = (options: NetConnectOpts): Socket => {
+        this.attempts++;
+        if (this.cut === "silent") {
+            const socket = new Socket();
+            this.hanging.add(socket);
+            return socket;
+        }
+        if (this.cut !== undefined) {
+            return connect(refusingAddress);
+        }
+        const { host = "", port = 0 } = options as { readonly host?: string; readonly port?: number; };
+        const socket = new Socket();
+        void this.proxyTo(`${host}:${port}`).then(proxy => {
+            if (!socket.destroyed) {
+                socket.connect(splitAddress(boundAddress(proxy)));
+            }
+        });
+        return socket;
+    };
+
+    /** Cuts the entry off from all endpoints. */
+    cutOff(cut: Cut): void {
+        this.cut = cut;
+        for (const pair of this.pairs) {
+            for (const socket of cut === "refused" ? [] : pair) {
+                if (cut === "reset") {
+                    socket.resetAndDestroy();
+                }
+                else {
+                    socket.unpipe();
+                    socket.pause();
+                }
+            }
+        }
+    }
+
+    /** Ends the cut; connections that fell silent are lost. */
+    heal(): void {
+        if (this.cut === "silent") {
+            this.pairs.forEach(pair => {
+                pair.forEach(socket => socket.resetAndDestroy());
+            });
+        }
+        this.cut = undefined;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.pairs.forEach(pair => {
+            pair.forEach(socket => socket.destroy());
+        });
+        this.hanging.forEach(socket => socket.destroy());
+        for (const proxy of this.proxies.values()) {
+            (await proxy).close();
+        }
+    }
+
+    private proxyTo(address: string): Promise<Server> {
+        const known = this.proxies.get(address) ?? this.startProxy(address);
+        this.proxies.set(address, known);
+        return known;
+    }
+
+    private async startProxy(address: string): Promise<Server> {
+        const proxy = createServer({ noDelay: true }, inner => {
+            const outer = connect({ ...splitAddress(address), noDelay: true });
+            const pair = [inner, outer] as const;
+            this.pairs.add(pair);
+            for (const [socket, other] of [[inner, outer], [outer, inner]] as const) {
+                socket.on("error", () => undefined);
+                socket.once("close", hadError => {
+                    this.pairs.delete(pair);
+                    if (hadError) {
+                        other.resetAndDestroy();
+                    }
+                    else {
+                        other.end();
+                    }
+                });
+                socket.pipe(other);
+            }
+        });
+        await listen(proxy, "127.0.0.1:0");
+        return proxy;
+    }
+}
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import type { OpenConnection } from "../../../src/connection/hosted/endpointAgent.js";
 import { httpCall } from "../../../src/connection/httpCall.js";
 import type { HttpCallResponse } from "../../../src/connection/httpCall.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
@@ -304,10 +305,10 @@
     }
 
     /** Starts a further entry; returns the address at which it accepts calls. */
-    async startFurtherEntry(index: number): Promise<string> {
+    async startFurtherEntry(index: number, openConnection?: OpenConnection): Promise<string> {
         const { port } = splitAddress(this.callerAddress);
         const callerAddress = `127.0.${this.network}.${index}:${port}`;
-        await this.startEntry(index, callerAddress);
+        await this.startEntry(index, callerAddress, openConnection);
         return callerAddress;
     }
 
@@ -318,12 +319,17 @@
         await entry?.[Symbol.asyncDispose]();
     }
 
-    private async startEntry(index = 100, callerAddress = this.callerAddress): Promise<void> {
+    private async startEntry(
+        index = 100,
+        callerAddress = this.callerAddress,
+        openConnection?: OpenConnection,
+    ): Promise<void> {
         const settings = { ...this.settingsOf(index, true, undefined), callerAddress };
         const entry = new HostedEntryProcess(
             () => settings,
             clock,
             new EventLog(settings.name, "hidden"),
+            openConnection,
         );
         this.entries.set(index, entry);
         await entry.start();
