fix(hosted): let endpoints rest for as long as their rejections state

The time of an endpoint that had run the call was forwarded to the caller as if it were the caller's.

Change: the endpoint gets nothing from the entry until then, at most for five minutes. Only if all endpoints rest, the caller is told when the first one does not.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -243,6 +243,12 @@
         text: "A call was sent through another entry.",
         fields: ["requestId", "attempt", "entry"],
     },
+    endpointRests: {
+        number: 2473,
+        level: "info",
+        text: "An endpoint rejected a call and stated for how long it wants none of this entry.",
+        fields: ["endpoint", "duration"],
+    },
     endpointLeavingStated: {
         number: 2472,
         level: "info",
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -21,6 +21,9 @@
 /** Weight of the newest outcome in the exponentially weighted failure rate. */
 const newestOutcomeWeight = 0.1;
 
+/** Maximum time for which an endpoint gets no calls because of one statement. */
+const maximumRestTime: Milliseconds = 300_000;
+
 /** A call that this entry sent to an endpoint and that has not ended. */
 export interface OutstandingCall {
     /** Prompt tokens whose prefill is still pending; 0 once the first event has arrived. */
@@ -53,6 +56,7 @@
     private ejectedUntil: Milliseconds = -Infinity;
     private weightedFailureRate = 0;
     private hasStatedLeaving = false;
+    private restsUntil: Milliseconds = -Infinity;
 
     constructor(record: EndpointRecord, openConnection?: OpenConnection) {
         this.agent = new EndpointAgent(openConnection);
@@ -135,6 +139,20 @@
         this.hasStatedLeaving = true;
     }
 
+    /** Records that the endpoint takes no calls of this entry for a time; a very long time is shortened. */
+    recordRest(duration: Milliseconds, now: Milliseconds): void {
+        this.restsUntil = Math.max(this.restsUntil, now + Math.min(duration, maximumRestTime));
+    }
+
+    isResting(now: Milliseconds): boolean {
+        return now < this.restsUntil;
+    }
+
+    /** Time until the endpoint takes calls of this entry; 0 if it does not rest. */
+    remainingRest(now: Milliseconds): Milliseconds {
+        return Math.max(0, this.restsUntil - now);
+    }
+
     /** Records that the endpoint closed a connection, which may indicate a shutdown. */
     recordConnectionClose(now: Milliseconds): void {
         this.connectionClosedAt = now;
--- a/src/request/hosted/callTraits.ts
+++ b/src/request/hosted/callTraits.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "../../util/clock.js";
+import type { Milliseconds, UnixMilliseconds } from "../../util/clock.js";
 
 /** A segment of a prompt; segments with the same id hold the same tokens, which an engine may have cached. */
 export interface PromptSegment {
@@ -40,12 +40,19 @@
     readonly hasContentEncoding: boolean;
     /** Whether the endpoint closes the connection; one that is shutting down always does, others occasionally. */
     readonly closesConnection: boolean;
+    /** When the endpoint takes calls again; undefined if it states nothing that can be read. */
+    readonly retryAfter: StatedRetryAfter | undefined;
     /** Whether the endpoint states that it is about to stop. */
     readonly isLeaving: boolean;
     readonly load: ReportedLoad | undefined;
     readonly rateLimit: StatedRateLimit;
 }
 
+/** When an endpoint takes calls again, as its response states it. */
+export type StatedRetryAfter =
+    | { readonly kind: "delay"; readonly duration: Milliseconds; }
+    | { readonly kind: "date"; readonly unixTime: UnixMilliseconds; };
+
 /** What a response states about the rate of calls that its endpoint takes from all entries together. */
 export type StatedRateLimit =
     | { readonly kind: "unlimited"; }
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { responseHeadersForCaller } from "../../../platform/callHeaders.js";
+import { readResponseTraits, responseHeadersForCaller } from "../../../platform/callHeaders.js";
 import { sendFailure, waitForDrain } from "../../connection/httpResponse.js";
 import { resetConnection } from "../../connection/resetConnection.js";
 import type { Failure } from "../../resultCode/resultCode.js";
@@ -8,6 +8,9 @@
 import type { CallTraits } from "./callTraits.js";
 import { hasFramedBody } from "./framedBody.js";
 
+/** Status code 503 (Service Unavailable). */
+const unavailableStatus = 503;
+
 /** Writes the response to the caller of one call. */
 export class CallerResponse {
     private isResponseFramed = true;
@@ -101,7 +104,8 @@
             this.response.destroy();
             return;
         }
-        const headers = responseHeadersForCaller(message.rawHeaders);
+        const { status, hasSignature } = readResponseTraits(message);
+        const headers = responseHeadersForCaller(message.rawHeaders, status === unavailableStatus && hasSignature);
         if (hasFramedBody(message)) {
             headers.push("Content-Length", String(body.length));
         }
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -22,6 +22,9 @@
 /** Number of body bytes that are buffered before any is forwarded; until then the call may move to another endpoint. */
 const bufferedBodyBytes = 64 * 1024;
 
+/** Status code 503 (Service Unavailable): the endpoint rejects the call, and may state when it takes the next one. */
+const unavailableStatus = 503;
+
 /** Why a call did not run: the endpoint could not be reached, was at capacity, or was not the intended one. */
 export type NotRunCause = "unreached" | "full" | "misdirected";
 
@@ -164,6 +167,14 @@
         if (traits.closesConnection) {
             endpoint.recordConnectionClose(now);
         }
+        if (traits.status === unavailableStatus && traits.retryAfter !== undefined) {
+            const { retryAfter } = traits;
+            const rest = retryAfter.kind === "delay"
+                ? retryAfter.duration
+                : Math.max(0, retryAfter.unixTime - this.context.clock.unixNow());
+            endpoint.recordRest(rest, now);
+            this.context.eventLog.write("endpointRests", { endpoint: endpoint.id, duration: Math.round(rest) });
+        }
         // A misdirected call was answered by another endpoint.
         if (traits.isLeaving && !traits.isMisdirected && !endpoint.isLeaving) {
             endpoint.recordLeaving();
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -289,8 +289,9 @@
         const { rateLimits, grantSource, fleet } = this.context;
         const isGranted = await rateLimits.acquire(endpoint.id, maximumGrantDelay, grantSource);
         await waitForSocketPoll();
-        // The endpoint may have begun to leave meanwhile.
-        const maySend = isGranted && fleet.serving(service.name).includes(endpoint);
+        // The endpoint may have begun to leave or to rest meanwhile.
+        const maySend = isGranted && fleet.serving(service.name).includes(endpoint)
+            && !endpoint.isResting(this.context.clock.now());
         this.denials += maySend ? 0 : 1;
         return maySend && !this.callerResponse.hasCallerDisconnected();
     }
@@ -319,8 +320,9 @@
     }
 
     private untriedEndpoints(service: DeployedService): readonly HostedEndpoint[] {
+        const now = this.context.clock.now();
         return this.context.fleet.serving(service.name).filter(endpoint =>
-            !this.triedEndpoints.has(endpoint) && this.continuation.accepts(endpoint)
+            !this.triedEndpoints.has(endpoint) && this.continuation.accepts(endpoint) && !endpoint.isResting(now)
         );
     }
 
@@ -433,12 +435,13 @@
             return;
         }
         const grantWait = this.timeUntilGrantable(call.service);
-        const code = this.rejections > 0
+        const restWait = this.timeUntilRested(call.service);
+        const code = this.rejections > 0 || restWait !== undefined
             ? "endpointsBusy"
             : grantWait === undefined
             ? "noEndpointAvailable"
             : "endpointsLimited";
-        const retryAfter = this.chooseRetryAfter(call.route, grantWait);
+        const retryAfter = this.chooseRetryAfter(call.route, grantWait ?? restWait);
         this.callerResponse.refuse({ reason: failure(code), call, retryAfter });
     }
 
@@ -451,11 +454,22 @@
             : undefined;
     }
 
-    private chooseRetryAfter(route: DeployedRoute, grantWait: Milliseconds | undefined): Milliseconds {
+    /** Time until the first endpoint takes calls again; undefined unless all rest. */
+    private timeUntilRested(service: DeployedService): Milliseconds | undefined {
+        const { fleet, clock } = this.context;
+        const now = clock.now();
+        const endpoints = fleet.serving(service.name).filter(endpoint => this.continuation.accepts(endpoint));
+        return endpoints.length > 0 && endpoints.every(endpoint => endpoint.isResting(now))
+            ? Math.min(...endpoints.map(endpoint => endpoint.remainingRest(now)))
+            : undefined;
+    }
+
+    /** @param availableAfter Time until an endpoint can take the call; undefined if that is not known. */
+    private chooseRetryAfter(route: DeployedRoute, availableAfter: Milliseconds | undefined): Milliseconds {
         const retryAfter = minimumRetryAfter * (1 + this.context.random.float());
         const longest = Math.max(0, this.remainingTime(route)) * maximumRetryAfterFraction;
-        // A call that returns before it can be granted would be refused again.
-        return Math.max(Math.min(longest, retryAfter), (grantWait ?? 0) * (1 + this.context.random.float()));
+        // A call that returns before an endpoint can take it would be refused again.
+        return Math.max(Math.min(longest, retryAfter), (availableAfter ?? 0) * (1 + this.context.random.float()));
     }
 
     /** Updates the endpoint's health from the outcome of an attempt, and logs a failed one. */
