fix(hosted): keep the calls of all entries within the room of brittle endpoints

Cause: entries placed calls by the load alone, each for itself, and took a rejection as a reason to try the next endpoint. The class of fault: a bound on a sum that no one keeps.

Change: entries read Server-Brittle, keep to their part of such an endpoint's slots, and let it rest after a rejection.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -249,6 +249,12 @@
         text: "An endpoint rejected a call and stated for how long it wants none of this entry.",
         fields: ["endpoint", "duration"],
     },
+    endpointBrittlenessStated: {
+        number: 2474,
+        level: "info",
+        text: "An endpoint began or ended to state that it is brittle: how many calls a second it can reject.",
+        fields: ["endpoint", "toleratedRejections"],
+    },
     endpointLeavingStated: {
         number: 2472,
         level: "info",
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -1,3 +1,4 @@
+import { randomInt } from "node:crypto";
 import { EndpointAgent } from "../../../connection/hosted/endpointAgent.js";
 import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import type { ReportedLoad } from "../../../request/hosted/callTraits.js";
@@ -24,6 +25,17 @@
 /** Maximum time for which an endpoint gets no calls because of one statement. */
 const maximumRestTime: Milliseconds = 300_000;
 
+/** Fraction of a brittle endpoint's slots that all entries together use. */
+const brittleRoomFraction = 0.75;
+
+/** Share of a brittle endpoint's room from which on each entry may use one slot. */
+const minimumWholeShare = 0.5;
+
+/** Maximum time for which an entry sends nothing to a brittle endpoint that has rejected a call of it. */
+const maximumBrittleRest: Milliseconds = 10_000;
+
+const shareRoundingSteps = 65_536;
+
 /** A call that this entry sent to an endpoint and that has not ended. */
 export interface OutstandingCall {
     /** Prompt tokens whose prefill is still pending; 0 once the first event has arrived. */
@@ -57,6 +69,10 @@
     private weightedFailureRate = 0;
     private hasStatedLeaving = false;
     private restsUntil: Milliseconds = -Infinity;
+    /** Undefined unless the endpoint is brittle. */
+    private toleratedRejections: number | undefined;
+    /** Rounds this entry's share of the endpoint's room, so that the shares of all entries add up to it on average. */
+    private readonly shareRounding = randomInt(shareRoundingSteps) / shareRoundingSteps;
 
     constructor(record: EndpointRecord, openConnection?: OpenConnection) {
         this.agent = new EndpointAgent(openConnection);
@@ -144,6 +160,33 @@
         this.restsUntil = Math.max(this.restsUntil, now + Math.min(duration, maximumRestTime));
     }
 
+    /**
+     * Records how many calls a second the endpoint can reject for want of room without failing; undefined if it is not
+     * brittle.
+     */
+    recordBrittleness(toleratedRejections: number | undefined): void {
+        this.toleratedRejections = toleratedRejections;
+    }
+
+    get isBrittle(): boolean {
+        return this.toleratedRejections !== undefined;
+    }
+
+    /**
+     * Whether this entry may send another call: to a brittle endpoint, all entries together send no more at once than it
+     * has slots, so that it need not reject any.
+     *
+     * @param entryCount Number of entries that are serving.
+     */
+    hasRoom(entryCount: number): boolean {
+        if (this.toleratedRejections === undefined) {
+            return true;
+        }
+        const share = this.record.slots * brittleRoomFraction / Math.max(1, entryCount);
+        const minimumCalls = share >= minimumWholeShare ? 1 : 0;
+        return this.outstandingCalls.size < Math.max(minimumCalls, Math.floor(share + this.shareRounding));
+    }
+
     isResting(now: Milliseconds): boolean {
         return now < this.restsUntil;
     }
@@ -217,8 +260,17 @@
         this.weightedFailureRate += newestOutcomeWeight * (1 - this.weightedFailureRate);
     }
 
-    /** Records that the endpoint rejected a call because it was at capacity. */
-    recordAtCapacity(now: Milliseconds): void {
+    /**
+     * Records that the endpoint rejected a call because it was at capacity. A brittle one rests, so that all entries
+     * together cause no more rejections than it tolerates.
+     *
+     * @param entryCount Number of entries that are serving.
+     */
+    recordAtCapacity(entryCount: number, now: Milliseconds): void {
+        if (this.toleratedRejections !== undefined) {
+            const rest = entryCount * 1_000 / this.toleratedRejections;
+            this.recordRest(Math.min(rest, maximumBrittleRest), now);
+        }
         this.otherEntriesCalls = Math.max(this.otherEntriesCalls, this.record.slots - this.outstandingCalls.size);
         this.otherEntriesMeasuredAt = now;
     }
--- a/src/request/hosted/callTraits.ts
+++ b/src/request/hosted/callTraits.ts
@@ -46,6 +46,8 @@
     readonly isLeaving: boolean;
     readonly load: ReportedLoad | undefined;
     readonly rateLimit: StatedRateLimit;
+    /** Calls a second that the endpoint can reject for want of room without failing; undefined if it is not brittle. */
+    readonly toleratedRejections: number | undefined;
 }
 
 /** When an endpoint takes calls again, as its response states it. */
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -183,9 +183,19 @@
         if (traits.load !== undefined) {
             endpoint.recordLoad(traits.load, now);
         }
+        this.recordBrittleness(traits);
         this.context.rateLimits.recordStatement(endpoint.id, traits.rateLimit, now);
     }
 
+    private recordBrittleness({ toleratedRejections }: ResponseTraits): void {
+        const { endpoint } = this.input.placement;
+        if (endpoint.isBrittle !== (toleratedRejections !== undefined)) {
+            const fields = { endpoint: endpoint.id, toleratedRejections };
+            this.context.eventLog.write("endpointBrittlenessStated", fields);
+        }
+        endpoint.recordBrittleness(toleratedRejections);
+    }
+
     /** Forwards a body that is not a stream of events: a short one at once, a long success as it arrives. */
     private async forwardBody(message: IncomingMessage, isSuccess: boolean): Promise<AttemptOutcome> {
         const { callerResponse, earlierExecutions, placement: { endpoint } } = this.input;
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -291,7 +291,7 @@
         await waitForSocketPoll();
         // The endpoint may have begun to leave or to rest meanwhile.
         const maySend = isGranted && fleet.serving(service.name).includes(endpoint)
-            && !endpoint.isResting(this.context.clock.now());
+            && !endpoint.isResting(this.context.clock.now()) && endpoint.hasRoom(this.context.entryCount());
         this.denials += maySend ? 0 : 1;
         return maySend && !this.callerResponse.hasCallerDisconnected();
     }
@@ -322,7 +322,8 @@
     private untriedEndpoints(service: DeployedService): readonly HostedEndpoint[] {
         const now = this.context.clock.now();
         return this.context.fleet.serving(service.name).filter(endpoint =>
-            !this.triedEndpoints.has(endpoint) && this.continuation.accepts(endpoint) && !endpoint.isResting(now)
+            !this.triedEndpoints.has(endpoint) && this.continuation.accepts(endpoint)
+            && !endpoint.isResting(now) && endpoint.hasRoom(this.context.entryCount())
         );
     }
 
@@ -489,7 +490,7 @@
             endpoint.recordErrorResponse();
         }
         else if (outcome.kind === "notRun" && outcome.cause === "full") {
-            endpoint.recordAtCapacity(now);
+            endpoint.recordAtCapacity(this.context.entryCount(), now);
         }
         else {
             endpoint.recordFailure(now);
