--- a/tests/request/hosted/leavingEndpoint.test.ts
+++ b/tests/request/hosted/leavingEndpoint.test.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { describe, it } from "../../describe.js";
 import { createEndpointRecord } from "../../process/hosted/entry/testEndpoints.js";
@@ -23,20 +24,24 @@
     }
 
     it("finishes what it runs", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (_id, response) => {
+        const responses: ServerResponse[] = [];
+        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
+            responses.push(response);
             response.setHeader("server-leaving", "1");
             response.write("ans");
-            setTimeout(() => {
-                response.end("wer");
-            }, 200);
         });
-        const [first, second] = await Promise.all([endpoints.call(), sleep(100).then(() => endpoints.call())]);
-        t.is(first.body.toString(), "answer");
-        t.is(second.status, 503);
+        const { fleet } = endpoints.entry.context;
+        const first = endpoints.call();
+        while (fleet.serving("desk").length > 0) {
+            await sleep(5);
+        }
+        t.is((await endpoints.call()).status, 503);
+        responses.forEach(response => response.end("wer"));
+        t.is((await first).body.toString(), "answer");
     });
 
     it("gets calls again once it is listed as another run", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (_id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
             response.setHeader("server-leaving", endpoints.received.length === 1 ? "1" : "0");
             response.end("answer");
         });
--- a/tests/request/hosted/restingEndpoint.test.ts
+++ b/tests/request/hosted/restingEndpoint.test.ts
@@ -54,7 +54,7 @@
 
     for (const retryAfter of ["soon", "-1", "", "0"]) {
         it(`gets calls as before if it states nothing that can be read (${JSON.stringify(retryAfter)})`, async t => {
-            await using endpoints = await StatedEndpoints.start(1, (_id, response) => {
+            await using endpoints = await StatedEndpoints.start(1, (id, response) => {
                 if (endpoints.received.length === 1) {
                     reject(response, retryAfter);
                     return;
@@ -68,7 +68,7 @@
 
     // Guards against an endpoint that is lost because of one absurd value.
     it("rests for a bounded time, whatever it states", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (_id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
             reject(response, "99999999999999");
         });
         await endpoints.call();
@@ -91,7 +91,7 @@
     });
 
     it("does not show its caller the time if it has run the call", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (_id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
             response.writeHead(503, { "retry-after": "7" }).end("failed");
         });
         const { status, headers, body } = await endpoints.call();
