--- a/tests/request/hosted/leavingEndpoint.test.ts
+++ b/tests/request/hosted/leavingEndpoint.test.ts
@@ -8,7 +8,7 @@
     for (const status of [200, 500, 503]) {
         // Guards against calls to an endpoint that has said that it leaves before the platform's list shows it.
         it(`gets no further calls, whatever its status (${status})`, async t => {
-            await using endpoints = await StatedEndpoints.start(3, (id, response) => {
+            await using endpoints = await StatedEndpoints.start(3, (response, id) => {
                 if (id === "e0") {
                     response.setHeader("server-leaving", "1");
                 }
@@ -25,7 +25,7 @@
 
     it("finishes what it runs", async t => {
         const responses: ServerResponse[] = [];
-        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, response => {
             responses.push(response);
             response.setHeader("server-leaving", "1");
             response.write("ans");
@@ -41,7 +41,7 @@
     });
 
     it("gets calls again once it is listed as another run", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, response => {
             response.setHeader("server-leaving", endpoints.received.length === 1 ? "1" : "0");
             response.end("answer");
         });
--- a/tests/request/hosted/restingEndpoint.test.ts
+++ b/tests/request/hosted/restingEndpoint.test.ts
@@ -22,7 +22,7 @@
         it(`gets no calls until then, and calls afterwards (${title})`, async t => {
             const arrivals: number[] = [];
             let rejectedAt = 0;
-            await using endpoints = await StatedEndpoints.start(2, (id, response) => {
+            await using endpoints = await StatedEndpoints.start(2, (response, id) => {
                 if (id === "e0") {
                     arrivals.push(performance.now());
                 }
@@ -54,7 +54,7 @@
 
     for (const retryAfter of ["soon", "-1", "", "0"]) {
         it(`gets calls as before if it states nothing that can be read (${JSON.stringify(retryAfter)})`, async t => {
-            await using endpoints = await StatedEndpoints.start(1, (id, response) => {
+            await using endpoints = await StatedEndpoints.start(1, response => {
                 if (endpoints.received.length === 1) {
                     reject(response, retryAfter);
                     return;
@@ -68,7 +68,7 @@
 
     // Guards against an endpoint that is lost because of one absurd value.
     it("rests for a bounded time, whatever it states", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, response => {
             reject(response, "99999999999999");
         });
         await endpoints.call();
@@ -80,7 +80,7 @@
 
     // Guards against a caller that is told to wait for an endpoint while others serve, or too briefly if none does.
     it("shows its caller the time only if all endpoints rest", async t => {
-        await using endpoints = await StatedEndpoints.start(2, (id, response) => {
+        await using endpoints = await StatedEndpoints.start(2, (response, id) => {
             reject(response, id === "e0" ? "3" : "2");
         });
         await endpoints.call();
@@ -91,7 +91,7 @@
     });
 
     it("does not show its caller the time if it has run the call", async t => {
-        await using endpoints = await StatedEndpoints.start(1, (id, response) => {
+        await using endpoints = await StatedEndpoints.start(1, response => {
             response.writeHead(503, { "retry-after": "7" }).end("failed");
         });
         const { status, headers, body } = await endpoints.call();
--- a/tests/request/hosted/statedEndpoints.ts
+++ b/tests/request/hosted/statedEndpoints.ts
@@ -28,7 +28,7 @@
     /** @param respond Responds to a call at an endpoint; the headers of a proper response are set. */
     static async start(
         count: number,
-        respond: (endpoint: string, response: ServerResponse) => void,
+        respond: (response: ServerResponse, endpoint: string) => void,
     ): Promise<StatedEndpoints> {
         const endpoints = new StatedEndpoints();
         const endpointServer = createServer((request, response) => {
@@ -38,7 +38,7 @@
                 endpoints.received.push(id);
                 response.setHeader("gullhall-attempt-id", String(request.headers["gullhall-attempt-id"]));
                 response.setHeader("gullhall-response-signature", "proof");
-                respond(id, response);
+                respond(response, id);
             });
         });
         endpoints.store.defer(() => {
