--- a/tests/request/model/crashingRequest.test.ts
+++ b/tests/request/model/crashingRequest.test.ts
@@ -62,21 +62,30 @@
 
 describe("model request", () => {
     // Guards against a request that its caller repeats, and that crashes engine after engine.
-    it("is not sent to engines again and again if it crashes each of them", async t => {
-        await using store = new DisposableStore();
-        let arrivals = 0;
-        const engines = await startCrashingEngines(store, 6, () => arrivals++);
-        const entry = store.add(await TestEntry.start({ engines }));
-        const { path, body } = chatCall(5, "the same prompt");
-        const headers = { host: "calls.example", authorization: `Bearer ${entry.key}` };
-        const callers: Socket[] = [];
-        for (let repeat = 0; repeat < 20; repeat++) {
-            const caller = await openConnection(entry.address);
-            caller.write(formatRequest("POST", path, headers, body));
-            callers.push(caller);
-            await sleep(150);
-        }
-        callers.forEach(caller => caller.destroy());
-        t.true(arrivals <= decisiveCrash + acceptedRepeats, `${arrivals} requests reached engines`);
-    });
+    for (const entryCount of [1, 4]) {
+        it(`is not sent on again and again by ${entryCount} entries if it crashes each engine`, async t => {
+            await using store = new DisposableStore();
+            let arrivals = 0;
+            const engines = await startCrashingEngines(store, 6, () => arrivals++);
+            const entries: TestEntry[] = [];
+            for (let index = 0; index < entryCount; index++) {
+                entries.push(store.add(await TestEntry.start({ engines })));
+            }
+            const { path, body } = chatCall(5, "the same prompt");
+            const callers: Socket[] = [];
+            for (let repeat = 0; repeat < 20; repeat++) {
+                const entry = entries[repeat % entries.length];
+                if (entry === undefined) {
+                    continue;
+                }
+                const headers = { host: "calls.example", authorization: `Bearer ${entry.key}` };
+                const caller = await openConnection(entry.address);
+                caller.write(formatRequest("POST", path, headers, body));
+                callers.push(caller);
+                await sleep(150);
+            }
+            callers.forEach(caller => caller.destroy());
+            t.true(arrivals <= decisiveCrash + acceptedRepeats, `${arrivals} requests reached engines`);
+        });
+    }
 });
