feat(hosted): grant retries of a common budget where they are needed

Cause: each entry counted whole retries within its own part of the retry budget. With many entries a part is below one retry, so that entries refused retries while the budget of all was hardly used.

Heartbeats carry the counts of the window, so that a new leader knows what was granted before.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -6,9 +6,11 @@
 import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
+import type { HostedRetryBudget } from "../../process/hosted/entry/hostedRetryBudget.js";
 import type { StreamOrigins } from "../../process/hosted/entry/streamOrigins.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
 import type { GrantDecision } from "../../process/hosted/grantDecision.js";
+import type { RetryGrant } from "../../process/hosted/retryPolicy.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
 import { splitAddress } from "../../util/socketAddress.js";
@@ -68,6 +70,7 @@
     readonly onControlHosts: (hosts: readonly string[], leaderHost: string | undefined) => void;
     readonly onEntryCount: (entries: number) => void;
     readonly rateLimits: EndpointRateLimits;
+    readonly retryBudget: HostedRetryBudget;
     readonly quarantine: CallQuarantine;
     readonly streamOrigins: StreamOrigins;
     /** Whether this entry relays calls, or needs others to relay its own. */
@@ -89,6 +92,10 @@
     /** Resolve the requests for grants without a response so far, by number. */
     private readonly pendingGrants = new Map<number, (grant: GrantDecision | undefined) => void>();
     private canGrant = false;
+    private nextRetryNumber = 1;
+    /** Resolve the requests for retries without a response so far, by number. */
+    private readonly pendingRetries = new Map<number, (decision: RetryGrant | undefined) => void>();
+    private grantsRetries = false;
     private nextTrialNumber = 1;
     /** Resolve the requests for trials without a response so far, by number. */
     private readonly pendingTrials = new Map<number, (isGranted: boolean) => void>();
@@ -138,6 +145,9 @@
         this.pendingGrants.forEach(resolve => {
             resolve(undefined);
         });
+        this.pendingRetries.forEach(resolve => {
+            resolve(undefined);
+        });
         this.pendingTrials.forEach(resolve => {
             resolve(false);
         });
@@ -171,6 +181,7 @@
         this.sentCountsVersion = usageCounts.version;
         const limits = this.context.rateLimits.statementsSince(this.sentLimitsVersion, now);
         this.sentLimitsVersion = this.context.rateLimits.version;
+        const retries = this.context.retryBudget.report(now);
         this.send({
             kind: "beat",
             number,
@@ -183,6 +194,7 @@
             ...this.context.relayState(),
             ...hasNewCounts ? { usage } : {},
             ...limits.length > 0 ? { limits } : {},
+            ...Object.keys(retries).length > 0 ? { retries } : {},
         });
     }
 
@@ -213,6 +225,23 @@
         return grant;
     }
 
+    /** Asks the control process for one retry of a service's calls; undefined if it does not decide in time. */
+    async requestRetry(service: string): Promise<RetryGrant | undefined> {
+        if (!this.grantsRetries || this.connection.closed) {
+            return undefined;
+        }
+        const number = this.nextRetryNumber++;
+        const response = new Promise<RetryGrant | undefined>(resolve => {
+            this.pendingRetries.set(number, resolve);
+        });
+        const timer = setTimeout(() => this.pendingRetries.get(number)?.(undefined), grantTimeout);
+        this.send({ kind: "retryRequest", number, service });
+        const decision = await response;
+        clearTimeout(timer);
+        this.pendingRetries.delete(number);
+        return decision;
+    }
+
     /** Asks the control process whether a call that is held back may be let through; false if it does not decide in time. */
     async requestTrial(service: string, feature: string, features: readonly string[]): Promise<boolean> {
         if (!this.understandsEvidence || this.connection.closed) {
@@ -313,6 +342,9 @@
             .with({ kind: "grant" }, ({ number, isDecided, ...grant }) => {
                 this.pendingGrants.get(number)?.(isDecided ? grant : undefined);
             })
+            .with({ kind: "retry" }, ({ number, isDecided, isGranted, delay }) => {
+                this.pendingRetries.get(number)?.(isDecided ? { isGranted, delay } : undefined);
+            })
             .with({ kind: "holds" }, ({ revision, holds }) => {
                 const now = this.context.clock.now();
                 this.context.quarantine.applyHolds(revision, holds, now);
@@ -356,6 +388,7 @@
         this.keepsStreamOrigins = response.keepsStreamOrigins === true;
         this.sendStartedStreams(clock.now());
         this.canGrant = response.limits !== undefined;
+        this.grantsRetries = response.grantsRetries === true;
         if (response.isLeader && response.limits !== undefined) {
             this.context.rateLimits.applyEnforcedLimits(response.limits, this.address, clock.now());
         }
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -5,6 +5,7 @@
 import type { StoredDocument } from "../../process/hosted/control/hostedState.js";
 import type { QuarantineDuty } from "../../process/hosted/control/quarantineDuty.js";
 import type { RateLimitLedger } from "../../process/hosted/control/rateLimitLedger.js";
+import type { RetryLedger } from "../../process/hosted/control/retryLedger.js";
 import type { StreamOriginStore } from "../../process/hosted/streamOriginStore.js";
 import type { Clock } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
@@ -13,6 +14,7 @@
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
 import type { TrialRequest } from "./quarantineMessages.js";
 import type { GrantRequest } from "./rateLimitMessages.js";
+import type { RetryRequest } from "./retryMessages.js";
 import type { StartedStreams, StreamOriginRequest } from "./streamMessages.js";
 
 /** Maximum size of a frame from an entry, in bytes. */
@@ -32,8 +34,9 @@
     readonly controlHosts: () => readonly string[];
     readonly leaderHost: () => string | undefined;
     readonly rateLimits: RateLimitLedger;
-    /** Whether this process leads, holds its lease, and may thus grant calls. */
-    readonly mayGrant: () => boolean;
+    readonly retries: RetryLedger;
+    /** Term in which this process leads, holds its lease, and may thus grant calls; undefined otherwise. */
+    readonly grantingTerm: () => number | undefined;
     readonly quarantine: QuarantineDuty;
     /** Increases with each change of the calls that are held back. */
     readonly holdsRevision: () => number;
@@ -142,6 +145,12 @@
                 }
                 this.respondToGrantRequest(message, this.hello);
                 return true;
+            case "retryRequest":
+                if (this.hello === undefined) {
+                    return false;
+                }
+                this.respondToRetryRequest(message, this.hello);
+                return true;
             case "evidence":
                 if (this.hello === undefined) {
                     return false;
@@ -190,19 +199,30 @@
     }
 
     private respondToGrantRequest(request: GrantRequest, { entry }: EntryHello): void {
-        const { clock, rateLimits, mayGrant } = this.context;
+        const { clock, rateLimits, grantingTerm } = this.context;
         const { number, endpoint, maximumDelay, statement } = request;
         const now = clock.now();
         if (statement !== undefined) {
             rateLimits.recordStatement(entry, statement, now);
         }
-        const isDecided = mayGrant();
+        const isDecided = grantingTerm() !== undefined;
         const decision = isDecided
             ? rateLimits.requestGrant(entry, endpoint, maximumDelay, now)
             : { isGranted: false, delay: 0, contenders: 0 };
         this.send({ kind: "grant", number, isDecided, ...decision });
     }
 
+    private respondToRetryRequest({ number, service }: RetryRequest, { entry, incarnation }: EntryHello): void {
+        const { clock, retries, grantingTerm } = this.context;
+        const now = clock.now();
+        retries.recordTerm(grantingTerm(), now);
+        const isDecided = retries.isSettled(now);
+        const decision = isDecided
+            ? retries.request(`${entry}/${incarnation}`, service, now)
+            : { isGranted: false, delay: 0 };
+        this.send({ kind: "retry", number, isDecided, ...decision });
+    }
+
     private recordStreams(streams: readonly StartedStreams[]): void {
         const now = this.context.clock.now();
         for (const { team = "", origin, lifetime, callIds } of streams) {
@@ -222,18 +242,20 @@
     }
 
     private async respondToTrialRequest({ number, service, feature, features }: TrialRequest): Promise<void> {
-        const { mayGrant, quarantine } = this.context;
-        const isGranted = mayGrant() && await quarantine.requestTrial(service, feature, features);
+        const { grantingTerm, quarantine } = this.context;
+        const isGranted = grantingTerm() !== undefined && await quarantine.requestTrial(service, feature, features);
         this.send({ kind: "trial", number, isGranted });
     }
 
     private async respondToHeartbeat(heartbeat: EntryHeartbeat, hello: EntryHello): Promise<void> {
-        const { clock, medianClock, registry, confirmVersion, rateLimits } = this.context;
+        const { clock, medianClock, registry, confirmVersion, rateLimits, retries, grantingTerm } = this.context;
         const now = clock.now();
         registry.recordHeartbeat(hello, heartbeat, now);
         heartbeat.limits?.forEach(statement => {
             rateLimits.recordStatement(hello.entry, statement, now);
         });
+        retries.recordTerm(grantingTerm(), now);
+        retries.recordReport(`${hello.entry}/${hello.incarnation}`, heartbeat.retries ?? {}, now);
         medianClock.addReading(hello.entry, heartbeat.unixTime, now);
         const leaderHost = this.context.leaderHost();
         const confirmedVersion = heartbeat.wantsPermit ? await confirmVersion() : undefined;
@@ -253,6 +275,7 @@
             work: registry.work(clock.now()),
             limits: isLeader ? rateLimits.enforcedLimits(clock.now()) : [],
             keepsStreamOrigins: true,
+            grantsRetries: true,
             ...heartbeat.needsRelays === true ? { relays: registry.relaysFor(hello.entry, clock.now()) } : {},
         });
     }
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -13,6 +13,7 @@
     grantResponseSchema,
     limitStatementSchema,
 } from "./rateLimitMessages.js";
+import { retryReportSchema, retryRequestSchema, retryResponseSchema } from "./retryMessages.js";
 import { streamOriginRequestSchema, streamOriginResponseSchema, streamsStartedSchema } from "./streamMessages.js";
 
 /** Version of the link protocol, spoken between entries and control processes and among control processes. */
@@ -89,12 +90,15 @@
         usage: usageSchema.optional(),
         /** Statements about limits of endpoints since the previous heartbeat on this link. */
         limits: z.array(limitStatementSchema).readonly().optional(),
+        /** Calls and retries in the window of the retry budget; absent if there are none. */
+        retries: retryReportSchema.optional(),
         /** How other entries can have calls relayed by this one; absent while it is cut off from endpoints itself. */
         relay: z.object({ address: shortTextSchema, token: shortTextSchema }).readonly().optional(),
         /** Whether the entry is cut off from endpoints and needs others to relay its calls. */
         needsRelays: z.boolean().optional(),
     }),
     grantRequestSchema,
+    retryRequestSchema,
     evidenceSchema,
     trialRequestSchema,
     streamsStartedSchema,
@@ -179,8 +183,11 @@
         relays: z.array(relayOfferSchema).readonly().optional(),
         /** Whether the sender keeps the origins of streams. */
         keepsStreamOrigins: z.boolean().optional(),
+        /** Whether the sender answers requests for retries. */
+        grantsRetries: z.boolean().optional(),
     }),
     grantResponseSchema,
+    retryResponseSchema,
     holdsSchema,
     suspectsSchema,
     trialResponseSchema,
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -36,6 +36,7 @@
 import { PresenceLinks } from "./presenceLinks.js";
 import { QuarantineDuty } from "./quarantineDuty.js";
 import { RateLimitLedger } from "./rateLimitLedger.js";
+import { RetryLedger } from "./retryLedger.js";
 import { SharedConfirmation } from "./sharedConfirmation.js";
 import { UsageDuty } from "./usageDuty.js";
 
@@ -76,6 +77,7 @@
     private readonly medianClock = new MedianClock();
     private readonly streamOrigins = new StreamOriginStore(maximumStreamOrigins);
     private readonly rateLimits: RateLimitLedger;
+    private readonly retries: RetryLedger;
     private readonly suspensionDetector: SuspensionDetector;
     private parsedServices: readonly DeployedService[] = [];
     private parsedVersion = 0;
@@ -110,6 +112,7 @@
     ) {
         this.suspensionDetector = new SuspensionDetector(clock);
         this.rateLimits = new RateLimitLedger(eventLog);
+        this.retries = new RetryLedger(settings().bounds);
     }
 
     /** Starts the process; resolves once it listens on all addresses. */
@@ -215,7 +218,7 @@
         endpointPoller: EndpointListPoller,
         quarantine: QuarantineDuty,
     ): Promise<void> {
-        const { clock, eventLog, medianClock, rateLimits, registry, state, suspensionDetector } = this;
+        const { clock, eventLog, medianClock, rateLimits, registry, retries, state, suspensionDetector } = this;
         const memberHosts = (): readonly string[] =>
             log.status().membership.members.map(member => splitAddress(member.address).host);
         const leaderHost = (): string | undefined => {
@@ -237,9 +240,11 @@
             quarantine,
             holdsRevision: () => state.holdsRevision,
             streamOrigins: this.streamOrigins,
-            mayGrant: () =>
-                log.lease(clock.now(), 0) !== undefined
-                && suspensionDetector.timeSinceSuspension() >= defaultLogTiming.leaseDuration,
+            retries,
+            grantingTerm: () =>
+                suspensionDetector.timeSinceSuspension() >= defaultLogTiming.leaseDuration
+                    ? log.lease(clock.now(), 0)?.fencingNumber
+                    : undefined,
         };
         const server = createServer(socket => {
             const link = new EntryLink(socket, context);
@@ -310,6 +315,7 @@
                         writer.sample(`gullhall_${name}`, {}, value);
                     }
                     this.rateLimits.write(writer);
+                    this.retries.write(writer);
                     this.quarantine?.write(writer);
                     return writer.toString();
                 },
@@ -352,6 +358,7 @@
             const currentWindow = Math.floor(medianClock.medianUnixTime(clock) / usageWindow);
             registry.pruneBefore(currentWindow - retainedWindows, clock.now());
             this.rateLimits.prune(clock.now());
+            this.retries.prune(clock.now());
             this.streamOrigins.prune(clock.now());
         }
     }
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from "../../../util/clock.js";
 import { splitAddress } from "../../../util/socketAddress.js";
 import type { GrantDecision } from "../grantDecision.js";
+import type { RetryGrant } from "../retryPolicy.js";
 import { heartbeatIntervalFor, selectControls, updateMembers } from "./controlSelection.js";
 import { GrantSource } from "./grantSource.js";
 import type { StreamOriginAnswer } from "./streamOrigins.js";
@@ -94,6 +95,10 @@
         return this.leaderLink?.requestGrant(endpoint, maximumDelay, statement);
     }
 
+    override async requestRetry(service: string): Promise<RetryGrant | undefined> {
+        return this.leaderLink?.requestRetry(service);
+    }
+
     /** Sends new evidence on all links: any control process may become leader. */
     sendEvidence(): void {
         const now = this.context.clock.now();
--- a/src/process/hosted/entry/grantSource.ts
+++ b/src/process/hosted/entry/grantSource.ts
@@ -1,6 +1,7 @@
 import type { LimitStatement } from "../../../connection/hosted/rateLimitMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { GrantDecision } from "../grantDecision.js";
+import type { RetryGrant } from "../retryPolicy.js";
 
 /** Asks the leader for permission to send calls that all entries together must limit. */
 export abstract class GrantSource {
@@ -20,6 +21,13 @@
         statement: LimitStatement | undefined,
     ): Promise<GrantDecision | undefined>;
 
+    /**
+     * Asks for one retry of a service's calls, from the budget that all entries share.
+     *
+     * @returns The decision; undefined if no leader decides in time.
+     */
+    abstract requestRetry(service: string): Promise<RetryGrant | undefined>;
+
     /**
      * Asks whether a call that is held back may be let through.
      *
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -105,6 +105,13 @@
             eventLog,
             entryCount: () => this.entryCount,
         });
+        const retryBudget = new HostedRetryBudget({
+            clock,
+            suspensionDetector: this.suspensionDetector,
+            random,
+            bounds,
+            entryCount: () => this.entryCount,
+        });
         const quarantine = new CallQuarantine(() => {
             this.controlLinks.sendEvidence();
         });
@@ -149,6 +156,7 @@
                 view: this.view,
                 usageCounts,
                 rateLimits,
+                retryBudget,
                 quarantine,
                 streamOrigins,
                 relayState: () => this.relayState(),
@@ -175,7 +183,7 @@
             view: this.view,
             fleet: this.fleet,
             chooser: new PredictedStartChooser(),
-            retryBudget: new HostedRetryBudget(bounds),
+            retryBudget,
             retryDetector: new RetryDetector(),
             usageCounts,
             counters: new EntryCounters(),
@@ -247,7 +255,7 @@
     }
 
     private async serveMetrics(): Promise<void> {
-        const { view, counters, rateLimits, quarantine, reachability } = this.callContext;
+        const { view, counters, rateLimits, retryBudget, quarantine, reachability } = this.callContext;
         const eventLoopDelay = this.disposables.add(new EventLoopDelayMonitor(this.clock));
         const metrics = this.disposables.add(
             new MetricsServer({
@@ -257,6 +265,7 @@
                     this.fleet.write(writer);
                     eventLoopDelay.write(writer);
                     rateLimits.write(writer);
+                    retryBudget.write(writer);
                     quarantine.write(writer);
                     writer.family("gullhall_cut_off", "gauge", "1 while this entry reaches no endpoint, otherwise 0.");
                     writer.sample("gullhall_cut_off", {}, reachability.isCutOff ? 1 : 0);
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -209,7 +209,11 @@
             if (this.callerResponse.hasCallerDisconnected()) {
                 return;
             }
-            if (!this.mayRetry(call, outcome)) {
+            const mayRetry = await this.acquireRetry(call, outcome);
+            if (this.callerResponse.hasCallerDisconnected()) {
+                return;
+            }
+            if (!mayRetry) {
                 this.respondToFailure(call, this.lastFailure);
                 return;
             }
@@ -386,9 +390,9 @@
     }
 
     /** Whether the call may be retried at another endpoint; a retry that counts is taken from the retry budget. */
-    private mayRetry(call: AdmittedCall, outcome: FailedOutcome): boolean {
+    private async acquireRetry(call: AdmittedCall, outcome: FailedOutcome): Promise<boolean> {
         const { route, service } = call;
-        const { retryBudget, rateLimits, entryCount, clock } = this.context;
+        const { retryBudget, grantSource, rateLimits, clock } = this.context;
         const now = clock.now();
         const hasOpenEndpoint = this.untriedEndpoints(service).some(({ id }) =>
             rateLimits.timeUntilRequest(id, 0, now) === 0
@@ -403,8 +407,12 @@
         }
         this.rejections += outcome.kind === "notRun" && outcome.cause !== "unreached" ? 1 : 0;
         const decision = decideRetry(outcome, route, this.executions, this.rejections);
-        return decision === "free"
-            || (decision === "counted" && retryBudget.tryTakeRetry(service.name, entryCount(), now));
+        if (decision !== "counted") {
+            return decision === "free";
+        }
+        const isGranted = await retryBudget.acquire(service.name, grantSource);
+        await waitForSocketPoll();
+        return isGranted;
     }
 
     /** Sends the final response after the last attempt failed. */
--- a/tests/connection/hosted/entryLink.test.ts
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -8,12 +8,14 @@
 import { HostedState } from "../../../src/process/hosted/control/hostedState.js";
 import { QuarantineDuty } from "../../../src/process/hosted/control/quarantineDuty.js";
 import { RateLimitLedger } from "../../../src/process/hosted/control/rateLimitLedger.js";
+import { RetryLedger } from "../../../src/process/hosted/control/retryLedger.js";
 import { StreamOriginStore } from "../../../src/process/hosted/streamOriginStore.js";
 import { SystemClock } from "../../../src/util/clock.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { MedianClock } from "../../../src/util/medianClock.js";
 import { listen, splitAddress } from "../../../src/util/socketAddress.js";
 import { describe, it } from "../../describe.js";
+import { testBounds } from "../../process/hosted/hostedBounds.js";
 import { VolatileCommandLog } from "../../process/replicatedLog/volatileCommandLog.js";
 
 const service = "drafting";
@@ -76,7 +78,8 @@
                 controlHosts: () => [],
                 leaderHost: () => undefined,
                 rateLimits: new RateLimitLedger(eventLog),
-                mayGrant: () => control.isLeading,
+                retries: new RetryLedger(testBounds),
+                grantingTerm: () => control.isLeading ? 1 : undefined,
                 quarantine,
                 holdsRevision: () => state.holdsRevision,
                 streamOrigins: new StreamOriginStore(16),
--- a/tests/process/hosted/entry/endpointRateLimits.test.ts
+++ b/tests/process/hosted/entry/endpointRateLimits.test.ts
@@ -1,6 +1,5 @@
 import { EventLog } from "../../../../src/logEvent/eventLog.js";
 import { EndpointRateLimits } from "../../../../src/process/hosted/entry/endpointRateLimits.js";
-import { GrantSource } from "../../../../src/process/hosted/entry/grantSource.js";
 import type { GrantDecision } from "../../../../src/process/hosted/grantDecision.js";
 import type { Clock, Milliseconds } from "../../../../src/util/clock.js";
 import { RandomSource } from "../../../../src/util/randomSource.js";
@@ -8,12 +7,13 @@
 import { describe, it } from "../../../describe.js";
 import { VirtualClock } from "../../platform/virtualClock.js";
 import { acceptedArrivals, LimitedFleet } from "./limitedFleet.js";
+import { NoLeader } from "./noLeader.js";
 
 /** Time after the first stated limit from which it must hold. */
 const convergenceTime = 4_000;
 
 /** Grants each call after a delay. */
-class DelayedGrants extends GrantSource {
+class DelayedGrants extends NoLeader {
     constructor(private readonly clock: Clock, private readonly delay: Milliseconds) {
         super();
     }
@@ -26,25 +26,6 @@
         await this.clock.sleep(this.delay);
         return { isGranted: true, delay: 0, contenders: 1 };
     }
-
-    override requestTrial(): Promise<boolean> {
-        return Promise.resolve(false);
-    }
-}
-
-/** Never decides. */
-class NoLeader extends GrantSource {
-    override get leaderId(): undefined {
-        return undefined;
-    }
-
-    override requestGrant(): Promise<undefined> {
-        return Promise.resolve(undefined);
-    }
-
-    override requestTrial(): Promise<boolean> {
-        return Promise.resolve(false);
-    }
 }
 
 function createLimits(clock: Clock, entryCount = 1): EndpointRateLimits {
--- a/tests/process/hosted/entry/limitedFleet.ts
+++ b/tests/process/hosted/entry/limitedFleet.ts
@@ -48,6 +48,10 @@
         return leader === undefined ? undefined : String(ledgers.indexOf(leader));
     }
 
+    override requestRetry(): Promise<undefined> {
+        return Promise.resolve(undefined);
+    }
+
     override requestTrial(): Promise<boolean> {
         return Promise.resolve(false);
     }
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -9,7 +9,7 @@
 import { EndpointRateLimits } from "../../../src/process/hosted/entry/endpointRateLimits.js";
 import { EndpointReachability } from "../../../src/process/hosted/entry/endpointReachability.js";
 import { EntryCounters } from "../../../src/process/hosted/entry/entryCounters.js";
-import { GrantSource } from "../../../src/process/hosted/entry/grantSource.js";
+import type { GrantSource } from "../../../src/process/hosted/entry/grantSource.js";
 import { HostedRetryBudget } from "../../../src/process/hosted/entry/hostedRetryBudget.js";
 import { RelayDirectory } from "../../../src/process/hosted/entry/relayDirectory.js";
 import { StreamOrigins } from "../../../src/process/hosted/entry/streamOrigins.js";
@@ -24,6 +24,7 @@
 import { RandomSource } from "../../../src/util/randomSource.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { SuspensionDetector } from "../../../src/util/suspensionDetector.js";
+import { NoLeader } from "../../process/hosted/entry/noLeader.js";
 
 /** Version of the configuration that a {@link CallServer} applies. */
 const version = 3;
@@ -39,21 +40,6 @@
     resolutionTimeToLive: 2_000,
 };
 
-/** Never decides. */
-class NoLeader extends GrantSource {
-    override get leaderId(): string | undefined {
-        return undefined;
-    }
-
-    override requestGrant(): Promise<undefined> {
-        return Promise.resolve(undefined);
-    }
-
-    override requestTrial(): Promise<boolean> {
-        return Promise.resolve(false);
-    }
-}
-
 /** Serves calls like an entry, without control processes: the test gives permits and lists endpoints. */
 export class CallServer implements AsyncDisposable {
     private readonly store = new DisposableStore();
@@ -70,7 +56,7 @@
             view: new DeploymentView(bounds.keyWithdrawal, eventLog),
             fleet: store.add(new EndpointFleet(eventLog)),
             chooser: new PredictedStartChooser(),
-            retryBudget: new HostedRetryBudget(bounds),
+            retryBudget: new HostedRetryBudget({ clock, suspensionDetector, random, bounds, entryCount }),
             retryDetector: new RetryDetector(),
             usageCounts: new UsageCounts(bounds.usageWindow),
             counters: new EntryCounters(),
--- a/tests/request/hosted/limitedCall.test.ts
+++ b/tests/request/hosted/limitedCall.test.ts
@@ -35,14 +35,18 @@
         return "leader";
     }
 
-    override requestGrant(endpoint: string): Promise<GrantDecision> {
-        this.requested.push(endpoint);
-        return Promise.resolve({ isGranted: false, delay: 0, contenders: 1, ...this.decide(endpoint) });
+    override requestRetry(): Promise<undefined> {
+        return Promise.resolve(undefined);
     }
 
     override requestTrial(): Promise<boolean> {
         return Promise.resolve(false);
     }
+
+    override requestGrant(endpoint: string): Promise<GrantDecision> {
+        this.requested.push(endpoint);
+        return Promise.resolve({ isGranted: false, delay: 0, contenders: 1, ...this.decide(endpoint) });
+    }
 }
 
 /** An entry with endpoints e0, e1 and so on that respond with the given statuses; those listed are limited. */
