fix(hosted): ask the leader for grants again while calls keep coming

Cause: while the leader counted as silent, each further call extended the silence by half a second, so that an entry with two or more calls a second to limited endpoints never asked again.

Change: only a request that the leader did not decide begins a silence.

--- a/src/process/hosted/entry/endpointRateLimits.ts
+++ b/src/process/hosted/entry/endpointRateLimits.ts
@@ -156,15 +156,15 @@
         const { clock, suspensionDetector } = this.context;
         const askedAt = suspensionDetector.now();
         const statement = this.unknownTo(source.leaderId, endpoint, clock.now());
-        const grant = clock.now() < this.leaderSilentUntil
-            ? undefined
-            : await source.requestGrant(endpoint, maximumDelay, statement);
+        if (clock.now() < this.leaderSilentUntil) {
+            return this.takeCallWithoutLeader(limited, clock.now());
+        }
+        const grant = await source.requestGrant(endpoint, maximumDelay, statement);
         const now = clock.now();
         if (grant === undefined) {
-            this.leaderSilentUntil = Math.max(this.leaderSilentUntil, now + leaderSilenceTime);
+            this.leaderSilentUntil = now + leaderSilenceTime;
             return this.takeCallWithoutLeader(limited, now);
         }
-        this.leaderSilentUntil = -Infinity;
         if (!grant.isGranted) {
             this.denied++;
             limited.recordDenial(grant.delay, grant.contenders, now);
--- a/tests/process/hosted/entry/endpointRateLimits.test.ts
+++ b/tests/process/hosted/entry/endpointRateLimits.test.ts
@@ -28,6 +28,16 @@
     }
 }
 
+/** Does not decide on the first request, and grants all others. */
+class ReturningLeader extends NoLeader {
+    requests = 0;
+
+    override requestGrant(): Promise<GrantDecision | undefined> {
+        this.requests++;
+        return Promise.resolve(this.requests === 1 ? undefined : { isGranted: true, delay: 0, contenders: 1 });
+    }
+}
+
 function createLimits(clock: Clock, entryCount = 1): EndpointRateLimits {
     return new EndpointRateLimits({
         clock,
@@ -191,6 +201,19 @@
         t.false(limits.isProbeDue("e1", 9_000));
     });
 
+    // Guards against an entry that never asks the leader again because its calls come in quick succession.
+    it("ask the leader again while calls keep coming", async t => {
+        const clock = new VirtualClock();
+        const limits = createLimits(clock);
+        limits.recordStatement("e0", { kind: "limited", callsPerSecond: 10, isAmbiguous: false }, 0);
+        const source = new ReturningLeader();
+        for (let call = 0; call < 20; call++) {
+            await limits.acquire("e0", 0, source);
+            await clock.runUntil(clock.now() + 100);
+        }
+        t.true(source.requests > 10, `${source.requests} requests`);
+    });
+
     // Guards against limits that never end, and against a jump when they do.
     it("end without a jump when endpoints state no limit any more", async t => {
         const fleet = await startFleet(7, 40, 200, [0.2, 1]);
