fix(hosted): replace spot endpoints that the platform refuses by steady ones at once

Cause: steady endpoints replaced reclaimed spot ones only where a failure domain had had less than half of its desired number for 12 s, and then only up to half. When spot capacity was refused everywhere for 17 s, a second domain was reclaimed and demand rose meanwhile, 10 endpoints of 17 desired were left, and 3 of them crashed: most calls of the worst seconds were late.

Change: a refused order for spot endpoints marks the failure domain; until an order is accepted, steady endpoints cover what is needed without the spare ones. Releases are ordered before additions, since the maximum applies to both kinds together.

Tests that changed: the plan covered half of the desired number while spot was scarce; it covers the need now, and the fallback reaches 7 of 8 endpoints, the eighth being left to ask for a spot one.

--- a/src/process/hosted/control/domainPlan.ts
+++ b/src/process/hosted/control/domainPlan.ts
@@ -3,9 +3,6 @@
 /** Minimum fraction of steady endpoints, so that a service survives the loss of all its spot endpoints. */
 const minimumSteadyFraction = 0.15;
 
-/** Fraction of the desired endpoints up to which steady ones replace spot ones while spot capacity is unavailable. */
-const spotReplacementFraction = 0.5;
-
 /** Number of steady endpoints replaced per plan when the maximum leaves no room to add spot ones first. */
 const replacementStep = 2;
 
@@ -21,8 +18,10 @@
 export interface DomainPlanInput {
     /** Desired number of endpoints in this failure domain. */
     readonly desired: number;
+    /** The same number without the spare ones for a lost failure domain. */
+    readonly needed: number;
     readonly present: DomainEndpointCounts;
-    /** Whether spot capacity has been unavailable here for so long that steady endpoints must replace it. */
+    /** Whether the platform refuses further spot endpoints here. */
     readonly isSpotScarce: boolean;
     readonly scaling: ServiceScaling;
 }
@@ -31,10 +30,13 @@
  * Computes the endpoint counts to order in a failure domain: as many spot endpoints as are available, and a minimum of
  * steady ones.
  *
- * Steady endpoints are released only after spot ones have replaced them, and ordered instead of spot ones while those
- * are scarce.
+ * Steady endpoints are released only after spot ones have replaced them. While spot ones are scarce, steady ones cover
+ * what is needed without spare ones; the plan still asks for spot endpoints then, because only an order shows that they
+ * are available again.
  */
-export function planDomain({ desired, present, isSpotScarce, scaling }: DomainPlanInput): DomainEndpointCounts {
+export function planDomain(
+    { desired, needed, present, isSpotScarce, scaling }: DomainPlanInput,
+): DomainEndpointCounts {
     const total = clamp(desired, Math.max(1, scaling.minimum), scaling.maximum);
     if (scaling.spotPriceFraction === undefined) {
         return { steady: total, spot: 0 };
@@ -42,7 +44,8 @@
     const minimumSteady = Math.min(total, Math.max(1, Math.round(total * minimumSteadyFraction)));
     const uncovered = total - present.spot;
     if (isSpotScarce) {
-        const steady = clamp(Math.ceil(total * spotReplacementFraction) - present.spot, minimumSteady, scaling.maximum);
+        const missing = Math.min(needed, total) - present.spot;
+        const steady = clamp(missing, minimumSteady, Math.max(minimumSteady, scaling.maximum - 1));
         return { steady, spot: Math.min(total - minimumSteady, scaling.maximum - steady) };
     }
     const replaced = Math.min(uncovered - minimumSteady, replacementStep);
--- a/src/process/hosted/control/orderDuty.ts
+++ b/src/process/hosted/control/orderDuty.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import { formatFailure } from "../../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
-import type { DeployedService, ServiceScaling } from "../../../version/deployment.js";
+import type { DeployedService } from "../../../version/deployment.js";
 import type { LeasedCaller } from "../../platform/leasedCaller.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 import { CapacityEstimator } from "./capacityEstimator.js";
@@ -12,9 +12,6 @@
 /** Interval between two plans. */
 const planInterval: Milliseconds = 1_000;
 
-/** Time with too few endpoints after which steady ones replace spot ones; most reclaims are over sooner. */
-const spotScarcityDelay: Milliseconds = 12_000;
-
 /** Delay before an order is repeated after the platform reported that no capacity is available. */
 const refusalRetryDelay: Milliseconds = 2_000;
 
@@ -48,6 +45,10 @@
 
 type EndpointKind = keyof DomainEndpointCounts;
 
+const spotFirst: readonly EndpointKind[] = ["spot", "steady"];
+
+const steadyFirst: readonly EndpointKind[] = ["steady", "spot"];
+
 interface PlacedOrder {
     readonly count: number;
     readonly placedAt: Milliseconds;
@@ -62,7 +63,8 @@
     private readonly estimators = new Map<string, CapacityEstimator>();
     private readonly lastOrders = new Map<string, PlacedOrder>();
     private readonly refusedAt = new Map<string, Milliseconds>();
-    private readonly scarceSince = new Map<string, Milliseconds>();
+    /** Services and failure domains whose last order for further spot endpoints was refused. */
+    private readonly scarceSpot = new Set<string>();
     private firstCheckAt: Milliseconds | undefined;
     private lastListLength = -1;
     private listUnchangedSince: Milliseconds = Infinity;
@@ -101,34 +103,30 @@
         const estimator = this.estimators.get(name) ?? new CapacityEstimator(serving.length);
         this.estimators.set(name, estimator);
         estimator.update(this.options.engineTimeOf(name), this.options.clock.now());
-        for (const [domain, desired] of spreadOverDomains(estimator.endpoints, scaling.prices)) {
+        const spread = spreadOverDomains(estimator.endpoints, scaling.prices);
+        const needed = Math.ceil(estimator.endpoints / spread.size);
+        for (const [domain, desired] of spread) {
             const inDomain = endpoints.filter(endpoint => endpoint.failureDomain === domain);
             const present = countEndpoints(inDomain);
-            const plan = this.planOf(name, domain, desired, present, scaling);
-            await this.placeOrder(name, domain, "spot", plan.spot, present.spot, signal);
-            await this.placeOrder(name, domain, "steady", plan.steady, present.steady, signal);
+            const isSpotScarce = this.scarceSpot.has(spotKey(name, domain));
+            const plan = planDomain({ desired, needed, present, isSpotScarce, scaling });
+            // Releases come first: the maximum applies to both kinds together.
+            const kinds = plan.steady < present.steady ? steadyFirst : spotFirst;
+            for (const kind of kinds) {
+                await this.placeOrder(name, domain, kind, plan[kind], present[kind], signal);
+            }
         }
     }
 
-    private planOf(
-        service: string,
-        domain: string,
-        desired: number,
-        present: DomainEndpointCounts,
-        scaling: ServiceScaling,
-    ): DomainEndpointCounts {
-        const key = `${service} ${domain}`;
-        const now = this.options.clock.now();
-        const hasEnough = (present.spot + present.steady) * 2 >= desired;
-        const since = hasEnough ? undefined : this.scarceSince.get(key) ?? now;
-        if (since === undefined) {
-            this.scarceSince.delete(key);
+    /** Records whether the platform accepted an order for further spot endpoints. */
+    private recordSpotOrder(service: string, failureDomain: string, status: number | undefined): void {
+        const key = spotKey(service, failureDomain);
+        if (status === capacityUnavailableStatus) {
+            this.scarceSpot.add(key);
         }
-        else {
-            this.scarceSince.set(key, since);
+        else if (status !== undefined && status < 300) {
+            this.scarceSpot.delete(key);
         }
-        const isSpotScarce = since !== undefined && now - since > spotScarcityDelay;
-        return planDomain({ desired, present, isSpotScarce, scaling });
     }
 
     private async placeOrder(
@@ -160,9 +158,16 @@
         else if (status !== undefined && status < 300) {
             this.lastOrders.set(key, { count, placedAt: clock.now() });
         }
+        if (kind === "spot" && count > present) {
+            this.recordSpotOrder(service, failureDomain, status);
+        }
     }
 }
 
+function spotKey(service: string, failureDomain: string): string {
+    return `${service} ${failureDomain}`;
+}
+
 function countEndpoints(endpoints: readonly EndpointRecord[]): DomainEndpointCounts {
     const serving = endpoints.filter(endpoint => !endpoint.isLeaving);
     const spot = serving.filter(endpoint => endpoint.isSpot).length;
--- a/tests/process/hosted/control/orderDuty.test.ts
+++ b/tests/process/hosted/control/orderDuty.test.ts
@@ -137,6 +137,6 @@
         caller.refusesSpot = true;
         await runPlans(caller, 60, 4_000);
         const steady = caller.orders.filter(order => order.spot !== true).map(order => order["desired-count"]);
-        t.is(Math.max(...steady), 4);
+        t.is(Math.max(...steady), 7);
     });
 });
