fix(hosted): seal usage windows only once entries have told a new leader their counts

Sealed counts are final, so the report stayed wrong.

Change: the duty begins after the handover delay, before which nothing could be reported anyway; entries link to a new leader and send cumulative counts within it.

--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -379,6 +379,7 @@
             holder: name,
             platformAddress: platform.address,
             windowLength: bounds.usageWindow,
+            handoverDelay: bounds.dutyHandoverDelay,
             log,
             state,
             registry,
--- a/src/process/hosted/control/usageDuty.ts
+++ b/src/process/hosted/control/usageDuty.ts
@@ -21,6 +21,11 @@
     readonly platformAddress: string;
     /** Length of a usage window, in milliseconds. */
     readonly windowLength: Milliseconds;
+    /**
+     * Time after the start of a term before which the platform is not called. No window is sealed before either: entries
+     * link to a new leader within this time and tell it their counts.
+     */
+    readonly handoverDelay: Milliseconds;
     readonly log: CommandLog<HostedCommand, HostedOutcome>;
     readonly state: HostedState;
     readonly registry: EntryRegistry;
@@ -39,10 +44,12 @@
 
     /** Runs until the signal is aborted, which must happen when this process stops leading. */
     async run(signal: AbortSignal): Promise<void> {
+        const { clock, handoverDelay } = this.options;
+        await clock.sleep(handoverDelay, signal);
         while (!signal.aborted) {
             await this.sealSettledWindows(signal);
             await this.reportSealedWindows(signal);
-            await this.options.clock.sleep(checkInterval, signal);
+            await clock.sleep(checkInterval, signal);
         }
     }
 
