fix(hosted): release endpoints in proportion to their number

Cause: one endpoint a second was released whether 12 or 300 were ordered, so that a large fleet kept what a small one had long given back.

Small fleets are released as before.

--- a/src/process/hosted/control/capacityEstimator.ts
+++ b/src/process/hosted/control/capacityEstimator.ts
@@ -6,9 +6,12 @@
 /** How long demand must stay lower before endpoints are released, to keep capacity for the next burst. */
 const scaleDownDelay: Milliseconds = 10_000;
 
-/** Minimum time between two releases; each releases one endpoint. */
+/** Minimum time between two releases. */
 const scaleDownInterval: Milliseconds = 1_000;
 
+/** Fraction of the endpoints that one release covers at most, but one at least: caches of prompts are lost with them. */
+const releaseFraction = 0.08;
+
 /** Estimates how many endpoints a service needs: scales up immediately and down slowly. */
 export class CapacityEstimator {
     private estimate: number;
@@ -40,7 +43,8 @@
         }
         this.lowDemandSince ??= now;
         if (now - this.lowDemandSince >= scaleDownDelay) {
-            this.estimate--;
+            const release = Math.max(1, Math.round(this.estimate * releaseFraction));
+            this.estimate = Math.max(needed, this.estimate - release);
             this.lowDemandSince += scaleDownInterval;
         }
     }
