fix(hosted): spread calls over endpoints that are equally good

Cause: of endpoints with the same predicted start the first of the list was chosen, by every entry alike. An entry with few calls knows no load, so that the first calls of all entries went to one endpoint.

Change: the candidates are compared from a random one on.

Result: the first calls of 30 and of 191 entries went to one of five endpoints before; each endpoint gets some now, and none more than twice its share.

--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -182,7 +182,7 @@
         this.callContext = {
             view: this.view,
             fleet: this.fleet,
-            chooser: new PredictedStartChooser(),
+            chooser: new PredictedStartChooser(random),
             retryBudget,
             retryDetector: new RetryDetector(),
             usageCounts,
--- a/src/request/hosted/predictedStartChooser.ts
+++ b/src/request/hosted/predictedStartChooser.ts
@@ -1,6 +1,7 @@
 import type { ServiceWork } from "../../connection/hosted/linkMessages.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import type { Milliseconds } from "../../util/clock.js";
+import type { RandomSource } from "../../util/randomSource.js";
 import { hashText, mixBits } from "../routing/hashText.js";
 import type { PromptSegment } from "./callTraits.js";
 import type { Placement, PlacementRequest } from "./endpointChooser.js";
@@ -62,6 +63,11 @@
     private readonly serviceTimes = new Map<string, Milliseconds>();
     private readonly partitions = new Map<string, LongPromptPartition>();
 
+    /** @param random Spreads calls over endpoints that are equally good. */
+    constructor(private readonly random: RandomSource) {
+        super();
+    }
+
     override choose(
         call: PlacementRequest,
         candidates: readonly HostedEndpoint[],
@@ -75,7 +81,7 @@
         const preferences = preferredEndpoints(call.traits.promptSegments, groupEndpoints);
         let best: Placement | undefined;
         let bestCost = Infinity;
-        for (const endpoint of usable) {
+        for (const endpoint of this.rotate(usable)) {
             const placement = this.predict(call, endpoint, now);
             const groupPenalty = engineGroup === undefined || engineGroup.members.has(endpoint)
                 ? 0
@@ -127,6 +133,12 @@
         }
     }
 
+    /** The endpoints in the same order from a random one on: of equally good ones the first is chosen. */
+    private rotate(endpoints: readonly HostedEndpoint[]): readonly HostedEndpoint[] {
+        const first = this.random.integer(0, Math.max(0, endpoints.length - 1));
+        return [...endpoints.slice(first), ...endpoints.slice(0, first)];
+    }
+
     /** The engine group of a call, and the engines in it. */
     private engineGroupFor(
         call: PlacementRequest,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -55,7 +55,7 @@
         this.context = {
             view: new DeploymentView(bounds.keyWithdrawal, eventLog),
             fleet: store.add(new EndpointFleet(eventLog)),
-            chooser: new PredictedStartChooser(),
+            chooser: new PredictedStartChooser(random),
             retryBudget: new HostedRetryBudget({ clock, suspensionDetector, random, bounds, entryCount }),
             retryDetector: new RetryDetector(),
             usageCounts: new UsageCounts(bounds.usageWindow),
--- a/tests/request/hosted/predictedStartChooser.test.ts
+++ b/tests/request/hosted/predictedStartChooser.test.ts
@@ -3,6 +3,7 @@
 import type { HostedEndpoint } from "../../../src/process/hosted/entry/hostedEndpoint.js";
 import type { PlacementRequest } from "../../../src/request/hosted/endpointChooser.js";
 import { PredictedStartChooser } from "../../../src/request/hosted/predictedStartChooser.js";
+import { RandomSource } from "../../../src/util/randomSource.js";
 import { DeploymentIndex } from "../../../src/version/deploymentIndex.js";
 import { describe, it } from "../../describe.js";
 import { documentOf } from "../../platform/testDocument.js";
@@ -44,7 +45,7 @@
         const chosen = Array.from(
             Array(6).keys(),
             () =>
-                new PredictedStartChooser().choose(
+                new PredictedStartChooser(new RandomSource(1)).choose(
                     placementRequestOf("/drafts/x", promptHeaders("subject")),
                     endpoints,
                     0,
@@ -54,13 +55,29 @@
         t.is(new Set(chosen).size, 1);
     });
 
+    // Guards against entries that all send to the first of several equally good endpoints. Pattern: many entries, each with
+    // few calls to a plain service, none of which knows the load of its endpoints.
+    for (const entryCount of [30, 191]) {
+        it(`spreads the first calls of ${entryCount} entries over endpoints without known load`, t => {
+            const calls = new Map<string, number>();
+            for (let entry = 0; entry < entryCount; entry++) {
+                const chooser = new PredictedStartChooser(new RandomSource(entry));
+                const chosen = chooser.choose(placementRequestOf("/bookings/x", {}), createEndpoints(5), 0);
+                const id = chosen?.endpoint.id ?? "";
+                calls.set(id, (calls.get(id) ?? 0) + 1);
+            }
+            t.is(calls.size, 5);
+            t.true(Math.max(...calls.values()) <= 2 * entryCount / 5, [...calls.values()].join(", "));
+        });
+    }
+
     it("avoids the preferred endpoint if its queue is too long", t => {
         const endpoints = createEndpoints(9);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(new RandomSource(1));
         const preferred = chooser.choose(placementRequestOf("/drafts/x", promptHeaders("subject")), endpoints, 0)
             ?.endpoint;
         preferred?.addCall({ pendingPrefillTokens: 500_000, urgency: 5, sentAt: 0 }, 0);
-        const next = new PredictedStartChooser().choose(
+        const next = new PredictedStartChooser(new RandomSource(1)).choose(
             placementRequestOf("/drafts/x", promptHeaders("subject")),
             endpoints,
             0,
@@ -70,7 +87,7 @@
 
     it("predicts the wait from measured and pending waits, by urgency", t => {
         const [slow, other] = createEndpoints(2);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(new RandomSource(1));
         if (slow === undefined || other === undefined) {
             t.fail();
             return;
@@ -87,7 +104,7 @@
 
     it("spreads calls of a service without an engine over idle endpoints", t => {
         const endpoints = createEndpoints(3);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(new RandomSource(1));
         const chosen = Array.from(Array(3).keys(), () => {
             const endpoint = chooser.choose(placementRequestOf("/bookings/x", {}), endpoints, 0)?.endpoint;
             endpoint?.addCall({ pendingPrefillTokens: 0, urgency: 5, sentAt: 0 }, 0);
@@ -100,7 +117,7 @@
         const endpoints = createEndpoints(3);
         endpoints[0]?.recordFailure(0);
         endpoints[1]?.addCall({ pendingPrefillTokens: 0, urgency: 5, sentAt: 0 }, -5_000);
-        const chooser = new PredictedStartChooser();
+        const chooser = new PredictedStartChooser(new RandomSource(1));
         t.is(chooser.choose(placementRequestOf("/bookings/x", {}), endpoints, 0)?.endpoint.id, "e2");
         const tried = new Set(endpoints.slice(2));
         t.is(chooser.choose(placementRequestOf("/bookings/x", {}, tried), endpoints, 0)?.endpoint.id, "e1");
