fix(request): hold back requests that crash endpoints at all entries of the own installation

Cause: each entry knew only the crashes that it had seen itself.

Change: entries report crashes to the leader at once, by a digest of the request; the leader counts them, sets them against crashes of endpoints that did not run it, and tells all entries which requests are held back. They refuse these with GH1377. Entries send reports only to control processes whose permits show that they understand them, so that versions can be mixed.

What remains: a new leader starts without the crashes of the one before; only identical requests are recognized.

--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { match } from "ts-pattern";
 import type { EventLog } from "../../logEvent/eventLog.js";
+import type { CrashedRequestLedger } from "../../process/control/crashedRequestLedger.js";
 import { permitMilliseconds } from "../../process/control/entryTable.js";
 import type { EntryTable } from "../../process/control/entryTable.js";
 import type { LimitAllocator } from "../../process/control/limitAllocator.js";
@@ -44,6 +45,7 @@
     readonly entries: EntryTable;
     readonly poolSummaries: PoolSummaryAggregator;
     readonly limitAllocator: LimitAllocator;
+    readonly crashedRequests: CrashedRequestLedger;
     /** Woken after each applied command. */
     readonly commandApplied: ConditionVariable;
     /** Returns the leader's address for entries; undefined while no leader is known. */
@@ -65,6 +67,9 @@
     /** Handles messages until the connection ends. */
     async run(): Promise<void> {
         let hello: Hello | undefined;
+        const listener = this.context.crashedRequests.onReport(() => {
+            this.pushHeldRequests();
+        });
         try {
             for await (const received of this.connection.messages()) {
                 const message = entryToControlSchema.safeParse(received);
@@ -86,6 +91,7 @@
         }
         finally {
             this.closing.abort();
+            listener[Symbol.dispose]();
             this.connection[Symbol.dispose]();
             if (hello !== undefined) {
                 this.context.entries.disconnect(hello.entry, hello.incarnation);
@@ -148,6 +154,9 @@
         if (request.pools !== undefined) {
             this.context.poolSummaries.report(hello.incarnation, request.pools, now);
         }
+        if (request.crashReport !== undefined) {
+            this.context.crashedRequests.report(request.crashReport, now);
+        }
         const { demands } = request;
         const limitParts = demands && this.context.limitAllocator.allocate(hello.incarnation, demands, now);
         this.send({
@@ -158,6 +167,7 @@
             entries: listingVersion === this.sentListingVersion ? undefined : entries.listings(),
             pools: request.pools && this.context.poolSummaries.currentTotals(now),
             limitParts,
+            heldRequests: this.context.crashedRequests.held(now),
         });
         this.sentListingVersion = listingVersion;
         if (!request.status.draining && entries.drainRequested(hello.entry, hello.incarnation)) {
@@ -165,6 +175,22 @@
         }
     }
 
+    /** Sends which requests are held back. The message grants nothing: no request has its number. */
+    private pushHeldRequests(): void {
+        const { clock, commandLog, crashedRequests, state } = this.context;
+        if (this.claimProposer === undefined || commandLog.leadingTerm() === undefined) {
+            return;
+        }
+        this.send({
+            kind: "permit",
+            number: 0,
+            version: state.configuration.current.version,
+            validMilliseconds: 0,
+            entries: undefined,
+            heldRequests: crashedRequests.held(clock.now()),
+        });
+    }
+
     /**
      * Registers the entry's incarnation.
      *
--- a/src/connection/controlToEntrySchema.ts
+++ b/src/connection/controlToEntrySchema.ts
@@ -36,6 +36,7 @@
         version: countSchema,
         validMilliseconds: z.number().min(0),
         entries: z.array(entryListingSchema).optional(),
+        heldRequests: z.array(z.object({ digest: z.string(), remaining: z.number() })).optional(),
     }),
     z.object({ kind: z.literal("claimDecisions"), number: countSchema, decisions: z.array(z.unknown()).optional() }),
     z.object({ kind: z.literal("claimResultsTaken"), number: countSchema, taken: z.boolean() }),
--- a/src/connection/entry/controlConnection.ts
+++ b/src/connection/entry/controlConnection.ts
@@ -6,6 +6,7 @@
 import type { OwnerDemand, OwnerShare } from "../../process/control/limitAllocator.js";
 import type { PoolSummaryRow } from "../../process/control/poolSummaryAggregator.js";
 import type { EntryConfiguration } from "../../process/entry/entryConfiguration.js";
+import type { RequestQuarantine } from "../../process/entry/requestQuarantine.js";
 import type { ServingPermit } from "../../process/entry/servingPermit.js";
 import type { UsageRecorder } from "../../process/entry/usageRecorder.js";
 import { summaryInterval } from "../../request/admission/remoteLoad.js";
@@ -59,6 +60,7 @@
     readonly onLimitShares: (shares: readonly OwnerShare[], now: Milliseconds) => void;
     readonly onListing: (entries: readonly EntryListing[]) => void;
     readonly claims: ControlClaimStore;
+    readonly quarantine: RequestQuarantine;
 }
 
 /** Why a connection to a control process has ended. */
@@ -78,6 +80,7 @@
     private readonly snapshotParts: Uint8Array[] = [];
     private nextRequestNumber = 1;
     private usageUnconfirmed = false;
+    private understandsCrashReports = false;
     private leaderAddress: string | undefined;
     private timedOut = false;
     private lastReceivedAt: Milliseconds;
@@ -102,6 +105,9 @@
         this.context.claims.attach(message => {
             this.send(message);
         });
+        this.context.quarantine.onReportDue(() => {
+            this.sendCrashReport();
+        });
         const renewal = this.renewPermit();
         try {
             for await (const message of this.connection.messages()) {
@@ -114,6 +120,7 @@
         finally {
             this.endController.abort();
             this.context.claims.detach();
+            this.context.quarantine.onReportDue(() => undefined);
             this.stopSignal.removeEventListener("abort", close);
             close();
         }
@@ -249,6 +256,19 @@
         this.send({ kind: "permitRequest", number, version: configuration.current.version, status: status() });
     }
 
+    /** Reports crashes immediately: identical requests may be on their way to other entries. */
+    private sendCrashReport(): void {
+        const { configuration, quarantine, status } = this.context;
+        const crashReport = this.understandsCrashReports ? quarantine.takeReport() : undefined;
+        if (crashReport === undefined || crashReport.crashes.length + crashReport.sound.length === 0) {
+            return;
+        }
+        const number = this.nextRequestNumber++;
+        const { version } = configuration.current;
+        this.requestSentAt.set(number, this.context.clock.now());
+        this.send({ kind: "permitRequest", number, version, status: status(), crashReport });
+    }
+
     private applyPermit(permit: Extract<ControlToEntry, { kind: "permit"; }>): void {
         const sentAt = this.requestSentAt.get(permit.number);
         this.requestSentAt.delete(permit.number);
@@ -265,5 +285,10 @@
         if (permit.entries !== undefined) {
             this.context.onListing(permit.entries);
         }
+        if (permit.heldRequests !== undefined) {
+            this.context.quarantine.applyHeld(permit.heldRequests, now);
+            this.understandsCrashReports = true;
+            this.sendCrashReport();
+        }
     }
 }
--- a/src/connection/entry/requestAdmission.ts
+++ b/src/connection/entry/requestAdmission.ts
@@ -187,6 +187,7 @@
             claimStore: state.claims,
             deadlines: state.deadlines,
             retryBudgets: state.retryBudgets,
+            quarantine: state.quarantine,
             keyDigest: callerKeyDigest,
             isKeyValid: () =>
                 callerKeyDigest === undefined || state.configuration.current.identify(callerKeyDigest) !== undefined,
--- a/src/connection/entryMessages.ts
+++ b/src/connection/entryMessages.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import type { ClaimDecision } from "../process/claims/claimCommand.js";
+import type { HeldRequest } from "../process/control/crashedRequestLedger.js";
 import type { OwnerShare } from "../process/control/limitAllocator.js";
 import type { PoolSummaryRow } from "../process/control/poolSummaryAggregator.js";
 import type { UsageCommandOutcome } from "../process/usage/usageCommand.js";
@@ -31,6 +32,15 @@
 /** Maximum number of teams and keys whose demands one message contains. */
 const maximumDemandsPerMessage = 200;
 
+/** Maximum number of crashes, and of sound requests, in one message. */
+const maximumCrashReportLength = 1_024;
+
+const crashReportSchema = z.strictObject({
+    crashes: z.array(z.strictObject({ endpoint: shortTextSchema, digest: shortTextSchema }))
+        .max(maximumCrashReportLength).readonly(),
+    sound: z.array(shortTextSchema).max(maximumCrashReportLength).readonly(),
+}).readonly();
+
 const poolRowSchema = z.strictObject({
     pool: shortTextSchema,
     row: z.array(countSchema).max(maximumRowLength).readonly(),
@@ -106,6 +116,8 @@
         pools: z.array(poolRowSchema).max(maximumPoolRowsPerMessage).readonly().optional(),
         /** Demand of teams and keys with limits since the last message that contained any. */
         demands: z.array(ownerDemandSchema).max(maximumDemandsPerMessage).readonly().optional(),
+        /** What the entry learnt about requests that crash endpoints; only if the control process understands it. */
+        crashReport: crashReportSchema.optional(),
     }),
     z.strictObject({
         kind: z.literal("usage"),
@@ -170,6 +182,8 @@
         readonly pools?: readonly PoolSummaryRow[] | undefined;
         /** This entry's shares of the limits for which it reported a demand. */
         readonly limitParts?: readonly OwnerShare[] | undefined;
+        /** Requests that are held back because they crash endpoints; absent if the sender is of an older version. */
+        readonly heldRequests?: readonly HeldRequest[];
     }
     /** Decisions for the claims of a batch, in its order; undefined if they could not be confirmed. */
     | {
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -24,6 +24,7 @@
 import type { ControlAddresses } from "./controlLog.js";
 import { renderControlMetrics } from "./controlMetrics.js";
 import { createControlStateReport } from "./controlStateReport.js";
+import { CrashedRequestLedger } from "./crashedRequestLedger.js";
 import { EntryTable } from "./entryTable.js";
 import { InForceMonitor } from "./inForceMonitor.js";
 import { runLeaderDuties } from "./leaderDuties.js";
@@ -76,6 +77,7 @@
                 owner => this.limitsOf(owner),
                 () => entries.all(clock.now()).map(record => record.incarnation),
             ),
+            crashedRequests: new CrashedRequestLedger(),
             commandApplied: this.commandApplied,
             leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -108,6 +108,7 @@
                     this.requestStop("an operator drains this entry");
                 },
                 claims: state.claims,
+                quarantine: state.quarantine,
                 onListing: listings => {
                     state.updateListings(listings, clock.now());
                 },
--- a/src/process/entry/entryProcessState.ts
+++ b/src/process/entry/entryProcessState.ts
@@ -29,6 +29,7 @@
 import { EntryMetrics } from "./entryMetrics.js";
 import { PoolDispatcher } from "./poolDispatcher.js";
 import { RequestLimits } from "./requestLimits.js";
+import { RequestQuarantine } from "./requestQuarantine.js";
 import { ServingPermit } from "./servingPermit.js";
 import { UsageRecorder } from "./usageRecorder.js";
 
@@ -47,6 +48,7 @@
     readonly claims = new ControlClaimStore();
     readonly deadlines = new Deadlines();
     readonly retryBudgets = new RetryBudgets();
+    readonly quarantine = new RequestQuarantine();
     readonly discovery: Discovery;
     readonly usageRecorder: UsageRecorder;
     readonly limits = new RequestLimits(this.configuration, () => Math.max(1, this.discovery.entryCount));
--- a/src/request/model/modelRequest.ts
+++ b/src/request/model/modelRequest.ts
@@ -10,6 +10,7 @@
 import { confirmPlacement } from "../confirmPlacement.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { RequestContext } from "../requestContext.js";
+import { RequestCrashGuard } from "../requestCrashGuard.js";
 import { computePrefixDigests } from "../routing/prefixDigests.js";
 import type { EngineUsage } from "./engineChunk.js";
 import { ModelAttempt } from "./modelAttempt.js";
@@ -45,6 +46,7 @@
     /** Labels of the request's metrics; the team is `open` on a public route. */
     private readonly labels;
     private readonly progress: ResponseProgress;
+    private readonly crashGuard: RequestCrashGuard;
     private attemptsWithoutToken = 0;
     private interruptedAttempts = 0;
     /** Whether an endpoint may have run the request. */
@@ -59,6 +61,7 @@
             : new NonStreamingResponseWriter(response, metadata);
         this.pendingRequest = createPendingRequest(context, body);
         this.labels = { requestClass: resolvedRoute.requestClass.name, team: identity?.team.name ?? "open" };
+        this.crashGuard = new RequestCrashGuard(context);
         this.progress = new ResponseProgress(context.metrics, this.labels, this.pendingRequest.arrivedAt);
     }
 
@@ -70,6 +73,11 @@
     /** Handles the request until its response has ended. */
     async run(): Promise<void> {
         const { dispatcher, callerAbortSignal, clock, metrics } = this.context;
+        const heldBack = this.crashGuard.refusal(clock.now());
+        if (heldBack !== undefined) {
+            this.handleRefusal(heldBack);
+            return;
+        }
         this.context.retryBudgets.budgetOf(this.labels.requestClass).recordFirstAttempt();
         metrics.counters.count("firstAttempts");
         let placementResult: Result<Placement, DispatchRefusal> = await dispatcher.acquire(
@@ -81,7 +89,7 @@
         }
         while (placementResult.ok) {
             const placement = placementResult.val;
-            const refusal = await confirmPlacement(this.context);
+            const refusal = await confirmPlacement(this.context) ?? this.crashGuard.refusal(clock.now());
             if (refusal !== undefined) {
                 this.releasePlacement(placement, undefined);
                 this.handleRefusal(refusal);
@@ -92,6 +100,7 @@
             const result = await new ModelAttempt({ context, body, pendingRequest, writer, progress }, placement).run();
             this.endpointTime += clock.now() - placement.startedAt;
             this.countAttempt(result, tokensBefore);
+            await this.recordCrashes(result, placement);
             this.keepVersion(placement);
             if (!this.shouldAttemptAgain(result)) {
                 this.handleFinalResult(result, placement);
@@ -106,6 +115,15 @@
         this.handleRefusal(placementResult.val);
     }
 
+    private async recordCrashes(result: ModelAttemptResult, { endpoint }: Placement): Promise<void> {
+        if (result.kind === "broken") {
+            await this.crashGuard.recordLoss(endpoint);
+        }
+        else if (result.kind === "finished") {
+            this.crashGuard.recordSound();
+        }
+    }
+
     private countAttempt(result: ModelAttemptResult, tokensBefore: number): void {
         if (result.kind !== "notRun") {
             this.mayHaveRun = true;
--- a/src/request/requestContext.ts
+++ b/src/request/requestContext.ts
@@ -4,6 +4,7 @@
 import type { EntryConfiguration } from "../process/entry/entryConfiguration.js";
 import type { EntryMetrics } from "../process/entry/entryMetrics.js";
 import type { PoolDispatcher } from "../process/entry/poolDispatcher.js";
+import type { RequestQuarantine } from "../process/entry/requestQuarantine.js";
 import type { UsageRecorder } from "../process/entry/usageRecorder.js";
 import type { Failure } from "../resultCode/resultCode.js";
 import type { Clock } from "../util/clock.js";
@@ -31,6 +32,7 @@
     readonly claimStore: ClaimStore;
     readonly deadlines: Deadlines;
     readonly retryBudgets: RetryBudgets;
+    readonly quarantine: RequestQuarantine;
     /** Digest of the key sent with the request, if any. */
     readonly keyDigest: string | undefined;
     /** Whether the key sent with the request is still valid; true if it has none. */
--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -13,6 +13,7 @@
 import { confirmPlacement } from "../confirmPlacement.js";
 import type { PendingRequest } from "../pendingRequest.js";
 import type { RequestContext } from "../requestContext.js";
+import { RequestCrashGuard } from "../requestCrashGuard.js";
 import { ServiceAttempt } from "./serviceAttempt.js";
 import type { ServiceAttemptResult } from "./serviceAttempt.js";
 import type { ServiceResponse } from "./serviceResponse.js";
@@ -29,6 +30,7 @@
     /** Labels of the call's metrics; the team is `open` on a public route. */
     private readonly labels;
     private readonly claim: ServiceClaim | undefined;
+    private readonly crashGuard: RequestCrashGuard;
     /** Whether an endpoint may have run the request. */
     private mayHaveRun = false;
     private endpointTime: Milliseconds = 0;
@@ -39,12 +41,18 @@
         const idempotent = (resolvedRoute.route.idempotentMethods as readonly string[]).includes(method);
         this.pendingRequest = createPendingRequest(context, idempotent);
         this.labels = { requestClass: resolvedRoute.requestClass.name, team: identity?.team.name ?? "open" };
+        this.crashGuard = new RequestCrashGuard(context);
         const key = request.headers["idempotency-key"];
         this.claim = idempotent ? undefined : new ServiceClaim(context, typeof key === "string" ? key : undefined);
     }
 
     /** Handles the request until its response has ended. */
     async run(): Promise<void> {
+        const heldBack = this.crashGuard.refusal(this.context.clock.now());
+        if (heldBack !== undefined) {
+            this.handleRefusal(heldBack);
+            return;
+        }
         if (this.claim === undefined) {
             await this.dispatch();
             return;
@@ -107,7 +115,8 @@
         }
         for (let attempts = 1; placementResult.ok; attempts++) {
             const placement = placementResult.val;
-            const refusal = await confirmPlacement(this.context);
+            const refusal = await confirmPlacement(this.context)
+                ?? this.crashGuard.refusal(this.context.clock.now());
             if (refusal !== undefined) {
                 dispatcher.abandon(placement);
                 this.handleRefusal(refusal);
@@ -137,8 +146,12 @@
         const result = await attempt.run();
         this.mayHaveRun ||= result.kind !== "notRun";
         if (result.kind === "answered") {
+            this.crashGuard.recordSound();
             await this.forwardResponse(result.response, attempt);
         }
+        else if (result.kind === "unknown") {
+            await this.crashGuard.recordLoss(placement.endpoint);
+        }
         return result;
     }
 
--- a/src/resultCode/entryCodes.ts
+++ b/src/resultCode/entryCodes.ts
@@ -261,4 +261,11 @@
         text: "The idempotency key is empty or longer than {limit} characters.",
         advice: "Send a shorter key.",
     },
+    requestCrashesEndpoints: {
+        number: 1377,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "Endpoints crashed while they were running identical requests.",
+        advice: "Change the request, or repeat it after the stated time.",
+    },
 } as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
--- a/tests/connection/entry/controlConnection.test.ts
+++ b/tests/connection/entry/controlConnection.test.ts
@@ -6,6 +6,7 @@
 import { encodeFrame } from "../../../src/connection/frameCodec.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import { EntryConfiguration } from "../../../src/process/entry/entryConfiguration.js";
+import { RequestQuarantine } from "../../../src/process/entry/requestQuarantine.js";
 import { ServingPermit } from "../../../src/process/entry/servingPermit.js";
 import { UsageRecorder } from "../../../src/process/entry/usageRecorder.js";
 import { SystemClock } from "../../../src/util/clock.js";
@@ -39,6 +40,7 @@
         onPoolSums: () => undefined,
         onLimitShares: () => undefined,
         claims: new ControlClaimStore(),
+        quarantine: new RequestQuarantine(),
     };
 }
 
--- a/tests/connection/entry/testControl.ts
+++ b/tests/connection/entry/testControl.ts
@@ -1,6 +1,8 @@
 import { ClaimProposer, createUnconfirmedResponse } from "../../../src/connection/control/claimProposer.js";
 import type { ClaimMessage } from "../../../src/connection/control/claimProposer.js";
 import type { ControlClaimStore } from "../../../src/connection/entry/controlClaimStore.js";
+import { CrashedRequestLedger } from "../../../src/process/control/crashedRequestLedger.js";
+import type { RequestQuarantine } from "../../../src/process/entry/requestQuarantine.js";
 import { ControlProposer } from "../../../src/process/state/controlProposer.js";
 import { ControlState } from "../../../src/process/state/controlState.js";
 import { SystemClock } from "../../../src/util/clock.js";
@@ -9,6 +11,7 @@
 /** An in-process control state, to which entries are attached without a network. */
 export class TestControl {
     readonly state = new ControlState();
+    readonly crashedRequests = new CrashedRequestLedger();
     /** Whether claims and results are left unconfirmed. */
     leavesClaimsUnconfirmed = false;
     private readonly clock = new SystemClock();
@@ -24,6 +27,17 @@
         });
     }
 
+    /** Takes an entry's reports of crashes, and tells it which requests are held back. */
+    attachQuarantine(quarantine: RequestQuarantine): Disposable {
+        quarantine.onReportDue(() => {
+            this.crashedRequests.report(quarantine.takeReport(), this.clock.now());
+        });
+        return this.crashedRequests.onReport(() => {
+            const now = this.clock.now();
+            quarantine.applyHeld(this.crashedRequests.held(now), now);
+        });
+    }
+
     private async respond(proposer: ClaimProposer, claims: ControlClaimStore, message: ClaimMessage): Promise<void> {
         const response = this.leavesClaimsUnconfirmed
             ? createUnconfirmedResponse(message)
--- a/tests/connection/entry/testEntry.ts
+++ b/tests/connection/entry/testEntry.ts
@@ -64,7 +64,9 @@
         const { state, store, clock } = entry;
         entry.configure();
         state.permit.grant(clock.now(), permitMilliseconds, 1);
-        await (options.control ?? new TestControl()).attach(state.claims, entry.name, state.incarnation.name);
+        const control = options.control ?? new TestControl();
+        await control.attach(state.claims, entry.name, state.incarnation.name);
+        store.add(control.attachQuarantine(state.quarantine));
         const timer = setInterval(() => {
             state.sweep(clock.now());
         }, sweepIntervalMilliseconds);
--- a/tests/request/model/crashingRequest.test.ts
+++ b/tests/request/model/crashingRequest.test.ts
@@ -5,6 +5,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { boundAddress, listen } from "../../../src/util/socketAddress.js";
 import { chatCall } from "../../connection/entry/testCaller.js";
+import { TestControl } from "../../connection/entry/testControl.js";
 import { TestEntry } from "../../connection/entry/testEntry.js";
 import { formatRequest, openConnection } from "../../connection/leavingCaller.js";
 import { describe, it } from "../../describe.js";
@@ -67,9 +68,11 @@
             await using store = new DisposableStore();
             let arrivals = 0;
             const engines = await startCrashingEngines(store, 6, () => arrivals++);
+            const control = new TestControl();
             const entries: TestEntry[] = [];
             for (let index = 0; index < entryCount; index++) {
-                entries.push(store.add(await TestEntry.start({ engines })));
+                const name = `entry-${index + 1}`;
+                entries.push(store.add(await TestEntry.start({ engines }, { name, control })));
             }
             const { path, body } = chatCall(5, "the same prompt");
             const callers: Socket[] = [];
