perf(hosted): send entries only the changes of the list of endpoints

Cause: each change of the platform's list was sent in full to each linked entry.

Change: control processes compare successive lists once and send the difference to entries that have the list before; others, and entries of an earlier version, get the whole list. An entry that misses a change closes the link and gets the whole list anew.

Ruled out: compressing whole lists, which still grow with the product of entries and endpoints.

Result: one change among 1,000 endpoints takes less than 1 KB for each entry (test).

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { match } from "ts-pattern";
 import type { EventLog } from "../../logEvent/eventLog.js";
+import { applyEndpointChanges, endpointsByIncarnation } from "../../process/hosted/endpointChanges.js";
 import type { EndpointRecord } from "../../process/hosted/endpointRecord.js";
 import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
@@ -106,6 +107,9 @@
     private sentStream = 0;
     private understandsEvidence = false;
     private sentEvidenceVersion = 0;
+    /** The newest list of endpoints from this control process. */
+    private endpoints: ReadonlyMap<string, EndpointRecord> = new Map();
+    private endpointsRevision: number | undefined;
     private lastReceivedAt: Milliseconds;
     private hasSentHello = false;
     private hasResponded = false;
@@ -319,6 +323,7 @@
             callerAddress,
             version: view.version,
             understandsHolds: true,
+            understandsEndpointChanges: true,
         });
         eventLog.write("controlLinkBegan", { address: this.address });
         this.sendHeartbeat(true, 0, this.context.clock.now());
@@ -333,9 +338,20 @@
             .with({ kind: "configuration" }, ({ version, body }) => {
                 this.context.view.applyConfiguration(version, body);
             })
-            .with({ kind: "endpoints" }, ({ endpoints, age }) => {
+            .with({ kind: "endpoints" }, ({ endpoints, age, revision }) => {
+                this.endpoints = endpointsByIncarnation(endpoints);
+                this.endpointsRevision = revision;
                 this.context.onEndpoints(endpoints, age);
             })
+            .with({ kind: "endpointChanges" }, ({ age, revision, ...changes }) => {
+                if (this.endpointsRevision !== revision - 1) {
+                    this.close("missed a change of the list of endpoints");
+                    return;
+                }
+                this.endpoints = applyEndpointChanges(this.endpoints, changes);
+                this.endpointsRevision = revision;
+                this.context.onEndpoints([...this.endpoints.values()], age);
+            })
             .with({ kind: "beatAnswer" }, response => {
                 this.handleHeartbeatResponse(response);
             })
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -50,6 +50,7 @@
     private hello: EntryHello | undefined;
     private sentVersion = 0;
     private sentHoldsRevision: number | undefined;
+    private sentEndpointsRevision: number | undefined;
     /** Undefined if the entry may know the list of another leader. */
     private sentSuspectsVersion: number | undefined;
     private isObserver = false;
@@ -87,13 +88,21 @@
         }
     }
 
-    /** Sends the endpoint list of all services. */
+    /** Sends the endpoint list of all services, or only its changes if the entry has the list of the revision before. */
     pushEndpoints(): void {
         const snapshot = this.context.endpoints();
-        if (this.hello !== undefined && snapshot !== undefined) {
-            const age = this.context.clock.now() - snapshot.polledAt;
-            this.send({ kind: "endpoints", age, endpoints: snapshot.endpoints });
+        if (this.hello === undefined || snapshot === undefined) {
+            return;
         }
+        const { endpoints, revision, changes } = snapshot;
+        const age = this.context.clock.now() - snapshot.polledAt;
+        const hasPrevious = this.sentEndpointsRevision === revision - 1;
+        this.send(
+            hasPrevious && this.hello.understandsEndpointChanges === true
+                ? { kind: "endpointChanges", age, revision, ...changes }
+                : { kind: "endpoints", age, endpoints, revision },
+        );
+        this.sentEndpointsRevision = revision;
     }
 
     /** Sends which calls are held back, unless the entry has been told. */
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -69,6 +69,8 @@
         version: countSchema,
         /** Whether the entry understands which calls are held back. */
         understandsHolds: z.boolean().optional(),
+        /** Whether the entry understands changes of the list of endpoints. */
+        understandsEndpointChanges: z.boolean().optional(),
     }),
     z.object({
         kind: z.literal("beat"),
@@ -197,6 +199,18 @@
         /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
         age: z.number(),
         endpoints: z.array(endpointSchema).readonly(),
+        /** Number of the list, to which further changes refer; absent if none follow. */
+        revision: countSchema.optional(),
+    }),
+    z.object({
+        kind: z.literal("endpointChanges"),
+        /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
+        age: z.number(),
+        /** Number of the list after the changes; they refer to the list with the number before. */
+        revision: countSchema,
+        changed: z.array(endpointSchema).readonly(),
+        /** Incarnation keys. */
+        removed: z.array(z.string()).readonly(),
     }),
     z.object({
         /** The entries that are linked to the sender; sent only to other control processes. */
--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -5,6 +5,8 @@
 import type { Clock, Milliseconds } from "../../../util/clock.js";
 import { Err, Ok } from "../../../util/result.js";
 import type { Result } from "../../../util/result.js";
+import { compareEndpoints } from "../endpointChanges.js";
+import type { EndpointChanges } from "../endpointChanges.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 
 /** Minimum poll interval; a fraction of the time within which entries must stop using an endpoint that is leaving. */
@@ -41,12 +43,20 @@
     readonly endpoints: readonly EndpointRecord[];
     /** When the poll started, on the monotonic clock. */
     readonly polledAt: Milliseconds;
+    /** Increases by 1 with each change that entries are told. */
+    readonly revision: number;
+    /** How the list differs from that of the revision before. */
+    readonly changes: EndpointChanges;
 }
 
 /** Polls the platform's endpoint list while this process is responsible for it. */
 export class EndpointListPoller {
     private latestSnapshot: EndpointListSnapshot | undefined;
     private fingerprint = "";
+    /** The list of the newest revision. */
+    private publishedEndpoints: readonly EndpointRecord[] = [];
+    private revision = 0;
+    private changes: EndpointChanges = { changed: [], removed: [] };
     private isFailing = false;
     private pageCount = 1;
     private unreadableRows = 0;
@@ -86,10 +96,17 @@
             this.isFailing = false;
             this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.val.length });
         }
-        this.latestSnapshot = { endpoints: endpoints.val, polledAt: polledAt };
         const fingerprint = fingerprintOf(endpoints.val);
-        if (fingerprint !== this.fingerprint) {
+        const hasChanged = fingerprint !== this.fingerprint;
+        if (hasChanged) {
             this.fingerprint = fingerprint;
+            this.revision++;
+            this.changes = compareEndpoints(this.publishedEndpoints, endpoints.val);
+            this.publishedEndpoints = endpoints.val;
+        }
+        const { revision, changes } = this;
+        this.latestSnapshot = { endpoints: endpoints.val, polledAt, revision, changes };
+        if (hasChanged) {
             const leaving = endpoints.val.filter(endpoint => endpoint.isLeaving).length;
             const { unreadableRows } = this;
             const fields = { endpoints: endpoints.val.length, leaving, unreadableRows };
--- a/src/process/hosted/endpointRecord.ts
+++ b/src/process/hosted/endpointRecord.ts
@@ -24,3 +24,11 @@
     /** Whether the endpoint runs on spot capacity, which the platform may reclaim. */
     readonly isSpot: boolean;
 }
+
+/**
+ * Identifies one run of an endpoint: a restarted endpoint may keep its id, but not its caches and connections, nor its
+ * software version.
+ */
+export function incarnationKey({ id, address, startedAt, softwareVersion }: EndpointRecord): string {
+    return JSON.stringify([id, address, startedAt, softwareVersion]);
+}
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
+import { incarnationKey } from "../endpointRecord.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 import type { StreamOrigin } from "../streamOrigin.js";
 import type { ActiveEndpoints } from "./endpointReachability.js";
@@ -154,14 +155,6 @@
     }
 }
 
-/**
- * Identifies one run of an endpoint: a restarted endpoint may keep its id, but not its caches and connections, nor its
- * software version.
- */
-function incarnationKey({ id, address, startedAt, softwareVersion }: EndpointRecord): string {
-    return JSON.stringify([id, address, startedAt, softwareVersion]);
-}
-
 function groupByService(endpoints: Iterable<HostedEndpoint>): Map<string, readonly HostedEndpoint[]> {
     const groups = new Map<string, HostedEndpoint[]>();
     for (const endpoint of endpoints) {
--- a/tests/connection/hosted/entryLink.test.ts
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -4,17 +4,21 @@
 import type { ControlMessage, EntryMessage } from "../../../src/connection/hosted/linkMessages.js";
 import { MessageConnection } from "../../../src/connection/messageConnection.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
+import type { EndpointListSnapshot } from "../../../src/process/hosted/control/endpointListPoller.js";
 import { EntryRegistry } from "../../../src/process/hosted/control/entryRegistry.js";
 import { HostedState } from "../../../src/process/hosted/control/hostedState.js";
 import { QuarantineDuty } from "../../../src/process/hosted/control/quarantineDuty.js";
 import { RateLimitLedger } from "../../../src/process/hosted/control/rateLimitLedger.js";
 import { RetryLedger } from "../../../src/process/hosted/control/retryLedger.js";
+import { compareEndpoints } from "../../../src/process/hosted/endpointChanges.js";
+import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
 import { StreamOriginStore } from "../../../src/process/hosted/streamOriginStore.js";
 import { SystemClock } from "../../../src/util/clock.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { MedianClock } from "../../../src/util/medianClock.js";
 import { listen, splitAddress } from "../../../src/util/socketAddress.js";
 import { describe, it } from "../../describe.js";
+import { createEndpointRecord } from "../../process/hosted/entry/testEndpoints.js";
 import { testBounds } from "../../process/hosted/hostedBounds.js";
 import { VolatileCommandLog } from "../../process/replicatedLog/volatileCommandLog.js";
 
@@ -43,6 +47,8 @@
     isLeading = true;
     private readonly store = new DisposableStore();
     private readonly received: ControlMessage[] = [];
+    private readonly links: EntryLink[] = [];
+    private endpoints: EndpointListSnapshot | undefined;
     private connection: MessageConnection | undefined;
     private heartbeats = 0;
     private quarantine: QuarantineDuty | undefined;
@@ -52,6 +58,28 @@
         return this.quarantine?.suspects().length ?? 0;
     }
 
+    /** Publishes a list of endpoints, as the poller does. */
+    publishEndpoints(endpoints: readonly EndpointRecord[]): void {
+        const changes = compareEndpoints(this.endpoints?.endpoints ?? [], endpoints);
+        const revision = (this.endpoints?.revision ?? 0) + 1;
+        this.endpoints = { endpoints, polledAt: clock.now(), revision, changes };
+        this.links.forEach(link => {
+            link.pushEndpoints();
+        });
+    }
+
+    /** Waits for the next message about endpoints and returns it. */
+    async nextEndpoints(): Promise<ControlMessage> {
+        for (;;) {
+            const index = this.received.findIndex(({ kind }) => kind === "endpoints" || kind === "endpointChanges");
+            const [message] = index < 0 ? [] : this.received.splice(index, 1);
+            if (message !== undefined) {
+                return message;
+            }
+            await clock.sleep(5);
+        }
+    }
+
     static async start(): Promise<LinkedControl> {
         const control = new LinkedControl();
         const state = new HostedState(() => undefined);
@@ -66,13 +94,13 @@
         });
         control.quarantine = quarantine;
         const server = createServer(socket => {
-            void new EntryLink(socket, {
+            const link = new EntryLink(socket, {
                 clock,
                 eventLog,
                 medianClock: new MedianClock(),
                 registry: new EntryRegistry(),
                 document: () => undefined,
-                endpoints: () => undefined,
+                endpoints: () => control.endpoints,
                 confirmVersion: () => Promise.resolve(undefined),
                 isLeader: () => control.isLeading,
                 controlHosts: () => [],
@@ -83,7 +111,9 @@
                 quarantine,
                 holdsRevision: () => state.holdsRevision,
                 streamOrigins: new StreamOriginStore(16),
-            }).run();
+            });
+            control.links.push(link);
+            void link.run();
         });
         control.store.defer(() => {
             server.close();
@@ -148,6 +178,30 @@
         t.deepEqual(await control.suspectsWithHeartbeat(), [1]);
     });
 
+    // Guards against a list that is sent in full to each entry whenever one endpoint changes. Pattern: a large fleet, of
+    // which some endpoint always starts or leaves.
+    it("sends only the changes of the list of endpoints", async t => {
+        await using control = await LinkedControl.start();
+        const endpoints = Array.from(Array(1_000).keys(), index => createEndpointRecord(`e${index}`));
+        control.publishEndpoints(endpoints);
+        control.send({ ...hello, understandsEndpointChanges: true });
+        t.is((await control.nextEndpoints()).kind, "endpoints");
+        control.publishEndpoints([...endpoints.slice(1), createEndpointRecord("new")]);
+        const message = await control.nextEndpoints();
+        t.is(message.kind, "endpointChanges");
+        t.true(JSON.stringify(message).length < 1_024, `${JSON.stringify(message).length} characters`);
+    });
+
+    // Guards against entries of an earlier version, which would close the link.
+    it("sends whole lists to entries that do not understand changes", async t => {
+        await using control = await LinkedControl.start();
+        control.publishEndpoints([createEndpointRecord("a")]);
+        control.send(hello);
+        t.is((await control.nextEndpoints()).kind, "endpoints");
+        control.publishEndpoints([createEndpointRecord("a"), createEndpointRecord("b")]);
+        t.is((await control.nextEndpoints()).kind, "endpoints");
+    });
+
     // Guards against evidence of a peer that has not said who it is.
     it("takes no evidence before the first message of an entry", async t => {
         await using control = await LinkedControl.start();
