refactor(hosted): one class for requests and responses on a link

Four kinds of request on the link of an entry to a control process each kept their own numbers, pending promises and timers. One class does that now. Nothing changes on the wire.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -28,6 +28,7 @@
     StreamOriginResponse,
 } from "./linkMessages.js";
 import type { ReopenableLink } from "./linkSet.js";
+import { PendingResponses } from "./pendingResponses.js";
 import type { LimitStatement } from "./rateLimitMessages.js";
 
 /**
@@ -89,20 +90,12 @@
     private nextHeartbeatNumber = 1;
     private sentCountsVersion = 0;
     private sentLimitsVersion = 0;
-    private nextGrantNumber = 1;
-    /** Resolve the requests for grants without a response so far, by number. */
-    private readonly pendingGrants = new Map<number, (grant: GrantDecision | undefined) => void>();
+    private readonly pendingGrants = new PendingResponses<GrantDecision>(grantTimeout);
     private canGrant = false;
-    private nextRetryNumber = 1;
-    /** Resolve the requests for retries without a response so far, by number. */
-    private readonly pendingRetries = new Map<number, (decision: RetryGrant | undefined) => void>();
+    private readonly pendingRetries = new PendingResponses<RetryGrant>(grantTimeout);
     private grantsRetries = false;
-    private nextTrialNumber = 1;
-    /** Resolve the requests for trials without a response so far, by number. */
-    private readonly pendingTrials = new Map<number, (isGranted: boolean) => void>();
-    private nextStreamRequestNumber = 1;
-    /** Resolve the requests for origins of streams without a response so far, by number. */
-    private readonly pendingStreamRequests = new Map<number, (response: StreamOriginResponse | undefined) => void>();
+    private readonly pendingTrials = new PendingResponses<boolean>(trialTimeout);
+    private readonly pendingStreamRequests = new PendingResponses<StreamOriginResponse>(streamOriginTimeout);
     private keepsStreamOrigins = false;
     private sentStream = 0;
     private understandsEvidence = false;
@@ -146,18 +139,10 @@
             this.handleMessage(message.data);
         }
         this.connection[Symbol.dispose]();
-        this.pendingGrants.forEach(resolve => {
-            resolve(undefined);
-        });
-        this.pendingRetries.forEach(resolve => {
-            resolve(undefined);
-        });
-        this.pendingTrials.forEach(resolve => {
-            resolve(false);
-        });
-        this.pendingStreamRequests.forEach(resolve => {
-            resolve(undefined);
-        });
+        this.pendingGrants.abandon();
+        this.pendingRetries.abandon();
+        this.pendingTrials.abandon();
+        this.pendingStreamRequests.abandon();
         if (this.hasSentHello) {
             this.context.eventLog.write("controlLinkEnded", { address: this.address, reason: this.closeReason });
         }
@@ -211,22 +196,15 @@
         if (!this.canGrant || this.connection.closed) {
             return undefined;
         }
-        const number = this.nextGrantNumber++;
-        const response = new Promise<GrantDecision | undefined>(resolve => {
-            this.pendingGrants.set(number, resolve);
-        });
-        const timer = setTimeout(() => this.pendingGrants.get(number)?.(undefined), grantTimeout);
-        this.send({
-            kind: "grantRequest",
-            number,
-            endpoint,
-            maximumDelay,
-            ...statement === undefined ? {} : { statement },
+        return this.pendingGrants.request(number => {
+            this.send({
+                kind: "grantRequest",
+                number,
+                endpoint,
+                maximumDelay,
+                ...statement === undefined ? {} : { statement },
+            });
         });
-        const grant = await response;
-        clearTimeout(timer);
-        this.pendingGrants.delete(number);
-        return grant;
     }
 
     /** Asks the control process for one retry of a service's calls; undefined if it does not decide in time. */
@@ -234,16 +212,9 @@
         if (!this.grantsRetries || this.connection.closed) {
             return undefined;
         }
-        const number = this.nextRetryNumber++;
-        const response = new Promise<RetryGrant | undefined>(resolve => {
-            this.pendingRetries.set(number, resolve);
+        return this.pendingRetries.request(number => {
+            this.send({ kind: "retryRequest", number, service });
         });
-        const timer = setTimeout(() => this.pendingRetries.get(number)?.(undefined), grantTimeout);
-        this.send({ kind: "retryRequest", number, service });
-        const decision = await response;
-        clearTimeout(timer);
-        this.pendingRetries.delete(number);
-        return decision;
     }
 
     /** Asks the control process whether a call that is held back may be let through; false if it does not decide in time. */
@@ -251,16 +222,10 @@
         if (!this.understandsEvidence || this.connection.closed) {
             return false;
         }
-        const number = this.nextTrialNumber++;
-        const response = new Promise<boolean>(resolve => {
-            this.pendingTrials.set(number, resolve);
+        const isGranted = await this.pendingTrials.request(number => {
+            this.send({ kind: "trialRequest", number, service, feature, features });
         });
-        const timer = setTimeout(() => this.pendingTrials.get(number)?.(false), trialTimeout);
-        this.send({ kind: "trialRequest", number, service, feature, features });
-        const isGranted = await response;
-        clearTimeout(timer);
-        this.pendingTrials.delete(number);
-        return isGranted;
+        return isGranted ?? false;
     }
 
     /** Asks the control process for the origin of a stream; undefined if it does not respond in time. */
@@ -268,16 +233,9 @@
         if (!this.keepsStreamOrigins || this.connection.closed) {
             return undefined;
         }
-        const number = this.nextStreamRequestNumber++;
-        const response = new Promise<StreamOriginResponse | undefined>(resolve => {
-            this.pendingStreamRequests.set(number, resolve);
+        return this.pendingStreamRequests.request(number => {
+            this.send({ kind: "streamOriginRequest", number, ...team === undefined ? {} : { team }, callId });
         });
-        const timer = setTimeout(() => this.pendingStreamRequests.get(number)?.(undefined), streamOriginTimeout);
-        this.send({ kind: "streamOriginRequest", number, ...team === undefined ? {} : { team }, callId });
-        const origin = await response;
-        clearTimeout(timer);
-        this.pendingStreamRequests.delete(number);
-        return origin;
     }
 
     /** Sends the streams that began at this entry since the previous message, if the control process keeps them. */
@@ -356,10 +314,10 @@
                 this.handleHeartbeatResponse(response);
             })
             .with({ kind: "grant" }, ({ number, isDecided, ...grant }) => {
-                this.pendingGrants.get(number)?.(isDecided ? grant : undefined);
+                this.pendingGrants.resolve(number, isDecided ? grant : undefined);
             })
             .with({ kind: "retry" }, ({ number, isDecided, isGranted, delay }) => {
-                this.pendingRetries.get(number)?.(isDecided ? { isGranted, delay } : undefined);
+                this.pendingRetries.resolve(number, isDecided ? { isGranted, delay } : undefined);
             })
             .with({ kind: "holds" }, ({ revision, holds }) => {
                 const now = this.context.clock.now();
@@ -371,10 +329,10 @@
                 this.context.quarantine.applySuspects(suspects, this.context.clock.now());
             })
             .with({ kind: "trial" }, ({ number, isGranted }) => {
-                this.pendingTrials.get(number)?.(isGranted);
+                this.pendingTrials.resolve(number, isGranted);
             })
             .with({ kind: "streamOrigin" }, response => {
-                this.pendingStreamRequests.get(response.number)?.(response);
+                this.pendingStreamRequests.resolve(response.number, response);
             })
             .with({ kind: "presence" }, () => {
                 this.close("received a message that only control processes may receive");
