fix(request): report the outcome of calls that have run, also while they are held back

Cause: a call of a plain service that crashes endpoints was refused with "not run" before its claim was looked up, so that the repeat of a call that may have run got an untrue refusal.

Change: the check stands behind the claim, in the turn before the call is dispatched.

The stand-in of crashing endpoints moved to a file that both tests use; the test of model requests is otherwise unchanged.

--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -48,11 +48,6 @@
 
     /** Handles the request until its response has ended. */
     async run(): Promise<void> {
-        const heldBack = this.crashGuard.refusal(this.context.clock.now());
-        if (heldBack !== undefined) {
-            this.handleRefusal(heldBack);
-            return;
-        }
         if (this.claim === undefined) {
             await this.dispatch();
             return;
@@ -104,6 +99,11 @@
 
     private async dispatch(): Promise<void> {
         const { dispatcher, callerAbortSignal, metrics, retryBudgets } = this.context;
+        const heldBack = this.crashGuard.refusal(this.context.clock.now());
+        if (heldBack !== undefined) {
+            this.handleRefusal(heldBack);
+            return;
+        }
         retryBudgets.budgetOf(this.labels.requestClass).recordFirstAttempt();
         metrics.counters.count("firstAttempts");
         let placementResult: Result<Placement, DispatchRefusal> = await dispatcher.acquire(
--- a/tests/request/model/crashingRequest.test.ts
+++ b/tests/request/model/crashingRequest.test.ts
@@ -1,14 +1,12 @@
-import { createServer } from "node:http";
-import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
-import { boundAddress, listen } from "../../../src/util/socketAddress.js";
 import { chatCall } from "../../connection/entry/testCaller.js";
 import { TestControl } from "../../connection/entry/testControl.js";
 import { TestEntry } from "../../connection/entry/testEntry.js";
 import { formatRequest, openConnection } from "../../connection/leavingCaller.js";
 import { describe, it } from "../../describe.js";
+import { startCrashingEndpoints } from "../crashingEndpoints.js";
 
 /** Crash after which engines are owed protection. */
 const decisiveCrash = 3;
@@ -16,58 +14,13 @@
 /** Repeats of the request that may still reach engines after that. */
 const acceptedRepeats = 3;
 
-/** Time after which an engine that crashed is back, in milliseconds. */
-const restartTime = 50;
-
-/** Starts engines that crash when they receive a request to run, and are back shortly after; returns their addresses. */
-async function startCrashingEngines(
-    store: DisposableStore,
-    count: number,
-    onRequest: () => void,
-): Promise<readonly string[]> {
-    const addresses: string[] = [];
-    let isDisposed = false;
-    const servers = new Map<number, Server>();
-    const start = async (index: number, address: string): Promise<void> => {
-        const server = createServer((request, response) => {
-            request.resume();
-            if (request.method !== "POST") {
-                response.end("{}");
-                return;
-            }
-            onRequest();
-            server.close();
-            server.closeAllConnections();
-            setTimeout(() => {
-                if (!isDisposed) {
-                    void start(index, addresses[index] ?? "");
-                }
-            }, restartTime);
-        });
-        servers.set(index, server);
-        await listen(server, address);
-        addresses[index] = boundAddress(server);
-    };
-    store.defer(() => {
-        isDisposed = true;
-        servers.forEach(server => {
-            server.close();
-            server.closeAllConnections();
-        });
-    });
-    for (let index = 0; index < count; index++) {
-        await start(index, "127.0.0.1:0");
-    }
-    return addresses;
-}
-
 describe("model request", () => {
     // Guards against a request that its caller repeats, and that crashes engine after engine.
     for (const entryCount of [1, 4]) {
         it(`is not sent on again and again by ${entryCount} entries if it crashes each engine`, async t => {
             await using store = new DisposableStore();
             let arrivals = 0;
-            const engines = await startCrashingEngines(store, 6, () => arrivals++);
+            const engines = await startCrashingEndpoints(store, 6, () => arrivals++);
             const control = new TestControl();
             const entries: TestEntry[] = [];
             for (let index = 0; index < entryCount; index++) {
