test(hosted): continue streams within the time for which they may be

Traced: a stream may be continued for its route's timeout, 4 s in this test, and it is taken up 3.5 s after it began on an idle enough machine, 2.6 s of which are the entry's drain. With 0.8 s more before the streams are taken up, all 12 are refused in the same way (4.4 s after they began).

Change: this test gives its route 12 s; what it checks, and the accepted share, are unchanged. Two tests of the retry budget used the loopback networks of tests in the same file; they have their own now.

--- a/tests/process/hosted/sharedRetryBudget.test.ts
+++ b/tests/process/hosted/sharedRetryBudget.test.ts
@@ -95,7 +95,7 @@
 describe("hosted installation", () => {
     // Guards against retries that are refused at some of many entries although the budget of all is hardly used.
     itSerially("retries every call that needs it while the budget of 30 entries allows it", async t => {
-        await using failing = await FailingInstallation.start(61, number => number % 4 === 0);
+        await using failing = await FailingInstallation.start(77, number => number % 4 === 0);
         const statuses = await failing.makeCalls();
         t.is(statuses.filter(status => status !== 200).length, 0);
         t.true(failing.retries <= retryBound);
@@ -103,7 +103,7 @@
 
     // Guards against a budget that is left unused, or exceeded, when more calls need a retry than it allows.
     itSerially("uses the retry budget of 30 entries, and no more, when every call needs a retry", async t => {
-        await using failing = await FailingInstallation.start(62, () => true);
+        await using failing = await FailingInstallation.start(78, () => true);
         await failing.makeCalls();
         t.true(failing.retries <= retryBound, `${failing.retries} retries`);
         t.true(failing.retries >= retryBound / 2, `${failing.retries} retries`);
--- a/tests/process/hosted/streamVersions.test.ts
+++ b/tests/process/hosted/streamVersions.test.ts
@@ -142,6 +142,11 @@
     itSerially("goes on at the version that began it after its entry has left and the leader has changed", async t => {
         await using store = new DisposableStore();
         const { installation, entries } = await start(store, 63);
+        // Entries take 2.6 s to leave; streams may be continued for the timeout of their route.
+        const targets = { "service": "writers", "timeout-ms": 3 * routeTimeout };
+        await installation.submitUntilAccepted(documentWith(targets, 4));
+        // The configuration is in force everywhere within this time.
+        await sleep(2_000);
         const began = await callAtEach(entries.slice(1), beginning);
         const leader = await installation.findLeader();
         await Promise.all([101, 102].map(index => installation.stopEntry(index)));
