style(review): format the cases, and end each record with its verdict

Cause: the format check covers modules in all folders; a stand-in that wrote after the verdict added a line to the record. No check was changed.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,8 +1,8 @@
 /** Three core machines are replaced by new ones; then one of the five that are left loses its disk. */
+import { mkdirSync, rmSync } from "node:fs";
+import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import { rmSync, mkdirSync } from "node:fs";
-import { join } from "node:path";
 import { call, desiredStateFor, runCase } from "../lib/installation.mjs";
 
 const service = "bookings";
@@ -57,9 +57,11 @@
     const deadline = performance.now() + readBackTime;
     let statuses = [];
     while (performance.now() < deadline) {
-        const answers = await Promise.all(remaining.map(({ operatorAddress }) =>
-            call({ ...operatorAddress, method: "GET", path: "/v1/configuration/fetch", timeout: 1_000 })
-        ));
+        const answers = await Promise.all(
+            remaining.map(({ operatorAddress }) =>
+                call({ ...operatorAddress, method: "GET", path: "/v1/configuration/fetch", timeout: 1_000 })
+            ),
+        );
         const statusLine = answers.map(answer => answer?.status ?? "none").join(", ");
         if (statuses.at(-1) !== statusLine) {
             record.write(`the operator reads the desired state back: ${statusLine}`);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -25,8 +25,9 @@
         }
     });
     const [entry] = installation.entries;
-    const answers = Array.from({ length: streams }, (_, index) =>
-        consumeStream(entry, { service, id: `9c41d07be2a3000${index}`, events, record })
+    const answers = Array.from(
+        { length: streams },
+        (_, index) => consumeStream(entry, { service, id: `9c41d07be2a3000${index}`, events, record }),
     );
     await sleep(killAfter);
     if (isTroubled) {
--- a/review/lib/installation.mjs
+++ b/review/lib/installation.mjs
@@ -1,14 +1,14 @@
 /** A small hosted installation of real processes on loopback addresses, with stand-ins for platform and servers. */
+import { Buffer } from "node:buffer";
 import { spawn } from "node:child_process";
+import { closeSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, request as httpRequest } from "node:http";
 import { connect } from "node:net";
-import { closeSync, mkdtempSync, mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createServer as createNetServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import { Buffer } from "node:buffer";
-import { createServer as createNetServer } from "node:net";
 
 /** The repository's root; the scripts change to it. */
 const root = process.cwd();
@@ -52,10 +52,20 @@
     constructor(folder) {
         this.path = join(folder, "record.txt");
         this.startedAt = performance.now();
+        this.hasEnded = false;
         writeFileSync(this.path, "");
     }
 
+    /** Writes the last line; later ones are left out. */
+    end(text) {
+        this.write(text);
+        this.hasEnded = true;
+    }
+
     write(text) {
+        if (this.hasEnded) {
+            return;
+        }
         const seconds = ((performance.now() - this.startedAt) / 1000).toFixed(3).padStart(8);
         const line = `${seconds} s  ${text}`;
         writeFileSync(this.path, `${line}\n`, { flag: "a" });
@@ -138,7 +148,18 @@
             "discovery": "cloud_api",
             "entry": "directory",
             "heartbeat-interval-ms": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "leader"],
+            "contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "tenants",
+                "leader",
+            ],
             "fault-tolerance": { machines: 1, zones: 0, regions: 0 },
             "bounds": bounds,
             "configuration-mode": "highest",
@@ -156,7 +177,12 @@
         const output = openSync(join(this.folder, "log.jsonl"), "a");
         this.child = spawn(program === "node" ? process.execPath : program, words, {
             cwd: root,
-            env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, GULLHALL_BOOT: settingsPath },
+            env: {
+                PATH: process.env.PATH,
+                HOME: process.env.HOME,
+                LANG: process.env.LANG,
+                GULLHALL_BOOT: settingsPath,
+            },
             stdio: ["ignore", output, output],
         });
         closeSync(output);
@@ -349,9 +375,11 @@
     async waitUntilReady(entries, timeout) {
         const deadline = performance.now() + timeout;
         while (performance.now() < deadline) {
-            const answers = await Promise.all(entries.map(entry =>
-                call({ ...entry.readinessAddress, method: "GET", path: "/v1/readiness", timeout: 500 })
-            ));
+            const answers = await Promise.all(
+                entries.map(entry =>
+                    call({ ...entry.readinessAddress, method: "GET", path: "/v1/readiness", timeout: 500 })
+                ),
+            );
             if (answers.every(answer => answer?.status === 200)) {
                 return;
             }
@@ -516,11 +544,11 @@
                 return installation;
             },
         });
-        record.write(broken.length === 0 ? "the rule held" : `the rule was broken: ${broken.join("; ")}`);
+        record.end(broken.length === 0 ? "the rule held" : `the rule was broken: ${broken.join("; ")}`);
         code = broken.length === 0 ? 0 : 1;
     }
     catch (error) {
-        record.write(`the case could not run: ${error instanceof CaseError ? error.message : error.stack}`);
+        record.end(`the case could not run: ${error instanceof CaseError ? error.message : error.stack}`);
     }
     globalThis.clearTimeout(timer);
     await installation?.stop();
