fix(hosted): reset responses that a planned stop cuts off

Cause: the shutdown destroyed the remaining sockets, which closes them in order; without a length or chunks that is the end of the body.

Change: abortResponse ends a response early in one place, by a reset unless its body is sent in chunks. The shutdown and the handler of unexpected errors use it.

--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -4,6 +4,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { servedCalls } from "../../../../platform/servedCalls.js";
+import { abortResponse } from "../../../connection/abortResponse.js";
 import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import { controlLinkPortOffset, relayPortOffset } from "../../../connection/hosted/linkMessages.js";
 import type { EntryHeartbeat } from "../../../connection/hosted/linkMessages.js";
@@ -307,6 +308,7 @@
         }
         this.controlLinks.sendHeartbeats(this.clock.now());
         this.shutdownController.abort();
+        this.runningResponses.forEach(abortResponse);
         this.sockets.forEach(socket => socket.destroy());
         await this.disposables.dispose();
     }
@@ -341,7 +343,7 @@
         new HostedCall(request, response, this.callContext, relayed).run().catch((error: unknown) => {
             const reason = error instanceof Error ? error.stack ?? error.message : String(error);
             this.callContext.eventLog.write("taskFailed", { task: "call", reason });
-            response.destroy();
+            abortResponse(response);
         });
     }
 
