fix(request): abort a stream whose continuation fails

The call was logged neither as answered nor as failed.

Cause: after a last attempt that was answered with an error, a response that had begun was destroyed, which closes its connection in order.

Change: such a call fails, with its log line, and its response is aborted, by a reset unless its body is sent in chunks.

--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readResponseTraits, responseHeadersForCaller } from "../../../platform/callHeaders.js";
+import { abortResponse } from "../../connection/abortResponse.js";
 import { sendFailure, waitForDrain } from "../../connection/httpResponse.js";
-import { resetConnection } from "../../connection/resetConnection.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
@@ -91,17 +91,17 @@
         if (!hasFramedBody(message) && this.isResponseFramed) {
             // The response was framed by an earlier endpoint, so ending it would mark it as complete; but this stream
             // has no framing and may be truncated.
-            this.response.destroy();
+            abortResponse(this.response);
             return;
         }
         this.response.end(trailingBytes);
         this.recordDelivery(message.statusCode ?? 0, attempts, endpointId);
     }
 
-    /** Forwards a fully buffered response unchanged. */
+    /** Forwards a fully buffered response unchanged; nothing of another one may have been sent. */
     forwardBuffered(message: IncomingMessage, body: Buffer, attempts: number, endpointId: string): void {
         if (this.response.headersSent || this.abortSignal.aborted) {
-            this.response.destroy();
+            abortResponse(this.response);
             return;
         }
         const { status, hasSignature } = readResponseTraits(message);
@@ -151,20 +151,12 @@
             waited: this.elapsedTime(),
         });
         if (this.response.headersSent) {
-            this.abortResponse();
+            abortResponse(this.response);
             return;
         }
         sendFailure(this.response, reason);
     }
 
-    /** Ends the response so that it cannot be taken for complete: without framing, only a reset tells. */
-    private abortResponse(): void {
-        if (!this.isResponseFramed && this.response.socket) {
-            resetConnection(this.response.socket);
-        }
-        this.response.destroy();
-    }
-
     /** Writes bytes; waits until they are drained, the caller disconnects, or the signal is aborted. */
     private async write(bytes: Buffer, cancelSignal: AbortSignal): Promise<void> {
         if (!this.response.write(bytes) && !this.abortSignal.aborted && !cancelSignal.aborted) {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -417,7 +417,8 @@
 
     /** Sends the final response after the last attempt failed. */
     private respondToFailure(call: AdmittedCall, { outcome, placement: { endpoint } }: FailedAttempt): void {
-        if (outcome.kind === "failedAnswer") {
+        // An error that follows a part of another response is not forwarded: the caller would take it for the rest.
+        if (outcome.kind === "failedAnswer" && !this.callerResponse.hasBegun) {
             this.callerResponse.forwardBuffered(outcome.message, outcome.body, this.executions, endpoint.id);
             return;
         }
--- a/tests/connection/rawCaller.ts
+++ b/tests/connection/rawCaller.ts
@@ -46,13 +46,13 @@
     let rest = response.framedBody;
     let body = "";
     for (;;) {
-        const size = /^([0-9a-f]+)\r\n/i.exec(rest);
-        const length = parseInt(size?.[1] ?? "0", 16);
-        if (size === null || length === 0) {
+        const [sizeLine = "", size = "0"] = /^([0-9a-f]+)\r\n/i.exec(rest) ?? [];
+        const length = parseInt(size, 16);
+        if (length === 0) {
             return body;
         }
-        body += rest.slice(size[0].length, size[0].length + length);
-        rest = rest.slice(size[0].length + length + 2);
+        body += rest.slice(sizeLine.length, sizeLine.length + length);
+        rest = rest.slice(sizeLine.length + length + 2);
     }
 }
 
