fix(request): believe a refusal on a used connection only if it names the call

Callers were told "not run, try again" (503) for calls that an endpoint was running, when an endpoint sent an earlier refusal once more on a kept connection and it carried no identifier; calls that may run once could be sent to a second endpoint, too. An error without an identifier was passed on as the call's own.

Cause: only a response with another call's identifier counted as foreign; one without any was taken for the call's own.

Change: on a connection that other calls have used, a response must name the call. On a new connection one without an identifier is still the call's own. A foreign response neither rests its endpoint nor ends the call as not run.

--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -135,15 +135,15 @@
             return this.lost(head.reason);
         }
         const { message, traits } = head;
-        this.recordHead(traits);
-        const belongsToOtherCall = traits.callId !== undefined && traits.callId !== this.input.traits.callId;
-        if (traits.wasNotExecuted && !belongsToOtherCall) {
+        const foreignReason = this.foreignReasonOf(traits);
+        this.recordHead(traits, foreignReason === undefined);
+        if (traits.wasNotExecuted && foreignReason === undefined) {
             this.exchange.discardBody(message);
             const cause = traits.isMisdirected ? "misdirected" : "full";
             return { kind: "notRun", reason: `status ${traits.status}`, cause };
         }
         const isSuccess = traits.status >= 200 && traits.status < 300;
-        const invalidReason = invalidReasonOf(traits, belongsToOtherCall, isSuccess);
+        const invalidReason = foreignReason ?? invalidReasonOf(traits, isSuccess);
         if (invalidReason !== undefined) {
             this.cancel(invalidReason);
             return this.lost(invalidReason);
@@ -153,11 +153,25 @@
             : this.forwardBody(message, isSuccess);
     }
 
+    /**
+     * Reason why a response may not belong to this attempt; undefined if it certainly does.
+     *
+     * An endpoint may send a response twice. On a connection that other calls have used, only the identifier tells which
+     * call a response belongs to.
+     */
+    private foreignReasonOf({ callId }: ResponseTraits): string | undefined {
+        if (callId === undefined) {
+            return this.exchange.isNewConnection ? undefined : "the response does not name its call";
+        }
+        return callId === this.input.traits.callId ? undefined : "the response belongs to another call";
+    }
+
     private lost(reason: string): AttemptOutcome {
         return { kind: "lost", reason, wasDisconnected: !this.exchange.isCancelled };
     }
 
-    private recordHead(traits: ResponseTraits): void {
+    /** @param isOwn Whether the response certainly belongs to this attempt. */
+    private recordHead(traits: ResponseTraits, isOwn: boolean): void {
         const { endpoint } = this.input.placement;
         const now = this.context.clock.now();
         endpoint.recordData(now);
@@ -167,7 +181,7 @@
         if (traits.closesConnection) {
             endpoint.recordConnectionClose(now);
         }
-        if (traits.status === unavailableStatus && traits.retryAfter !== undefined) {
+        if (isOwn && traits.status === unavailableStatus && traits.retryAfter !== undefined) {
             const { retryAfter } = traits;
             const rest = retryAfter.kind === "delay"
                 ? retryAfter.duration
@@ -324,10 +338,7 @@
 }
 
 /** Reason why a response cannot be forwarded; undefined if it can. */
-function invalidReasonOf(traits: ResponseTraits, belongsToOtherCall: boolean, isSuccess: boolean): string | undefined {
-    if (belongsToOtherCall) {
-        return "the response belongs to another call";
-    }
+function invalidReasonOf(traits: ResponseTraits, isSuccess: boolean): string | undefined {
     if (traits.hasContentEncoding) {
         return "the response has a content encoding that the endpoint did not apply";
     }
