fix(platform): leave out listed endpoints that cannot be called

Callers' connections were closed without a response when the platform listed an endpoint with a port out of range or an identifier that no header can contain: an attempt to call it threw, and the entry dropped the call.

Cause: the schema of a row accepted any digits as an address and any text as an identifier.

Entries check it again, since a control process of an earlier build may send such rows, and leave out relays that cannot be addressed. Rows that are left out are named in one log line (2475), at most each 10 s. An unexpected error of a call is answered with 502 instead of a closed connection.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -98,6 +98,12 @@
         text: "The platform's list of endpoints can be read again.",
         fields: ["endpoints"],
     },
+    endpointRowsUnreadable: {
+        number: 2475,
+        level: "warn",
+        text: "Rows of the platform's list of endpoints cannot be read; the others are used.",
+        fields: ["count", "rows"],
+    },
     endpointListTaken: {
         number: 2433,
         level: "info",
--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -24,6 +24,12 @@
 /** Maximum number of pages per list; guards against a list whose pages never end. */
 const maximumPages = 400;
 
+/** Minimum time between two log lines about rows that cannot be read. */
+const unreadableReportInterval: Milliseconds = 10_000;
+
+/** Maximum number of rows that one log line names. */
+const maximumReportedRows = 4;
+
 /** Dependencies of {@link EndpointListPoller}. */
 export interface EndpointListPollerOptions {
     /** Host and port. */
@@ -59,7 +65,9 @@
     private changes: EndpointChanges = { changed: [], removed: [] };
     private isFailing = false;
     private pageCount = 1;
-    private unreadableRows = 0;
+    private unreadableRows: readonly string[] = [];
+    private reportedUnreadableRows = "";
+    private unreadableReportDueAt: Milliseconds = -Infinity;
 
     constructor(private readonly options: EndpointListPollerOptions) {}
 
@@ -96,6 +104,7 @@
             this.isFailing = false;
             this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.val.length });
         }
+        this.reportUnreadableRows(polledAt);
         const fingerprint = fingerprintOf(endpoints.val);
         const hasChanged = fingerprint !== this.fingerprint;
         if (hasChanged) {
@@ -108,8 +117,7 @@
         this.latestSnapshot = { endpoints: endpoints.val, polledAt, revision, changes };
         if (hasChanged) {
             const leaving = endpoints.val.filter(endpoint => endpoint.isLeaving).length;
-            const { unreadableRows } = this;
-            const fields = { endpoints: endpoints.val.length, leaving, unreadableRows };
+            const fields = { endpoints: endpoints.val.length, leaving, unreadableRows: this.unreadableRows.length };
             this.options.eventLog.write("endpointListChanged", fields);
             this.options.onChange();
         }
@@ -117,7 +125,8 @@
 
     private async readPages(signal: AbortSignal): Promise<Result<readonly EndpointRecord[], string>> {
         const endpoints: EndpointRecord[] = [];
-        this.unreadableRows = 0;
+        const unreadableRows: string[] = [];
+        this.unreadableRows = unreadableRows;
         let page: string | undefined;
         for (let pages = 0; pages < maximumPages; pages++) {
             const response = await httpCall({
@@ -136,7 +145,7 @@
                 return Err(`the response with status ${response.val.status} is not an endpoint list`);
             }
             endpoints.push(...read.endpoints);
-            this.unreadableRows += read.unreadableRows;
+            unreadableRows.push(...read.unreadableRows);
             if (read.nextPage === undefined) {
                 this.pageCount = pages + 1;
                 return Ok(endpoints);
@@ -146,6 +155,17 @@
         return Err("the endpoint list exceeds the maximum number of pages");
     }
 
+    /** Logs the rows that were left out when they change, not more often than the minimum interval. */
+    private reportUnreadableRows(now: Milliseconds): void {
+        const rows = this.unreadableRows.slice(0, maximumReportedRows).join("; ");
+        if (rows === this.reportedUnreadableRows || now < this.unreadableReportDueAt) {
+            return;
+        }
+        this.reportedUnreadableRows = rows;
+        this.unreadableReportDueAt = now + unreadableReportInterval;
+        this.options.eventLog.write("endpointRowsUnreadable", { count: this.unreadableRows.length, rows });
+    }
+
     private reportFailure(reason: string): void {
         if (!this.isFailing) {
             this.isFailing = true;
--- a/src/process/hosted/endpointRecord.ts
+++ b/src/process/hosted/endpointRecord.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, UnixMilliseconds } from "../../util/clock.js";
+import { isSocketAddress } from "../../util/socketAddress.js";
 
 /** An endpoint as listed by the platform. */
 export interface EndpointRecord {
@@ -25,6 +26,14 @@
     readonly isSpot: boolean;
 }
 
+/** The characters that a header may contain without further rules (RFC 9110, section 5.5). */
+const visibleCharacters = /^[\x21-\x7e]+$/;
+
+/** Whether calls can be addressed to an endpoint; an attempt to do so would throw otherwise. */
+export function isCallable({ id, address }: EndpointRecord): boolean {
+    return isSocketAddress(address) && visibleCharacters.test(id);
+}
+
 /**
  * Identifies one run of an endpoint: a restarted endpoint may keep its id, but not its caches and connections, nor its
  * software version.
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
-import { incarnationKey } from "../endpointRecord.js";
+import { incarnationKey, isCallable } from "../endpointRecord.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 import type { StreamOrigin } from "../streamOrigin.js";
 import type { ActiveEndpoints } from "./endpointReachability.js";
@@ -30,14 +30,16 @@
     }
 
     /**
-     * Applies an endpoint list unless a newer one was applied before.
+     * Applies an endpoint list unless a newer one was applied before; leaves out endpoints that cannot be called, which
+     * a control process of an earlier build may send.
      *
      * @param age Time since the list was read from the platform.
      */
-    applyList(records: readonly EndpointRecord[], age: Milliseconds, now: Milliseconds): void {
+    applyList(listedRecords: readonly EndpointRecord[], age: Milliseconds, now: Milliseconds): void {
         if (now - age < this.listReadAt) {
             return;
         }
+        const records = listedRecords.filter(isCallable);
         this.listReadAt = now - age;
         this.listedSince = Math.min(this.listedSince, now);
         this.recordVersions(now);
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -343,7 +343,12 @@
         new HostedCall(request, response, this.callContext, relayed).run().catch((error: unknown) => {
             const reason = error instanceof Error ? error.stack ?? error.message : String(error);
             this.callContext.eventLog.write("taskFailed", { task: "call", reason });
-            abortResponse(response);
+            if (response.headersSent) {
+                abortResponse(response);
+            }
+            else {
+                sendFailure(response, failure("callOutcomeUnknown"));
+            }
         });
     }
 
--- a/src/process/hosted/entry/relayDirectory.ts
+++ b/src/process/hosted/entry/relayDirectory.ts
@@ -2,6 +2,7 @@
 import type { RelayOffer } from "../../../connection/hosted/linkMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { RandomSource } from "../../../util/randomSource.js";
+import { isSocketAddress } from "../../../util/socketAddress.js";
 
 /** Time after which an entry that control processes no longer name is not asked any more. */
 const offerLifetime: Milliseconds = 3_000;
@@ -28,7 +29,7 @@
 
     /** Replaces the entries that may be asked; connections to those that stay are kept. */
     applyOffers(offers: readonly RelayOffer[], now: Milliseconds): void {
-        for (const { entry, address, token } of offers) {
+        for (const { entry, address, token } of offers.filter(offer => isSocketAddress(offer.address))) {
             const known = this.relays.get(address);
             const agent = known?.agent ?? new Agent({ keepAlive: true, noDelay: true });
             const runningCalls = known?.runningCalls ?? 0;
--- a/src/util/socketAddress.ts
+++ b/src/util/socketAddress.ts
@@ -1,5 +1,9 @@
+import { isIP } from "node:net";
 import type { AddressInfo, Server } from "node:net";
 
+/** Highest port number. */
+const maximumPort = 65_535;
+
 /** The host and port of an address. */
 export interface HostAndPort {
     readonly host: string;
@@ -13,6 +17,12 @@
     return { host, port: Number(address.slice(separator + 1)) };
 }
 
+/** Whether an address is an IP address and a port, so that an attempt to connect to it cannot throw. */
+export function isSocketAddress(address: string): boolean {
+    const { host, port } = splitAddress(address);
+    return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port <= maximumPort;
+}
+
 /** The address that a listening server is bound to, as `host:port`. */
 export function boundAddress(server: Server): string {
     const { address, port, family } = server.address() as AddressInfo;
