fix(request): skip a response that names another call and await the call's own one

A sound call failed with 502 when its endpoint sent an earlier response once more where the call's own one was due; calls that may run once were lost although their endpoint answered them.

Cause: the entry gave up the connection at the first response that named another call.

Change: on a kept connection, a framed response that names another call is discarded and the next one is read on the same connection, at most twice. Without a further response the call ends at its deadline (504) instead of at once. Responses that end with their connection, or arrive together with the call's own one, still end the attempt.

--- a/src/connection/hosted/endpointAgent.ts
+++ b/src/connection/hosted/endpointAgent.ts
@@ -23,6 +23,8 @@
  * take it for its response.
  */
 export class EndpointAgent extends Agent {
+    private readonly reservations = new WeakMap<Socket, () => void>();
+
     constructor(private readonly openConnection: OpenConnection = connect) {
         super({
             keepAlive: true,
@@ -42,11 +44,27 @@
         // eslint-disable-next-line @typescript-eslint/no-confusing-void-expression -- the type declares no result
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
-            socket.once("data", closeOnUnexpectedData);
+            const onIdle = this.reservations.get(socket);
+            if (onIdle === undefined) {
+                socket.once("data", closeOnUnexpectedData);
+            }
+            else {
+                this.reservations.delete(socket);
+                process.nextTick(onIdle);
+            }
         }
         return isKept;
     }
 
+    /**
+     * Keeps a connection open when it becomes idle, although further data is expected on it.
+     *
+     * @param onIdle Called when the connection is idle, before it can receive data.
+     */
+    reserve(socket: Socket, onIdle: () => void): void {
+        this.reservations.set(socket, onIdle);
+    }
+
     override reuseSocket(socket: Socket, request: ClientRequest): void {
         socket.removeListener("data", closeOnUnexpectedData);
         super.reuseSocket(socket, request);
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -6,8 +6,10 @@
 import { splitAddress } from "../../util/socketAddress.js";
 import { cancelRequest } from "../cancelRequest.js";
 import { discardBody } from "../discardBody.js";
+import { hasFramedBody } from "../framedBody.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
+import { EndpointAgent } from "./endpointAgent.js";
 
 /** Timeout for opening a connection; many times the round-trip time, and short compared to latency targets. */
 const connectTimeout: Milliseconds = 400;
@@ -36,14 +38,14 @@
 
 /** One HTTP request to an endpoint and its response. */
 export class EndpointExchange {
-    private readonly request: ClientRequest;
-    private readonly byteGuard: ResponseByteGuard;
+    private request: ClientRequest;
+    private byteGuard: ResponseByteGuard;
     private hasBeenSent = false;
     private hasConnectionFailed = false;
     private cancelReason: string | undefined;
 
     /** Sends the request. */
-    constructor(outgoing: OutgoingRequest) {
+    constructor(private readonly outgoing: OutgoingRequest) {
         const { body } = outgoing;
         const length = body === undefined ? [] : ["Content-Length", String(body.length)];
         this.request = httpRequest({
@@ -54,12 +56,7 @@
             headers: [...outgoing.headers, ...length],
             setHost: false,
         });
-        this.request.on("error", () => {
-            this.hasConnectionFailed = true;
-        });
-        this.byteGuard = new ResponseByteGuard(this.request, () => {
-            this.cancel("the endpoint sent too many bytes that belong to no response");
-        });
+        this.byteGuard = this.observe(this.request);
         sendWhenConnected(this.request, {
             body,
             connectTimeout,
@@ -108,6 +105,46 @@
         });
     }
 
+    /**
+     * Discards a response that belongs to an earlier call, and waits for the next one on the same connection.
+     *
+     * @returns Undefined if no further response can follow: the response ends with its connection.
+     */
+    async skip(message: IncomingMessage): Promise<ExchangeHead | undefined> {
+        const { agent, address } = this.outgoing;
+        const { socket } = this.request;
+        if (!(agent instanceof EndpointAgent) || !socket || !this.request.shouldKeepAlive || !hasFramedBody(message)) {
+            return undefined;
+        }
+        const isIdle = await new Promise<boolean>(resolve => {
+            agent.reserve(socket, () => {
+                resolve(true);
+            });
+            socket.once("close", () => {
+                resolve(false);
+            });
+            this.discardBody(message);
+        });
+        if (!isIdle || this.isCancelled) {
+            return { kind: "lost", reason: this.cancelReason ?? "the connection was closed" };
+        }
+        // A request that is never ended writes nothing: it only reads the next response.
+        const reader = httpRequest({ ...splitAddress(address), agent, method: this.outgoing.method, setHost: false });
+        this.request = reader;
+        this.byteGuard = this.observe(reader);
+        reader.once("socket", reused => {
+            if (reused !== socket) {
+                this.cancel("the connection was taken by another call");
+            }
+        });
+        reader.once("response", response => {
+            response.once("end", () => {
+                reader.destroy();
+            });
+        });
+        return this.head();
+    }
+
     /** Resolves when the response headers have arrived, or when the request has failed. */
     head(): Promise<ExchangeHead> {
         return new Promise(resolve => {
@@ -129,6 +166,15 @@
         cancelRequest(this.request);
     }
 
+    private observe(request: ClientRequest): ResponseByteGuard {
+        request.on("error", () => {
+            this.hasConnectionFailed = true;
+        });
+        return new ResponseByteGuard(request, () => {
+            this.cancel("the endpoint sent too many bytes that belong to no response");
+        });
+    }
+
     private failedHead(message: string): ExchangeHead {
         const reason = this.cancelReason ?? message;
         return this.hasBeenSent ? { kind: "lost", reason } : { kind: "notSent", reason };
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { requestHeadersForEndpoint } from "../../../platform/callHeaders.js";
+import { hasFramedBody } from "../../connection/framedBody.js";
 import { EndpointExchange } from "../../connection/hosted/endpointExchange.js";
 import type { ExchangeHead } from "../../connection/hosted/endpointExchange.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -8,7 +9,6 @@
 import type { CallTraits, ResponseTraits } from "./callTraits.js";
 import type { Placement } from "./endpointChooser.js";
 import { EventSplitter } from "./eventSplitter.js";
-import { hasFramedBody } from "./framedBody.js";
 
 /** Minimum time without data after which a call that may be retried is moved to another endpoint. */
 const minimumStallTimeout: Milliseconds = 1_200;
@@ -22,6 +22,9 @@
 /** Number of body bytes that are buffered before any is forwarded; until then the call may move to another endpoint. */
 const bufferedBodyBytes = 64 * 1024;
 
+/** Maximum number of responses to earlier calls that are skipped. */
+const maximumSkippedResponses = 2;
+
 /** Status code 503 (Service Unavailable): the endpoint rejects the call, and may state when it takes the next one. */
 const unavailableStatus = 503;
 
@@ -119,14 +122,30 @@
         }
     }
 
-    /** Waits for the response headers; an endpoint that keeps responding to other calls is not considered stalled. */
+    /**
+     * Waits for the response headers, and skips responses to earlier calls where the call's own one can follow.
+     *
+     * An endpoint that keeps responding to other calls is not considered stalled.
+     */
     private async awaitHead(): Promise<ExchangeHead> {
         const stallTimer = this.startStallTimer(Math.max(minimumStallTimeout, this.input.call.route.targetLatency));
-        const head = await this.exchange.head();
+        let head = await this.exchange.head();
+        for (let skips = 0; skips < maximumSkippedResponses && this.namesOtherCall(head); skips++) {
+            const next = head.kind === "response" ? await this.exchange.skip(head.message) : undefined;
+            if (next === undefined) {
+                break;
+            }
+            head = next;
+        }
         clearInterval(stallTimer);
         return head;
     }
 
+    private namesOtherCall(head: ExchangeHead): boolean {
+        return head.kind === "response" && head.traits.callId !== undefined
+            && head.traits.callId !== this.input.traits.callId;
+    }
+
     private async handleHead(head: ExchangeHead): Promise<AttemptOutcome> {
         if (head.kind === "notSent") {
             return { kind: "notRun", reason: head.reason, cause: "unreached" };
