perf(replicatedLog): let members that were removed while cut off rejoin sooner

Entries refused calls (GH1610) for some seconds after a partition of the control processes had healed: the members that had been removed meanwhile were without a leader until they were admitted again.

Cause: a member without a leader asked once per maximum election timeout, and only when all other members had responded or timed out.

--- a/src/process/replicatedLog/joinTask.ts
+++ b/src/process/replicatedLog/joinTask.ts
@@ -11,6 +11,9 @@
  */
 const leaderlessChecksBeforeRejoin = 2;
 
+/** Number of heartbeat intervals between two requests to join again. */
+const rejoinHeartbeats = 3;
+
 /** Dependencies and settings of a {@link JoinTask}. */
 export interface JoinTaskOptions {
     readonly replica: Replica;
@@ -97,9 +100,11 @@
      */
     private async rejoinWhenLeaderless(signal: AbortSignal): Promise<void> {
         const { replica, clock, address, expectedAddresses } = this.options;
+        const { maximumElectionTimeout, heartbeatInterval } = replica.timing;
         let leaderlessChecks = 0;
         while (!signal.aborted && replica.halted === undefined) {
-            await clock.sleep(replica.timing.maximumElectionTimeout, signal);
+            const isRejoining = leaderlessChecks >= leaderlessChecksBeforeRejoin;
+            await clock.sleep(isRejoining ? rejoinHeartbeats * heartbeatInterval : maximumElectionTimeout, signal);
             // The election deadline cannot be used here: each election attempt postpones it, even an unsuccessful one.
             const hasLeader = replica.role === "leader" || clock.now() < replica.votesRefusedUntil;
             leaderlessChecks = hasLeader ? 0 : leaderlessChecks + 1;
@@ -108,7 +113,11 @@
                 const others = [...new Set([...memberAddresses, ...expectedAddresses])].filter(other =>
                     other !== address
                 );
-                await this.requestJoin((await this.describePeers(others)).filter(({ response }) => response.formed));
+                // Peers that do not respond must not delay the request to the leader that another one names.
+                await Promise.all(others.map(async other => {
+                    const descriptions = await this.describePeers([other]);
+                    await this.requestJoin(descriptions.filter(({ response }) => response.formed));
+                }));
             }
         }
     }
--- a/tests/process/replicatedLog/openGroup.test.ts
+++ b/tests/process/replicatedLog/openGroup.test.ts
@@ -11,6 +11,9 @@
 /** Virtual time in which a VM that lost its disk is back. */
 const restartMilliseconds = 3000;
 
+/** Virtual time after which a VM that is back no longer counts as lost. */
+const catchUpMilliseconds = 4000;
+
 /** Starts a group that bears the loss of one VM in the first slots of a cluster. */
 async function startGroup(size: number, started: number, seed: number): Promise<VirtualCluster> {
     const toleratedLosses = { vms: 1, fraction: 0 };
@@ -155,6 +158,22 @@
         }
     });
 
+    // Guards against members that stay without a leader for long after they were cut off and removed.
+    it("admits members that were cut off again within the time after which a returned VM counts as back", async t => {
+        for (let seed = 71; seed <= 90; seed++) {
+            const cluster = await startGroup(5, 5, seed);
+            const leader = cluster.leaderSlot ?? 0;
+            const cutOff = [1, 2].map(step => (leader + step) % 5);
+            for (const slot of cutOff) {
+                isolate(cluster, slot);
+            }
+            await cluster.run(5000 + seed * 10);
+            cluster.links.blockedDirections.clear();
+            await cluster.run(catchUpMilliseconds);
+            t.deepEqual([voterSlots(cluster).length, cluster.violations], [5, []], `seed ${seed}`);
+        }
+    });
+
     // Guards against a group that does not come back after all of its members lost power at the same moment.
     it("comes back after all members lost power, also while voters are being removed", async t => {
         for (let seed = 51; seed <= 60; seed++) {
