fix(request): complete a body without a length only while its endpoint still runs

Callers got a success with a part of its body and a length that said it was whole: an endpoint crashed while it sent a body without a length, and its host ended the connection in order.

Cause: an orderly end of the connection was taken for the end of the body; the end of the endpoint's process looks the same.

Change: before a success without a length or chunks is completed, the entry checks that the endpoint accepts a connection; otherwise the response is lost: repeated or resumed where that is allowed, else failed or left incomplete. The host of a process that has ended refuses connections. Costs a connection for each such response.

Test: responseFraming.test.ts, three of ten failed before (a stream, a long and a short body).

--- a/src/process/hosted/entry/crashObserver.ts
+++ b/src/process/hosted/entry/crashObserver.ts
@@ -61,6 +61,11 @@
         void this.examine(endpoint);
     }
 
+    /** Whether the process of an endpoint still accepts connections; the attempt to open one is bounded in time. */
+    async isListening({ record }: HostedEndpoint): Promise<boolean> {
+        return await this.context.probe(record.address) === "listening";
+    }
+
     private async examine(endpoint: HostedEndpoint): Promise<void> {
         const { clock, eventLog, probe, onCrash } = this.context;
         const observedAt = clock.now();
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -259,7 +259,7 @@
             return this.endForwarding(message, Buffer.alloc(0));
         }
         this.recordResponseStart();
-        if (!this.exchange.isComplete(message)) {
+        if (!this.exchange.isComplete(message) || (isSuccess && !await this.hasSoundEnd(message))) {
             return this.lost("the response ended before it was complete");
         }
         const body = Buffer.concat(chunks);
@@ -270,9 +270,18 @@
         return { kind: "delivered", isFramed: hasFramedBody(message) };
     }
 
-    private endForwarding(message: IncomingMessage, trailingBytes: Buffer): AttemptOutcome {
+    /**
+     * Whether the end of a body that was read without an error is its own end.
+     *
+     * A body without a length or chunks ends with its connection, in order too if the process of the endpoint ends.
+     */
+    private async hasSoundEnd(message: IncomingMessage): Promise<boolean> {
+        return hasFramedBody(message) || this.context.crashObserver.isListening(this.input.placement.endpoint);
+    }
+
+    private async endForwarding(message: IncomingMessage, trailingBytes: Buffer): Promise<AttemptOutcome> {
         const { callerResponse, earlierExecutions, placement: { endpoint } } = this.input;
-        if (!this.exchange.isComplete(message)) {
+        if (!this.exchange.isComplete(message) || !await this.hasSoundEnd(message)) {
             return this.lost("the response ended before it was complete");
         }
         callerResponse.endStream(message, trailingBytes, earlierExecutions + 1, endpoint.id);
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import { deflateRawSync } from "node:zlib";
+import { probeListener } from "../../../src/connection/probeListener.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
 import { CallQuarantine } from "../../../src/process/hosted/entry/callQuarantine.js";
@@ -26,6 +27,9 @@
 import { SuspensionDetector } from "../../../src/util/suspensionDetector.js";
 import { NoLeader } from "../../process/hosted/entry/noLeader.js";
 
+/** Time within which a listening endpoint accepts a connection, in milliseconds. */
+const probeTimeout = 1_000;
+
 /** Version of the configuration that a {@link CallServer} applies. */
 const version = 3;
 
@@ -71,7 +75,7 @@
             crashObserver: new CrashObserver({
                 clock,
                 eventLog,
-                probe: () => Promise.resolve("listening"),
+                probe: address => probeListener(address, probeTimeout),
                 onCrash: () => undefined,
             }),
             quarantine: new CallQuarantine(() => undefined),
--- a/tests/request/hosted/responseFraming.test.ts
+++ b/tests/request/hosted/responseFraming.test.ts
@@ -1,6 +1,5 @@
-import { once } from "node:events";
 import { createServer } from "node:net";
-import type { Socket } from "node:net";
+import type { Server, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
@@ -29,6 +28,7 @@
 /** A call whose endpoint has sent a part of the body and keeps its connection open. */
 class RunningCall implements AsyncDisposable {
     private readonly store = new DisposableStore();
+    private server: Server | undefined;
     private endpointSocket: Socket | undefined;
     private received = "";
 
@@ -36,11 +36,13 @@
         const call = new RunningCall();
         const server = createServer(socket => {
             socket.on("error", () => undefined);
+            // A connection that only probes the endpoint sends nothing.
             socket.once("data", () => {
                 call.endpointSocket = socket;
                 socket.write(bytes);
             });
         });
+        call.server = server;
         call.store.defer(() => {
             server.close();
             call.endpointSocket?.destroy();
@@ -56,8 +58,7 @@
         caller.on("data", (received: Buffer) => call.received += received.toString("latin1"));
         const headers = { "host": "calls.example", "api-key": "key-1", "gullhall-attempt-id": "call-1" };
         caller.write(formatRequest("POST", path, headers));
-        await once(caller, "data");
-        await sleep(200);
+        await sleep(300);
         return call;
     }
 
@@ -73,6 +74,12 @@
         await sleep(200);
     }
 
+    /** Ends the endpoint's process, upon which its host refuses connections and ends the open ones in order. */
+    async endEndpoint(): Promise<void> {
+        this.server?.close();
+        await this.endResponse();
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         await this.store.dispose();
     }
@@ -97,6 +104,22 @@
         });
     }
 
+    for (
+        const [title, path, body] of [
+            ["a stream", "/drafts/a", firstEvent],
+            ["a long body", "/exports/a", longPart],
+            ["a short body", "/exports/a", "part"],
+        ] as const
+    ) {
+        // Guards against a body without a length that was cut off by the end of its endpoint and is sent as complete.
+        itSerially(`is not completed for ${title} without a length whose endpoint has ended`, async t => {
+            await using call = await RunningCall.start(path, unframedHead + body);
+            await call.endEndpoint();
+            t.true(body === "part" || bodyOf(call.receivedSoFar) === body);
+            t.true(!call.receivedSoFar.head.startsWith("HTTP/1.1 200 ") || !looksComplete(call.receivedSoFar));
+        });
+    }
+
     // Guards against sound streams that are broken off because their parts are framed in different ways.
     itSerially("is complete if a stream in chunks is continued by one without a length that ends in order", async t => {
         const response = await makeCall("/summaries/a", [
