fix(request): state no length for a buffered body that its endpoint sent without one

An orderly end does not show that such a body is whole, so that a length asserts what nobody knows.

Change: a buffered body without a length ends with the caller's connection again, written as a whole, as before; streams and long bodies keep the chunks of the entry's own. The check that the endpoint still runs stays for all of them.

--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readResponseTraits, responseHeadersForCaller } from "../../../platform/callHeaders.js";
 import { abortResponse } from "../../connection/abortResponse.js";
+import { hasFramedBody } from "../../connection/framedBody.js";
 import { sendFailure, waitForDrain } from "../../connection/httpResponse.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -102,9 +103,12 @@
         const { status, hasSignature } = readResponseTraits(message);
         const headers = responseHeadersForCaller(message.rawHeaders, status === unavailableStatus && hasSignature);
         const length = mayHaveBody(this.response, status) ? body.length : message.headers["content-length"];
-        if (length !== undefined) {
+        if (length !== undefined && hasFramedBody(message)) {
             headers.push("Content-Length", String(length));
         }
+        else {
+            this.delimitByConnectionClose();
+        }
         this.response.writeHead(message.statusCode ?? 502, headers);
         this.response.end(body);
         this.recordDelivery(message.statusCode ?? 0, attempts, endpointId);
@@ -157,6 +161,17 @@
         }
     }
 
+    /**
+     * Delimits a buffered body by closing the connection, as the endpoint did: a faulty endpoint may end its connection
+     * early but in order, and a length would assert that the body is complete.
+     *
+     * The body is written as a whole, so that an end of this entry is hardly taken for the end of the body.
+     */
+    private delimitByConnectionClose(): void {
+        this.response.shouldKeepAlive = false;
+        this.response.removeHeader("transfer-encoding");
+    }
+
     /**
      * Writes the status and headers of a stream once; a resumed stream keeps those of its first endpoint.
      *
