fix(request): break off responses of services whose connection failed

Callers of the own installation got a success with a part of its body when a service's connection was reset during a body without a length or chunks: a long body was ended with its last chunk, a short one got a length. Over HTTP/1.0, any long body that was broken off looked complete.

Cause: node:http reports such a body as complete although its connection failed, and responses were destroyed, which closes their connection in order.

Change: the connection's failure decides whether a body is whole; responses are ended early by abortResponse.

--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -9,6 +9,7 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { listen } from "../../util/socketAddress.js";
+import { abortResponse } from "../abortResponse.js";
 import { createFailureBody, createRetryAfterHeader, sendFailure, sendJson } from "../httpResponse.js";
 import { RequestAdmission } from "./requestAdmission.js";
 
@@ -100,7 +101,7 @@
         catch (error) {
             const reason = error instanceof Error ? error.stack ?? error.message : String(error);
             this.state.eventLog.write("taskFailed", { task: "request", reason });
-            response.destroy();
+            abortResponse(response);
         }
         this.startReadTimeout(response);
     }
@@ -168,7 +169,7 @@
         const timeoutController = new AbortController();
         deadlines.set(timeoutController, clock.now() + callerReadTimeout);
         timeoutController.signal.addEventListener("abort", () => {
-            response.destroy();
+            abortResponse(response);
         }, { once: true });
         response.once("close", () => {
             deadlines.clear(timeoutController);
--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -38,7 +38,15 @@
 
 /** Result of a call: a response whose body has not been read, or an error. */
 export type EndpointCallResult =
-    | { readonly kind: "answer"; readonly message: IncomingMessage; }
+    | {
+        readonly kind: "answer";
+        readonly message: IncomingMessage;
+        /**
+         * Whether the connection has failed: `node:http` reports a body without a length as complete even if its
+         * connection was reset.
+         */
+        readonly hasFailed: () => boolean;
+    }
     | { readonly kind: "error"; readonly error: EndpointCallError; };
 
 /** HTTP client for one endpoint, which reuses connections. */
@@ -68,8 +76,9 @@
             new ResponseByteGuard(clientRequest, () => {
                 cancelRequest(clientRequest);
             });
+            let hasFailed = false;
             clientRequest.once("response", response => {
-                resolve({ kind: "answer", message: response });
+                resolve({ kind: "answer", message: response, hasFailed: () => hasFailed });
             });
             let sent = false;
             sendWhenConnected(clientRequest, {
@@ -83,6 +92,7 @@
                 },
             });
             clientRequest.on("error", error => {
+                hasFailed = true;
                 resolve({ kind: "error", error: { sent, reason: error.message } });
             });
         });
--- a/src/request/service/serviceAttempt.ts
+++ b/src/request/service/serviceAttempt.ts
@@ -53,7 +53,7 @@
             freshConnection: !pendingRequest.idempotent,
         });
         if (sendResult.kind === "answer") {
-            return await this.readResponse(sendResult.message);
+            return await this.readResponse(sendResult.message, sendResult.hasFailed);
         }
         const { sent: mayHaveArrived, reason } = sendResult.error;
         if (pendingRequest.idempotent && context.callerAbortSignal.aborted) {
@@ -74,7 +74,7 @@
         this.attemptEnded.abort();
     }
 
-    private async readResponse(message: IncomingMessage): Promise<ServiceAttemptResult> {
+    private async readResponse(message: IncomingMessage, hasFailed: () => boolean): Promise<ServiceAttemptResult> {
         const { context, pendingRequest, placement } = this;
         const { endpoint } = placement;
         const now = context.clock.now();
@@ -98,7 +98,7 @@
             });
             return { kind: "unknown", reason: "the response belongs to another request" };
         }
-        const response = await ServiceResponse.readBeginning(message);
+        const response = await ServiceResponse.readBeginning(message, hasFailed);
         if (response === undefined) {
             if (pendingRequest.idempotent && context.callerAbortSignal.aborted) {
                 return { kind: "callerLeft" };
--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { abortResponse } from "../../connection/abortResponse.js";
 import { createRetryAfterHeader, sendFailure, waitForDrain } from "../../connection/httpResponse.js";
 import type { StoredResponse } from "../../process/claims/claimCommand.js";
 import type { DispatchRefusal, Placement } from "../../process/entry/poolDispatcher.js";
@@ -222,7 +223,7 @@
             response.end();
         }
         catch {
-            response.destroy();
+            abortResponse(response);
         }
     }
 
@@ -234,7 +235,7 @@
         const slowCallerTimeout = new AbortController();
         deadlines.set(slowCallerTimeout, clock.now() + callerReadTimeout);
         slowCallerTimeout.signal.addEventListener("abort", () => {
-            response.destroy();
+            abortResponse(response);
         }, { once: true });
         await waitForDrain(response);
         deadlines.clear(slowCallerTimeout);
--- a/src/request/service/serviceResponse.ts
+++ b/src/request/service/serviceResponse.ts
@@ -13,14 +13,22 @@
     private constructor(
         private readonly message: IncomingMessage,
         private readonly iterator: AsyncIterator<Buffer>,
+        private readonly hasFailed: () => boolean,
         /** The buffered first bytes of the body. */
         readonly beginning: Buffer,
         /** Whether `beginning` is the complete body. */
         readonly isComplete: boolean,
     ) {}
 
-    /** Buffers the beginning of the body; undefined when the connection fails before it is complete. */
-    static async readBeginning(message: IncomingMessage): Promise<ServiceResponse | undefined> {
+    /**
+     * Buffers the beginning of the body; undefined when the connection fails before it is complete.
+     *
+     * @param hasFailed Whether the connection has failed.
+     */
+    static async readBeginning(
+        message: IncomingMessage,
+        hasFailed: () => boolean,
+    ): Promise<ServiceResponse | undefined> {
         const iterator = (message as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
         const chunks: Buffer[] = [];
         let receivedBytes = 0;
@@ -28,7 +36,9 @@
             while (receivedBytes < bufferedBeginningBytes) {
                 const next = await iterator.next();
                 if (next.done === true) {
-                    return new ServiceResponse(message, iterator, Buffer.concat(chunks), true);
+                    return hasFailed()
+                        ? undefined
+                        : new ServiceResponse(message, iterator, hasFailed, Buffer.concat(chunks), true);
                 }
                 chunks.push(next.value);
                 receivedBytes += next.value.length;
@@ -37,7 +47,7 @@
         catch {
             return undefined;
         }
-        return new ServiceResponse(message, iterator, Buffer.concat(chunks), false);
+        return new ServiceResponse(message, iterator, hasFailed, Buffer.concat(chunks), false);
     }
 
     /** HTTP status of the response; 502 if it has none. */
@@ -67,6 +77,9 @@
         for (;;) {
             const next = await this.iterator.next();
             if (next.done === true) {
+                if (this.hasFailed()) {
+                    throw new Error("the connection failed");
+                }
                 return;
             }
             yield next.value;
