fix(request): check the identifier of a refusal before it is believed

Callers of the own installation were told that a request had not run when its endpoint sent an earlier refusal, which named another request, once more on a kept connection. Engines' refusals and errors were not checked at all.

Cause: the header that says "not run" was read before the identifier, and only services' other responses were compared.

Change: a response that names another request ends the attempt with an unknown outcome, for services and engines. One without an identifier is believed as before: services need not repeat it, and calls that may run once always use a new connection.

Test: brokenOffResponse.test.ts of services, "is not believed", failed before. Engines share the rule; no test of theirs.

--- a/src/request/model/modelAttempt.ts
+++ b/src/request/model/modelAttempt.ts
@@ -119,6 +119,9 @@
 
     private async readResponse(message: IncomingMessage): Promise<ModelAttemptResult> {
         const { endpoint } = this.placement;
+        if (this.belongsToOtherRequest(message)) {
+            return { kind: "broken", reason: "the response belongs to another request" };
+        }
         if (message.headers["x-leaving"] === "true") {
             endpoint.markLeaving(this.now());
         }
@@ -136,6 +139,20 @@
         return result;
     }
 
+    /** Whether a response names another request: an endpoint may send a response twice on a connection that is kept. */
+    private belongsToOtherRequest({ headers }: IncomingMessage): boolean {
+        const { context, pendingRequest } = this.call;
+        const responseId = headers["x-request-id"];
+        if (responseId === undefined || responseId === pendingRequest.id) {
+            return false;
+        }
+        context.metrics.counters.count("foreignAnswers");
+        const fields = { requestId: pendingRequest.id, endpoint: this.placement.endpoint.name, parts: 1 };
+        context.eventLog.write("foreignAnswerDropped", fields);
+        this.recordFault("brokenAnswer");
+        return true;
+    }
+
     private async readErrorResponse(message: IncomingMessage): Promise<ModelAttemptResult> {
         const { endpoint } = this.placement;
         const status = message.statusCode ?? 0;
--- a/src/request/service/serviceAttempt.ts
+++ b/src/request/service/serviceAttempt.ts
@@ -78,16 +78,6 @@
         const { context, pendingRequest, placement } = this;
         const { endpoint } = placement;
         const now = context.clock.now();
-        if (message.headers["x-leaving"] === "true") {
-            endpoint.markLeaving(now);
-        }
-        if (message.headers["x-not-run"] === "true") {
-            discardBody(message, () => {
-                this.attemptEnded.abort();
-            });
-            endpoint.recordBusy(now);
-            return { kind: "notRun", reason: `status ${message.statusCode ?? 0}` };
-        }
         const responseId = message.headers["x-request-id"];
         if (responseId !== undefined && responseId !== pendingRequest.id) {
             context.metrics.counters.count("foreignAnswers");
@@ -98,6 +88,16 @@
             });
             return { kind: "unknown", reason: "the response belongs to another request" };
         }
+        if (message.headers["x-leaving"] === "true") {
+            endpoint.markLeaving(now);
+        }
+        if (message.headers["x-not-run"] === "true") {
+            discardBody(message, () => {
+                this.attemptEnded.abort();
+            });
+            endpoint.recordBusy(now);
+            return { kind: "notRun", reason: `status ${message.statusCode ?? 0}` };
+        }
         const response = await ServiceResponse.readBeginning(message, hasFailed);
         if (response === undefined) {
             if (pendingRequest.idempotent && context.callerAbortSignal.aborted) {
--- a/tests/request/service/brokenOffResponse.test.ts
+++ b/tests/request/service/brokenOffResponse.test.ts
@@ -69,3 +69,19 @@
         t.deepEqual([codeOf(response), response.headers["x-outcome"]], ["endpointFailed", "unknown"]);
     });
 });
+
+describe("refusal of a service that names another request", () => {
+    // Guards against requests that are reported as not run because an earlier refusal arrived again.
+    it("is not believed", async t => {
+        await using store = new DisposableStore();
+        let isRefused = false;
+        const entry = await startEntry(store, (socket, requestId) => {
+            const identity = isRefused ? "x-request-id: earlier\r\nx-not-run: true" : `x-request-id: ${requestId}`;
+            socket.write(`HTTP/1.1 ${isRefused ? 503 : 200} Status\r\n${identity}\r\ncontent-length: 0\r\n\r\n`);
+        });
+        t.is((await ask(entry, { method: "GET", path: "/bookings/a" })).status, 200);
+        isRefused = true;
+        const response = await ask(entry, { method: "GET", path: "/bookings/a" });
+        t.deepEqual([codeOf(response), response.headers["x-outcome"]], ["endpointFailed", "unknown"]);
+    });
+});
