fix(platform): leave out rows of the list of VMs that cannot be read

The own installation stopped following the platform's list of VMs while one row was odd: endpoints that were reclaimed got calls, ones that were gone stayed in use, and only event 2323 said so, at each poll and with an unbounded text.

Cause: the list was parsed as a whole.

Change: a row that cannot be read is left out and named in one bounded log line (2324) when the set of these changes. Its endpoint, if the row names one, does not count as gone because of it.

--- a/src/logEvent/platformEvents.ts
+++ b/src/logEvent/platformEvents.ts
@@ -44,6 +44,12 @@
         text: "An ordered endpoint is no longer on the platform's list.",
         fields: ["endpoint", "failureDomain", "pool"],
     },
+    vmRowsUnreadable: {
+        number: 2324,
+        level: "warn",
+        text: "Rows of the platform's list of VMs cannot be read; the others are used.",
+        fields: ["count", "rows"],
+    },
     vmListUnreadable: {
         number: 2323,
         level: "warn",
--- a/src/process/platform/vmReconciliation.ts
+++ b/src/process/platform/vmReconciliation.ts
@@ -12,14 +12,25 @@
     leavesAt: z.number().optional(),
 }).readonly();
 
-/** Schema of the platform's list of VMs. */
-export const vmListSchema = z.object({
-    listedAt: z.number(),
-    vms: z.array(listedVmSchema).max(100_000).readonly(),
-}).readonly();
+/** Maximum length of the description of a row that cannot be read. */
+const maximumDescriptionLength = 160;
+
+/** The name of the endpoint in a row that cannot be read otherwise. */
+const namedRowSchema = z.object({ endpoint: z.string().min(1).max(256) });
+
+/** Schema of the platform's list of VMs; rows that cannot be read are left out. */
+export const vmListSchema = z.object({ listedAt: z.number(), vms: z.array(z.unknown()).max(100_000) })
+    .transform(({ listedAt, vms }) => ({ listedAt, ...readRows(vms) }));
 
 /** The platform's list of VMs as of `listedAt`. */
-export type VmList = z.output<typeof vmListSchema>;
+export interface VmList {
+    readonly listedAt: UnixMilliseconds;
+    readonly vms: readonly ListedVm[];
+    /** Names of the endpoints whose rows cannot be read, as far as the rows have one. */
+    readonly unreadableEndpoints: ReadonlySet<string>;
+    /** Why rows cannot be read, with a bounded length for each. */
+    readonly unreadableRows: readonly string[];
+}
 
 /** A VM as the platform lists it. */
 export type ListedVm = z.output<typeof listedVmSchema>;
@@ -62,6 +73,27 @@
     return [...known.filter(finding => finding !== undefined), ...unknown];
 }
 
+function readRows(rows: readonly unknown[]): Omit<VmList, "listedAt"> {
+    const vms: ListedVm[] = [];
+    const unreadableEndpoints = new Set<string>();
+    const unreadableRows: string[] = [];
+    for (const row of rows) {
+        const read = listedVmSchema.safeParse(row);
+        if (read.success) {
+            vms.push(read.data);
+            continue;
+        }
+        const endpoint = namedRowSchema.safeParse(row).data?.endpoint;
+        if (endpoint !== undefined) {
+            unreadableEndpoints.add(endpoint);
+        }
+        const [issue] = read.error.issues;
+        const text = `${endpoint ?? "unnamed"}: ${issue?.path.join(".") ?? ""} ${issue?.message ?? ""}`;
+        unreadableRows.push(text.slice(0, maximumDescriptionLength));
+    }
+    return { vms, unreadableEndpoints, unreadableRows };
+}
+
 function findingOf(
     endpoint: OrderedEndpoint,
     vm: ListedVm | undefined,
@@ -72,7 +104,9 @@
         return { kind: "leaving", endpoint, leavesAt: vm.leavesAt };
     }
     const shouldBeListed = endpoint.state === "leaving" || list.listedAt > endpoint.grantedAt + maximumListLag;
-    if (vm === undefined && shouldBeListed && !view.reachedByEntries.has(endpoint.endpoint)) {
+    // A row that cannot be read tells nothing about its endpoint.
+    const mayBeListed = list.unreadableEndpoints.has(endpoint.endpoint);
+    if (vm === undefined && shouldBeListed && !mayBeListed && !view.reachedByEntries.has(endpoint.endpoint)) {
         return { kind: "gone", endpoint };
     }
     return undefined;
--- a/src/process/platform/vmWatcher.ts
+++ b/src/process/platform/vmWatcher.ts
@@ -12,6 +12,9 @@
 import { maximumListLag, reconcileVms, vmListSchema } from "./vmReconciliation.js";
 import type { ListedVm, VmFinding, VmList } from "./vmReconciliation.js";
 
+/** Maximum number of rows that one log line names. */
+const maximumReportedRows = 4;
+
 /** Information about endpoints from other parts of the leader. */
 export abstract class EndpointDirectory {
     /** Names of the endpoints configured in the current manifest. */
@@ -24,6 +27,7 @@
 /** Polls the platform's list of VMs while this process leads, and records the resulting states of ordered endpoints. */
 export class VmWatcher {
     private newestListTime: UnixMilliseconds = 0;
+    private reportedUnreadableRows = "";
     private unorderedVms: ReadonlyMap<string, ListedVm> = new Map();
 
     constructor(
@@ -72,6 +76,7 @@
             return;
         }
         this.newestListTime = list.listedAt;
+        this.reportUnreadableRows(list);
         const findings = reconcileVms(list, {
             ordered: this.ledger.fleet.list(),
             configured: this.endpointDirectory.configured(),
@@ -93,6 +98,15 @@
         return new Set(stopped.flatMap(({ act }) => act.kind === "stopEndpoint" ? [act.endpoint] : []));
     }
 
+    /** Logs the rows that were left out when they change. */
+    private reportUnreadableRows({ unreadableRows }: VmList): void {
+        const rows = unreadableRows.slice(0, maximumReportedRows).join("; ");
+        if (rows !== this.reportedUnreadableRows) {
+            this.reportedUnreadableRows = rows;
+            this.context.events.write("vmRowsUnreadable", { count: unreadableRows.length, rows });
+        }
+    }
+
     private reportUnorderedVms(findings: readonly VmFinding[]): void {
         const previous = this.unorderedVms;
         const found = findings.flatMap(finding => finding.kind === "notOrdered" ? [finding.vm] : []);
