fix(entry): report an endpoint without a usable port as not reached

Requests of the own installation were dropped without a response when the platform stated an endpoint with a port out of range: the attempt to connect threw.

Cause: addresses that the platform grants are checked for their length only.

Change: the client of an endpoint reports that nothing was sent, so that another endpoint is tried.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -1,7 +1,7 @@
 import { Agent, request as httpRequest } from "node:http";
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../../util/clock.js";
-import { splitAddress } from "../../util/socketAddress.js";
+import { hasPort, splitAddress } from "../../util/socketAddress.js";
 import { cancelOnAbort, cancelRequest } from "../cancelRequest.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
@@ -62,6 +62,10 @@
 
     /** Sends a call; resolves when the headers of the response have arrived, or with an error. */
     send(call: EndpointCall): Promise<EndpointCallResult> {
+        if (!hasPort(this.address)) {
+            const error = { sent: false, reason: `${this.address} has no port to connect to` };
+            return Promise.resolve({ kind: "error", error });
+        }
         return new Promise(resolve => {
             const { host, port } = splitAddress(this.address);
             const clientRequest = httpRequest({
--- a/src/util/socketAddress.ts
+++ b/src/util/socketAddress.ts
@@ -19,8 +19,13 @@
 
 /** Whether an address is an IP address and a port, so that an attempt to connect to it cannot throw. */
 export function isSocketAddress(address: string): boolean {
-    const { host, port } = splitAddress(address);
-    return isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port <= maximumPort;
+    return isIP(splitAddress(address).host) !== 0 && hasPort(address);
+}
+
+/** Whether an address ends with a port to which a connection can be opened. */
+export function hasPort(address: string): boolean {
+    const { port } = splitAddress(address);
+    return Number.isInteger(port) && port > 0 && port <= maximumPort;
 }
 
 /** The address that a listening server is bound to, as `host:port`. */
