fix(connection): fail calls and probes to an address without a usable port

An entry of the own installation could end because of an endpoint with a port out of range: the task that asks endpoints for their load rejected, and nothing handled that.

Cause: node:http and node:net throw for such a port, which httpCall and probeListener passed on as a rejection.

Change: httpCall returns an error, probeListener says "unreachable".

Test: httpCall.test.ts, "fails without an exception", failed before.

--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from "../util/clock.js";
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
-import { splitAddress } from "../util/socketAddress.js";
+import { hasPort, splitAddress } from "../util/socketAddress.js";
 import { cancelOnAbort, cancelRequest } from "./cancelRequest.js";
 import { ResponseByteGuard } from "./responseByteGuard.js";
 
@@ -36,6 +36,9 @@
 
 /** Sends a request and buffers its response. An error is a human-readable reason. */
 export function httpCall(call: HttpCall): Promise<Result<HttpCallResponse, string>> {
+    if (!hasPort(call.address)) {
+        return Promise.resolve(Err(`${call.address} has no port to connect to`));
+    }
     return new Promise(resolve => {
         const clientRequest = httpRequest({
             ...splitAddress(call.address),
--- a/src/connection/probeListener.ts
+++ b/src/connection/probeListener.ts
@@ -1,6 +1,6 @@
 import { connect } from "node:net";
 import type { Milliseconds } from "../util/clock.js";
-import { splitAddress } from "../util/socketAddress.js";
+import { hasPort, splitAddress } from "../util/socketAddress.js";
 import type { OpenConnection } from "./hosted/endpointAgent.js";
 
 /** What an attempt to connect tells about an address; `unreachable`: neither accepted nor refused in time. */
@@ -12,6 +12,9 @@
     timeout: Milliseconds,
     openConnection: OpenConnection = connect,
 ): Promise<ListenerState> {
+    if (!hasPort(address)) {
+        return Promise.resolve("unreachable");
+    }
     return new Promise(resolve => {
         const socket = openConnection(splitAddress(address));
         const finish = (state: ListenerState): void => {
--- a/tests/connection/httpCall.test.ts
+++ b/tests/connection/httpCall.test.ts
@@ -1,11 +1,19 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { httpCall } from "../../src/connection/httpCall.js";
+import { probeListener } from "../../src/connection/probeListener.js";
 import { DisposableStore } from "../../src/util/disposableStore.js";
 import { describe, it } from "../describe.js";
 import { EndlessEndpoint } from "./endlessEndpoint.js";
 import { stalledBodyBytes, StalledEndpoint } from "./stalledEndpoint.js";
 
 describe("httpCall", () => {
+    // Guards against tasks, and with them processes, that end because a list names an address without a usable port.
+    it("fails without an exception if the address has no port to connect to", async t => {
+        const address = "127.0.0.1:99999";
+        t.true((await httpCall({ address, method: "GET", path: "/", timeout: 1_000 })).err);
+        t.is(await probeListener(address, 1_000), "unreachable");
+    });
+
     for (const cancellation of ["timeout", "signal"]) {
         // Guards against orders that a server receives after the caller has given them up and told so.
         it(`withdraws what the server has not received (${cancellation})`, async t => {
