test(hosted): check the end of bodies without a length that other entries relay

A long body without a length on a detour is sent in chunks and looks complete only if its endpoint ended it in order.

--- a/tests/process/hosted/relayedCall.test.ts
+++ b/tests/process/hosted/relayedCall.test.ts
@@ -6,6 +6,8 @@
 import { relayHeaderNames } from "../../../src/connection/hosted/relayHeaders.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen, splitAddress } from "../../../src/util/socketAddress.js";
+import { formatRequest } from "../../connection/leavingCaller.js";
+import { bodyOf, isChunked, looksComplete, sendRaw } from "../../connection/rawCaller.js";
 import { describe, itSerially } from "../../describe.js";
 import { documentOf } from "../../platform/testDocument.js";
 import { CuttableNetwork } from "./cuttableNetwork.js";
@@ -18,6 +20,9 @@
 /** Time within which an entry notices that it is cut off, in milliseconds. */
 const noticeTime = 3_000;
 
+/** Longer than the part of a body that an entry buffers before it forwards any. */
+const longBody = "x".repeat(100_000);
+
 const document = documentOf(3, {
     routes: ["safe", "unsafe"].map(kind => ({
         "name": kind,
@@ -191,6 +196,36 @@
         t.is((await send(entry, "/unsafe/a", { "api-key": "unknown" })).status, 401);
     });
 
+    // Guards against a body on a detour whose end does not show whether it is complete.
+    itSerially("shows the end of a body without a length only if the endpoint ended it in order", async t => {
+        await using store = new DisposableStore();
+        const [cut, entry] = await CutInstallation.start(store, 90, ({ headers, response }) => {
+            if (!String(headers["gullhall-attempt-id"]).startsWith("long")) {
+                response.end("answer");
+                return;
+            }
+            response.shouldKeepAlive = false;
+            response.removeHeader("transfer-encoding");
+            response.write(longBody, () => {
+                if (headers["gullhall-attempt-id"] === "long-whole") {
+                    response.end();
+                }
+                else {
+                    setTimeout(() => response.socket?.resetAndDestroy(), 100);
+                }
+            });
+        });
+        for (const ending of ["whole", "broken"]) {
+            const headers = { "host": "calls.example", "api-key": "key-1", "gullhall-attempt-id": `long-${ending}` };
+            const response = await sendRaw(entry, formatRequest("POST", "/unsafe/a", headers), 2_000);
+            t.regex(response.head, /^HTTP\/1\.1 200 /);
+            t.true(isChunked(response));
+            t.is(bodyOf(response).length, longBody.length);
+            t.is(looksComplete(response), ending === "whole");
+        }
+        t.is(cut.received.length, 2);
+    });
+
     // Guards against work at endpoints for callers that left while their call was on a detour.
     itSerially("is cancelled at the endpoint when its caller leaves", async t => {
         await using store = new DisposableStore();
