fix(replicatedLog): count a new member's silence from its admission

Cause: the time since the last contact with a member that never responded counted from the leader's election.

Change: it counts from the creation of the link, if that is later.

Test: openGroup.test.ts, "admits a member that responds slowly once", failed before (10 entries instead of 8).

--- a/src/process/replicatedLog/leadership.ts
+++ b/src/process/replicatedLog/leadership.ts
@@ -42,6 +42,8 @@
     private readonly writer: ProposalWriter;
     private readonly admission: MemberAdmission;
     private readonly links = new Map<string, FollowerLink>();
+    /** When the link to each member was created. */
+    private readonly linkedAt = new Map<string, Milliseconds>();
     private readonly logChanged = new ConditionVariable();
     private readonly ended = new AbortController();
     /** Position of the no-op entry that starts the term (Raft dissertation §6.4). */
@@ -128,9 +130,13 @@
         return this.lease.permitsCall(this.replica.membership, now, callDuration);
     }
 
-    /** Time since the last contact with a member; 0 for the leader itself. */
+    /** Time since the last contact with a member, or since it was admitted if that was later; 0 for the leader itself. */
     silenceOf(memberId: string, now: Milliseconds): Milliseconds {
-        return memberId === this.replica.memberId ? 0 : this.lease.timeSinceContact(memberId, now);
+        if (memberId === this.replica.memberId) {
+            return 0;
+        }
+        const timeSinceAdmission = now - (this.linkedAt.get(memberId) ?? now);
+        return Math.min(timeSinceAdmission, this.lease.timeSinceContact(memberId, now));
     }
 
     /** Accepts a request to join; false if its address is not expected. */
@@ -212,7 +218,7 @@
         let leaseReported = false;
         while (!this.ended.signal.aborted) {
             const now = this.clock.now();
-            this.reconcileLinks();
+            this.reconcileLinks(now);
             if (!this.lease.hasRecentQuorumContact(this.replica.membership, now)) {
                 this.replica.resetElectionTimeout(now);
                 this.replica.becomeFollower(undefined, "no quorum responds");
@@ -227,12 +233,13 @@
         }
     }
 
-    private reconcileLinks(): void {
+    private reconcileLinks(now: Milliseconds): void {
         const { members } = this.replica.membership;
         for (const [memberId, link] of this.links) {
             if (!members.some(member => member.memberId === memberId)) {
                 link.end();
                 this.links.delete(memberId);
+                this.linkedAt.delete(memberId);
             }
         }
         for (const member of members) {
@@ -251,6 +258,7 @@
                     member,
                 );
                 this.links.set(member.memberId, link);
+                this.linkedAt.set(member.memberId, now);
                 void link.run();
             }
         }
--- a/tests/process/replicatedLog/openGroup.test.ts
+++ b/tests/process/replicatedLog/openGroup.test.ts
@@ -14,6 +14,9 @@
 /** Virtual time after which a VM that is back no longer counts as lost. */
 const catchUpMilliseconds = 4000;
 
+/** One-way delay with which a response takes longer than the interval at which the leader checks its members. */
+const slowLinkMilliseconds = 80;
+
 /** Starts a group that bears the loss of one VM in the first slots of a cluster. */
 async function startGroup(size: number, started: number, seed: number): Promise<VirtualCluster> {
     const toleratedLosses = { vms: 1, fraction: 0 };
@@ -174,6 +177,19 @@
         }
     });
 
+    // Guards against new members that are removed again before they could respond, because their leader has led for long.
+    it("admits a member that responds slowly once, long after the election", async t => {
+        const cluster = await startGroup(6, 5, 95);
+        cluster.links.minimumDelayMilliseconds = slowLinkMilliseconds;
+        await cluster.run(departureMilliseconds);
+        const position = (): number => cluster.members[cluster.leaderSlot ?? 0]?.log?.status().lastPosition ?? 0;
+        const before = position();
+        await startSlots(cluster, 5, 6);
+        t.is(voterSlots(cluster).length, 6);
+        t.is(position(), before + ["addLearner", "promote"].length);
+        t.deepEqual(cluster.violations, []);
+    });
+
     // Guards against a group that does not come back after all of its members lost power at the same moment.
     it("comes back after all members lost power, also while voters are being removed", async t => {
         for (let seed = 51; seed <= 60; seed++) {
