fix(hosted): wait at the start for a settings file that is being written

An entry ended with GH1000 ("Unexpected end of JSON input") when it was restarted at the moment at which its settings file was written anew.

Cause: the settings were read once at the start; only later changes were allowed to be incomplete.

Change: a process that starts reads the file again each 0.1 s for up to 2 s while it is invalid. The soak reports an entry that refuses connections after the faults as a finding instead of ending.

--- a/src/bin/runHosted.ts
+++ b/src/bin/runHosted.ts
@@ -38,7 +38,7 @@
         });
     });
     const settingsFile = new SettingsFile(process.env[settingsVariable] ?? "");
-    const loadError = await settingsFile.load();
+    const loadError = await settingsFile.loadAtStart(clock);
     if (loadError !== undefined) {
         const unreadable = failure("settingsUnreadable", { file: `$${settingsVariable}`, reason: loadError });
         process.stderr.write(`${formatFailure(unreadable)}\n`);
--- a/src/process/hosted/settingsFile.ts
+++ b/src/process/hosted/settingsFile.ts
@@ -7,6 +7,12 @@
 /** Polling interval; the file may change without a signal to the process. */
 const pollInterval: Milliseconds = 1_000;
 
+/** Time for which a process that starts waits for valid settings: the file may be written at the same moment. */
+const maximumStartDelay: Milliseconds = 2_000;
+
+/** Interval between two attempts to read the file at the start. */
+const startRetryInterval: Milliseconds = 100;
+
 /** The settings file of a hosted process; if a new version is invalid, the previous settings remain in force. */
 export class SettingsFile {
     private text = "";
@@ -38,6 +44,17 @@
         return undefined;
     }
 
+    /** Reads the file at the start of the process, again for a time while it is invalid; returns the last reason if so. */
+    async loadAtStart(clock: Clock): Promise<string | undefined> {
+        const startedAt = clock.now();
+        let invalidReason = await this.load();
+        while (invalidReason !== undefined && clock.now() - startedAt < maximumStartDelay) {
+            await clock.sleep(startRetryInterval);
+            invalidReason = await this.load();
+        }
+        return invalidReason;
+    }
+
     /** Polls the file and reloads it whenever it changes, until the signal is aborted. */
     async watch(clock: Clock, eventLog: EventLog, onChange: () => void, signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
--- a/tests/process/hosted/settingsFile.test.ts
+++ b/tests/process/hosted/settingsFile.test.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import { SettingsFile } from "../../../src/process/hosted/settingsFile.js";
+import { SystemClock } from "../../../src/util/clock.js";
 import { describe, it } from "../../describe.js";
 
 const eventLog = new EventLog("vm", "hidden");
@@ -21,6 +22,20 @@
 }
 
 describe("settings file", () => {
+    // Guards against a process that ends because its settings are written while it starts.
+    it("is read again at the start while it is incomplete", async t => {
+        const folder = await mkdtemp(join(tmpdir(), "gullhall-settings-"));
+        const path = join(folder, "local.json");
+        const text = textOf(["10.0.0.2:80"]);
+        await writeFile(path, text.slice(0, text.length / 2));
+        const file = new SettingsFile(path);
+        const loaded = file.loadAtStart(new SystemClock());
+        await writeFile(path, text);
+        t.is(await loaded, undefined);
+        t.deepEqual(file.current.seedOperatorAddresses, ["10.0.0.2:80"]);
+        await rm(folder, { recursive: true });
+    });
+
     it("is reloaded when it changes, and keeps the previous settings if the change is invalid", async t => {
         const folder = await mkdtemp(join(tmpdir(), "gullhall-settings-"));
         const path = join(folder, "local.json");
--- a/tests/soak/failedSeeds.ts
+++ b/tests/soak/failedSeeds.ts
@@ -24,4 +24,11 @@
         faultPeriod: 18_000,
         cause: "a heartbeat committed a log entry just before its write failed on a full disk, and the member halted",
     },
+    {
+        seed: 15_037,
+        size: defaultSize,
+        callers: 12,
+        faultPeriod: 20_000,
+        cause: "an entry that started while its settings file was being written ended, and was not started again",
+    },
 ];
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -242,7 +242,15 @@
         for (const entry of entries) {
             entry.pause();
             for (let call = 0; call < abandonedCallCount; call++) {
-                ids.push(await this.callers.abandonCall(entry, "repeatable", this.operator.validKey));
+                await this.callers.abandonCall(entry, "repeatable", this.operator.validKey).then(
+                    id => ids.push(id),
+                    (error: unknown) => {
+                        this.findings.add(
+                            "entries accept connections after the faults",
+                            `${entry.name}: ${String(error)}`,
+                        );
+                    },
+                );
             }
             entry.resume();
         }
