--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -247,7 +247,7 @@
                     (error: unknown) => {
                         this.findings.add(
                             "entries accept connections after the faults",
-                            `${entry.name}: ${String(error)}`,
+                            `entry ${entry.vmNumber}: ${String(error)}`,
                         );
                     },
                 );
