fix(replicatedLog): commit only what the member's own disk holds

Changes were refused or stayed unanswered for good after the disks of control VMs had been full for seconds, one after another (reported by operators of a similar system).

Cause: a leader's entries are in its log while they are being written, and its commit position followed the disks of any majority, which need not include its own. When its disk then refused the write, the entries were rolled back and the commit position was not. The next leader's append looked like a change of a committed entry: logDiverged, the member halts until a restart. Each series of full disks could take one more member.

--- a/src/process/replicatedLog/appendHandler.ts
+++ b/src/process/replicatedLog/appendHandler.ts
@@ -18,8 +18,7 @@
         replica.acknowledged.record(request.term, request.acknowledged);
         this.haltIfOutdated();
         if (replica.log.termAt(request.commitPosition) === request.commitTerm) {
-            // Only durable entries: those being written are already in the log, but are rolled back if the write fails.
-            replica.commit(Math.min(request.commitPosition, replica.log.durablePosition));
+            replica.commit(request.commitPosition);
         }
         return { kind: "heartbeat", term: request.term, accepted: true };
     }
--- a/src/process/replicatedLog/replica.ts
+++ b/src/process/replicatedLog/replica.ts
@@ -210,9 +210,12 @@
         return this.options.votes.term === this.currentTerm || this.saveVote(undefined);
     }
 
-    /** Advances the commit position; lower positions are ignored. */
+    /**
+     * Advances the commit position, at most to the last entry that this member's own disk holds: entries that are still
+     * being written are in the log, but are rolled back if the write fails. Lower positions are ignored.
+     */
     commit(position: number): void {
-        const newPosition = Math.min(position, this.log.lastPosition);
+        const newPosition = Math.min(position, this.log.durablePosition);
         if (newPosition > this.committedPosition) {
             this.committedPosition = newPosition;
             this.committed.notifyAll();
--- a/tests/process/replicatedLog/memoryLogStorage.ts
+++ b/tests/process/replicatedLog/memoryLogStorage.ts
@@ -12,6 +12,8 @@
     full = false;
     /** Whether operations never complete. */
     stalled = false;
+    /** Minimum duration of an operation, in milliseconds. */
+    minimumLatency = 0;
     /** Applies a fraction of the running operation, as a crash may. */
     private applyPartially: ((fraction: number) => void) | undefined;
 
--- a/tests/process/replicatedLog/virtualCluster.ts
+++ b/tests/process/replicatedLog/virtualCluster.ts
@@ -60,7 +60,8 @@
         }
         const maximumLatencyMilliseconds = this.random.float() < 0.02 ? 200 : 2;
         await new Promise<void>(resolve => {
-            this.time.schedule(this.random.float() * maximumLatencyMilliseconds, () => {
+            const latencyMilliseconds = this.disk.minimumLatency + this.random.float() * maximumLatencyMilliseconds;
+            this.time.schedule(latencyMilliseconds, () => {
                 if (this.process.alive && !this.disk.stalled) {
                     complete();
                     this.process.run(resolve);
@@ -209,6 +210,14 @@
         }
     }
 
+    /** Sets the minimum duration of an operation of a disk. */
+    setMinimumLatency(slot: number, milliseconds: number): void {
+        const disk = this.disks[slot];
+        if (disk !== undefined) {
+            disk.minimumLatency = milliseconds;
+        }
+    }
+
     /** Sets whether a disk is stalled; operations that are running then never complete. */
     setStalled(slot: number, stalled: boolean): void {
         const disk = this.disks[slot];
