fix(replicatedLog): change the leader while its disk does not complete a write

A leader whose disk stalls writes nothing, but its heartbeats keep the others from electing another one: changes waited for that disk, though a majority of disks could write. Since a member commits only what its own disk holds, that begins with the first change.

--- a/src/process/replicatedLog/leadership.ts
+++ b/src/process/replicatedLog/leadership.ts
@@ -63,7 +63,7 @@
             options.admitsUnlisted === true,
             options.toleratedLosses,
         );
-        this.writer = new ProposalWriter(this.replica, this.term, () => {
+        this.writer = new ProposalWriter(this.replica, this.clock, this.term, () => {
             this.advanceCommitPosition();
         });
     }
@@ -224,6 +224,11 @@
                 this.replica.becomeFollower(undefined, "no quorum responds");
                 return;
             }
+            if (this.writer.writingTime(now) > this.replica.timing.appendTimeout) {
+                this.replica.resetElectionTimeout(now);
+                this.replica.becomeFollower(undefined, "the own disk does not complete a write");
+                return;
+            }
             if (!leaseReported && this.permitsCall(now, 0)) {
                 leaseReported = true;
                 this.replica.events.write("leaseObtained", { group: this.replica.group, term: this.term });
--- a/src/process/replicatedLog/proposalWriter.ts
+++ b/src/process/replicatedLog/proposalWriter.ts
@@ -1,5 +1,6 @@
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
 import { ConditionVariable } from "../../util/conditionVariable.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
@@ -31,6 +32,8 @@
 export class ProposalWriter {
     private queue: Proposal[] = [];
     private readonly proposalQueued = new ConditionVariable();
+    /** When the batch that is being written was handed to the disk; undefined while none is. */
+    private writingSince: Milliseconds | undefined;
 
     /**
      * @param term Term of the leadership.
@@ -38,10 +41,16 @@
      */
     constructor(
         private readonly replica: Replica,
+        private readonly clock: Clock,
         private readonly term: number,
         private readonly onAppended: () => void,
     ) {}
 
+    /** Time for which the own disk has been writing the current batch; 0 while it writes none. */
+    writingTime(now: Milliseconds): Milliseconds {
+        return this.writingSince === undefined ? 0 : now - this.writingSince;
+    }
+
     /** Queues a proposal. */
     propose(content: EntryContent, onAssigned: AssignmentListener): void {
         if (this.queue.length >= maximumQueuedProposals) {
@@ -77,9 +86,11 @@
             return;
         }
         const entries = this.takeBatch();
+        this.writingSince = this.clock.now();
         const appending = replica.log.append(entries);
         this.onAppended();
         const appended = await appending;
+        this.writingSince = undefined;
         if (appended.err) {
             replica.handleStorageFailure(appended.val);
             replica.becomeFollower(undefined, "writing entries to the log failed");
--- a/tests/process/replicatedLog/fullDisks.test.ts
+++ b/tests/process/replicatedLog/fullDisks.test.ts
@@ -4,6 +4,9 @@
 /** Virtual time in which a group forms, elects a leader and catches up. */
 const settlingMilliseconds = 6_000;
 
+/** Virtual time within which a change that a quorum can write is acknowledged. */
+const acknowledgementMilliseconds = 4_000;
+
 /** Virtual time between two proposals. */
 const proposalInterval = 500;
 
@@ -66,6 +69,21 @@
         }
     });
 
+    // Guards against changes that wait for the disk of one leader while a majority of the disks can write.
+    it("changes its leader when the leader's disk does not complete a write", async t => {
+        for (const seed of seedsFrom(410, 5)) {
+            const cluster = await startCluster(3, seed);
+            const leader = cluster.leaderSlot ?? 0;
+            cluster.setMinimumLatency(leader, 20_000);
+            cluster.propose(leader);
+            await cluster.run(acknowledgementMilliseconds);
+            t.is(await proposeFor(cluster, 3 * proposalInterval), 3, `seed ${seed}`);
+            cluster.setMinimumLatency(leader, 0);
+            await cluster.run(20_000 + settlingMilliseconds);
+            t.deepEqual([cluster.violations, cluster.hasConverged], [[], true], `seed ${seed}`);
+        }
+    });
+
     for (const { size, fullFor, pause, seeds } of series) {
         // Guards against members that stay halted after their disks were full, until the group lacks a quorum.
         it(`commits again after ${size} disks were full in turn, ${fullFor} ms each, ${pause} ms apart`, async t => {
