fix(replicatedLog): go on after a full disk, whichever operation reported it

A member halted until its next restart when a sync, a rename or a truncation reported that the disk was full, as file systems with delayed allocation do; only the write itself was expected to. Several disks that were full in turn took the quorum with them, although every disk had room again.

Cause: FileLogStorage took every failure behind the write for an unknown state. The class: an operation that can be undone or completed is given up as unknown.

A write whose bytes or sync were refused is truncated to the durable length, and a rename, a removal or a truncation is made durable, before the operation ends; both are repeated while the disk is full. Errors of other kinds still halt.

--- a/src/process/replicatedLog/fileLogStorage.ts
+++ b/src/process/replicatedLog/fileLogStorage.ts
@@ -1,8 +1,10 @@
 import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
 import { dirname, join, resolve } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Failure } from "../../resultCode/resultCode.js";
 import { failure } from "../../resultCode/resultCode.js";
+import type { Milliseconds } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
 import { LogStorage } from "./logStorage.js";
@@ -10,27 +12,48 @@
 /** Suffix of a file that is still being written; such files are ignored and overwritten. */
 const temporarySuffix = ".tmp";
 
+/** Time between two attempts to bring files into a known state on a full disk. */
+const fullDiskRetryInterval: Milliseconds = 50;
+
+/** Error codes of operations that failed because no space is left. */
+const fullDiskCodes: readonly string[] = ["ENOSPC", "EDQUOT", "EFBIG"];
+
+/** The operations of the file system that modify files or make them durable. */
+export interface FileSystem {
+    readonly open: typeof open;
+    readonly rename: typeof rename;
+    readonly rm: typeof rm;
+}
+
 /** A file that is open for appending, and its durable length in bytes. */
 interface OpenFile {
     readonly handle: FileHandle;
     readonly bytes: number;
 }
 
-/** Stores the files in one folder of the local file system. */
+/**
+ * Stores the files in one folder of the local file system.
+ *
+ * Any operation may report that the disk is full, also one that writes nothing: file systems with delayed allocation
+ * report it at the sync. An operation that has changed files by then ends only when they are in a known state again.
+ */
 export class FileLogStorage extends LogStorage {
     private readonly openFiles = new Map<string, OpenFile>();
 
-    private constructor(private readonly folder: string) {
+    private constructor(private readonly folder: string, private readonly fileSystem: FileSystem) {
         super();
     }
 
     /** Opens a folder, creating it durably if it does not exist. */
-    static async open(folder: string): Promise<Result<FileLogStorage, Failure>> {
+    static async open(
+        folder: string,
+        fileSystem: FileSystem = { open, rename, rm },
+    ): Promise<Result<FileLogStorage, Failure>> {
         return toResult("open", folder, async () => {
             const path = resolve(folder);
             const firstCreated = await mkdir(path, { recursive: true, mode: 0o700 });
-            await syncParents(path, firstCreated ?? path);
-            return new FileLogStorage(path);
+            await syncParents(fileSystem, path, firstCreated ?? path);
+            return new FileLogStorage(path, fileSystem);
         });
     }
 
@@ -60,16 +83,14 @@
             await this.closeFile(name);
             const temporary = this.pathOf(name) + temporarySuffix;
             try {
-                await writeSynced(temporary, bytes);
+                await this.writeSynced(temporary, bytes);
+                await this.fileSystem.rename(temporary, this.pathOf(name));
             }
             catch (error) {
-                await rm(temporary, { force: true });
+                await this.fileSystem.rm(temporary, { force: true }).catch(() => undefined);
                 throw error;
             }
-            await uncertainOnError(async () => {
-                await rename(temporary, this.pathOf(name));
-                await syncFolder(this.folder);
-            });
+            await this.syncRenames();
         });
     }
 
@@ -78,15 +99,15 @@
             const file = await this.openFile(name);
             try {
                 await file.handle.appendFile(bytes);
+                await file.handle.datasync();
             }
             catch (error) {
-                await uncertainOnError(async () => {
+                await completeOnceWritable(async () => {
                     await file.handle.truncate(file.bytes);
                     await file.handle.sync();
                 });
                 throw error;
             }
-            await uncertainOnError(async () => file.handle.datasync());
             this.openFiles.set(name, { ...file, bytes: file.bytes + bytes.length });
         });
     }
@@ -94,8 +115,10 @@
     override async truncate(name: string, length: number): Promise<Result<void, Failure>> {
         return toResult("truncate", name, async () => {
             const { handle } = await this.openFile(name);
-            await handle.truncate(length);
-            await handle.sync();
+            await completeOnceWritable(async () => {
+                await handle.truncate(length);
+                await handle.sync();
+            });
             this.openFiles.set(name, { handle, bytes: length });
         });
     }
@@ -103,8 +126,8 @@
     override async remove(name: string): Promise<Result<void, Failure>> {
         return toResult("remove", name, async () => {
             await this.closeFile(name);
-            await rm(this.pathOf(name), { force: true });
-            await syncFolder(this.folder);
+            await this.fileSystem.rm(this.pathOf(name), { force: true });
+            await this.syncRenames();
         });
     }
 
@@ -114,6 +137,22 @@
         }
     }
 
+    private async writeSynced(path: string, bytes: Uint8Array): Promise<void> {
+        const handle = await this.fileSystem.open(path, "w");
+        try {
+            await handle.writeFile(bytes);
+            await handle.sync();
+        }
+        finally {
+            await handle.close();
+        }
+    }
+
+    /** Makes the names in the folder durable. */
+    private async syncRenames(): Promise<void> {
+        await completeOnceWritable(() => syncFolder(this.fileSystem, this.folder));
+    }
+
     private pathOf(name: string): string {
         return join(this.folder, name);
     }
@@ -123,7 +162,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const handle = await open(this.pathOf(name), "a");
+        const handle = await this.fileSystem.open(this.pathOf(name), "a");
         const file = { handle, bytes: (await handle.stat()).size };
         this.openFiles.set(name, file);
         return file;
@@ -139,40 +178,35 @@
 /** A failure that leaves the stored state unknown; reported as `storageFailed` even if its cause is a full disk. */
 class UncertainStateError extends Error {}
 
-/** Reports any error of the action as an {@link UncertainStateError}. */
-async function uncertainOnError(action: () => Promise<void>): Promise<void> {
-    try {
-        await action();
-    }
-    catch (error) {
-        throw new UncertainStateError(String(error));
-    }
-}
-
-async function writeSynced(path: string, bytes: Uint8Array): Promise<void> {
-    const handle = await open(path, "w");
-    try {
-        await handle.writeFile(bytes);
-        await handle.sync();
-    }
-    finally {
-        await handle.close();
+/** Repeats an action while the disk is full; any other error leaves the stored state unknown. */
+async function completeOnceWritable(action: () => Promise<void>): Promise<void> {
+    for (;;) {
+        try {
+            await action();
+            return;
+        }
+        catch (error) {
+            if (!isFullDiskError(error)) {
+                throw new UncertainStateError(String(error));
+            }
+            await sleep(fullDiskRetryInterval);
+        }
     }
 }
 
 /** Syncs each folder in which a folder was created, from the parent of `path` up to the parent of `firstCreated`. */
-async function syncParents(path: string, firstCreated: string): Promise<void> {
+async function syncParents(fileSystem: FileSystem, path: string, firstCreated: string): Promise<void> {
     const lastParent = dirname(firstCreated);
     for (let parent = dirname(path); parent.length >= lastParent.length; parent = dirname(parent)) {
-        await syncFolder(parent);
+        await syncFolder(fileSystem, parent);
         if (parent === dirname(parent)) {
             return;
         }
     }
 }
 
-async function syncFolder(folder: string): Promise<void> {
-    const handle = await open(folder, "r");
+async function syncFolder(fileSystem: FileSystem, folder: string): Promise<void> {
+    const handle = await fileSystem.open(folder, "r");
     try {
         await handle.sync();
     }
@@ -181,6 +215,10 @@
     }
 }
 
+function isFullDiskError(error: unknown): boolean {
+    return fullDiskCodes.includes(errorCodeOf(error) ?? "");
+}
+
 function errorCodeOf(error: unknown): string | undefined {
     return error instanceof Error && "code" in error ? String(error.code) : undefined;
 }
@@ -191,7 +229,12 @@
         return Ok(await action());
     }
     catch (error) {
-        const full = ["ENOSPC", "EDQUOT", "EFBIG"].includes(errorCodeOf(error) ?? "");
-        return Err(failure(full ? "storageFull" : "storageFailed", { operation, name, reason: String(error) }));
+        return Err(
+            failure(isFullDiskError(error) ? "storageFull" : "storageFailed", {
+                operation,
+                name,
+                reason: String(error),
+            }),
+        );
     }
 }
