fix(replicatedLog): keep log and segments in step when a full disk refuses removals

The member could not open its log again (logIncomplete).

Once the new segment is written the earlier ones have no effect; they are left to the next compaction.

Before: 'keeps log and files in step ...' failed. After: it passes, with all of tests/process/replicatedLog.

--- a/src/process/replicatedLog/logSegments.ts
+++ b/src/process/replicatedLog/logSegments.ts
@@ -151,19 +151,21 @@
         return Ok(this.segments[0]?.base);
     }
 
-    /** Replaces all segments with an empty one that starts after a snapshot. */
+    /**
+     * Replaces all segments with an empty one that starts after a snapshot.
+     *
+     * Once that one is written, earlier segments have no effect; those that a full disk keeps from being removed are
+     * removed by {@link removeUpTo}.
+     */
     async restart(base: LogBase): Promise<Result<void, Failure>> {
         const started = await this.start(base, true);
-        if (started.err) {
-            return started;
-        }
-        while (this.segments.length > 1) {
+        while (started.ok && this.segments.length > 1) {
             const removed = await this.removeFirst();
             if (removed.err) {
-                return removed;
+                return removed.val.code === "storageFull" ? started : removed;
             }
         }
-        return Ok(undefined);
+        return started;
     }
 
     private async removeFirst(): Promise<Result<void, Failure>> {
--- a/tests/process/replicatedLog/fileLogStorage.test.ts
+++ b/tests/process/replicatedLog/fileLogStorage.test.ts
@@ -1,8 +1,10 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { DurableLog } from "../../../src/process/replicatedLog/durableLog.js";
 import { FileLogStorage } from "../../../src/process/replicatedLog/fileLogStorage.js";
 import type { LogStorage } from "../../../src/process/replicatedLog/logStorage.js";
+import { emptyMembership } from "../../../src/process/replicatedLog/membership.js";
 import type { Failure } from "../../../src/resultCode/resultCode.js";
 import type { Result } from "../../../src/util/result.js";
 import { describe, it } from "../../describe.js";
@@ -60,4 +62,25 @@
             }
         }
     }
+
+    // Guards against a snapshot that is installed on disk but not in memory, so that later entries go to the wrong file.
+    it("keeps log and files in step when old segments cannot be removed after a snapshot was installed", async t => {
+        const folder = await mkdtemp(join(tmpdir(), "gullhall-storage-"));
+        t.teardown(() => rm(folder, { recursive: true }));
+        const fileSystem = new FaultyFileSystem("rm", false);
+        const storage = (await FileLogStorage.open(folder, fileSystem)).unwrap();
+        const files = { storage, identity: { cluster: "test", memberId: "me" }, group: "main" };
+        const log = (await DurableLog.open(files, true)).unwrap();
+        (await log.append([{ kind: "noOp", position: 1, term: 1 }])).unwrap();
+        fileSystem.remainingFailures = 1;
+        await log.install({ position: 10, term: 2, membership: emptyMembership, state: new Uint8Array() });
+        const next = log.lastPosition + 1;
+        (await log.append([{ kind: "noOp", position: next, term: 2 }])).unwrap();
+        await storage.close();
+        const reopened = await DurableLog.open(
+            { ...files, storage: (await FileLogStorage.open(folder)).unwrap() },
+            false,
+        );
+        t.is(reopened.unwrap().lastPosition, next);
+    });
 });
