--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -50,6 +50,7 @@
     readonly clock = new SystemClock();
     readonly context: CallContext;
     callerAddress = "";
+    private areEndpointsReachable = true;
 
     private constructor(eventLog: EventLog, grantSource: GrantSource) {
         const { clock, store } = this;
@@ -83,9 +84,9 @@
                 clock,
                 eventLog,
                 random,
-                addresses: () => [],
+                addresses: () => ["127.0.0.1:1", "127.0.0.1:2"],
                 activeEndpoints: () => ({ count: 0, silent: 0 }),
-                probe: () => Promise.resolve("listening"),
+                probe: () => Promise.resolve(this.areEndpointsReachable ? "listening" : "refused"),
             }),
             relays: store.add(new RelayDirectory(random)),
             streamOrigins: new StreamOrigins({
@@ -129,6 +130,12 @@
         this.context.view.recordConfirmation(this.clock.now(), version);
     }
 
+    /** Makes the server notice that it is cut off from all endpoints, or that it reaches them again. */
+    async setCutOff(isCutOff: boolean): Promise<void> {
+        this.areEndpointsReachable = !isCutOff;
+        await this.context.reachability.verify();
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         await this.store.dispose();
     }
