feat(logEvent): log what another entry made of a call that was sent through it

2465 callAnswered reported a refusal of another entry as an answer, and the other entry logged nothing when it rejected a token. 2476 at the asking entry and 2477 at the other one name the entry, the code and the version by which it judged, so that the hypotheses of docs/incidents/relay-refusals-forwarded.md can be told apart. No change of what callers get.

--- a/src/connection/hosted/relayServer.ts
+++ b/src/connection/hosted/relayServer.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { failure } from "../../resultCode/resultCode.js";
+import type { ResultCode } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { listen } from "../../util/socketAddress.js";
 import { sendFailure } from "../httpResponse.js";
@@ -26,9 +27,13 @@
     private readonly server: Server;
     private runningCalls = 0;
 
-    /** @param serve Handles a call; called only for those with the token. */
+    /**
+     * @param serve Handles a call; called only for those with the token.
+     * @param onRejected Called when a call is rejected before it is handled.
+     */
     constructor(
         private readonly serve: (request: IncomingMessage, response: ServerResponse, call: RelayedCall) => void,
+        private readonly onRejected: (request: IncomingMessage, code: ResultCode) => void,
     ) {
         this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true }, (request, response) => {
             this.accept(request, response);
@@ -51,13 +56,11 @@
         response.sendDate = false;
         const call = readRelayedCall(request.headers);
         if (call === undefined || !this.isAuthorized(request)) {
-            request.resume();
-            sendFailure(response, failure("relayForbidden"));
+            this.reject(request, response, "relayForbidden");
             return;
         }
         if (this.runningCalls >= maximumRelayedCalls) {
-            request.resume();
-            sendFailure(response, failure(call.executions > 0 ? "callOutcomeUnknown" : "endpointsBusy"));
+            this.reject(request, response, call.executions > 0 ? "callOutcomeUnknown" : "endpointsBusy");
             return;
         }
         this.runningCalls++;
@@ -67,6 +70,12 @@
         this.serve(request, response, call);
     }
 
+    private reject(request: IncomingMessage, response: ServerResponse, code: ResultCode): void {
+        request.resume();
+        this.onRejected(request, code);
+        sendFailure(response, failure(code));
+    }
+
     private isAuthorized({ headers }: IncomingMessage): boolean {
         const token = Buffer.from(String(headers[relayHeaderNames.token] ?? ""));
         const expected = Buffer.from(this.token);
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -247,7 +247,19 @@
         number: 2471,
         level: "info",
         text: "A call was sent through another entry.",
-        fields: ["requestId", "attempt", "entry"],
+        fields: ["requestId", "attempt", "entry", "version", "lastEventId"],
+    },
+    relayAttemptFailed: {
+        number: 2476,
+        level: "warn",
+        text: "Another entry did not complete a call that was sent through it.",
+        fields: ["requestId", "attempt", "entry", "outcome", "code", "status", "version", "elapsed"],
+    },
+    relayedCallRejected: {
+        number: 2477,
+        level: "warn",
+        text: "A call of another entry was rejected before it was read.",
+        fields: ["requestId", "code", "version"],
     },
     endpointRests: {
         number: 2473,
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { readCallTraits } from "../../../../platform/callHeaders.js";
 import { servedCalls } from "../../../../platform/servedCalls.js";
 import { abortResponse } from "../../../connection/abortResponse.js";
 import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
@@ -142,6 +143,9 @@
         this.relayServer = this.disposables.add(
             new RelayServer((request, response, call) => {
                 this.serve(request, response, call);
+            }, (request, code) => {
+                const requestId = readCallTraits(request.headers).callId;
+                eventLog.write("relayedCallRejected", { requestId, code, version: this.view.version });
             }),
         );
         this.controlLinks = new ControlLinks(
--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { readEntryFailure } from "../../connection/hosted/relayedResponse.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { waitForSocketPoll } from "../../util/waitForSocketPoll.js";
@@ -6,7 +7,7 @@
 import type { CallerResponse } from "./callerResponse.js";
 import type { CallTraits } from "./callTraits.js";
 import { RelayAttempt } from "./relayAttempt.js";
-import type { RelayedFailure } from "./relayAttempt.js";
+import type { RelayedFailure, RelayOutcome } from "./relayAttempt.js";
 
 /** Maximum number of other entries that one call is sent to. */
 const maximumRelays = 2;
@@ -64,7 +65,10 @@
                 requestId: traits.callId,
                 attempt: tried.size,
                 entry: relay.entry,
+                version: call.version,
+                lastEventId: callerResponse.lastEventId,
             });
+            const sentAt = context.clock.now();
             this.attempt = new RelayAttempt({
                 call,
                 request,
@@ -76,6 +80,11 @@
             const outcome = await context.relays.countWhile(relay, this.attempt.run());
             this.attempt = undefined;
             await waitForSocketPoll();
+            this.logOutcome(outcome, call, {
+                attempt: tried.size,
+                entry: relay.entry,
+                elapsed: context.clock.now() - sentAt,
+            });
             if (outcome.kind === "delivered" || callerResponse.hasCallerDisconnected()) {
                 return true;
             }
@@ -95,6 +104,33 @@
         return refusal !== undefined;
     }
 
+    private logOutcome(
+        outcome: RelayOutcome,
+        { version }: AdmittedCall,
+        { attempt, entry, elapsed }: {
+            readonly attempt: number;
+            readonly entry: string;
+            readonly elapsed: Milliseconds;
+        },
+    ): void {
+        const { callerResponse, context, traits } = this.input;
+        if (outcome.kind === "delivered" || callerResponse.hasCallerDisconnected()) {
+            return;
+        }
+        const failed = outcome.kind === "failed" ? outcome.failure : undefined;
+        const received = outcome.kind === "notRun" ? outcome.refusal : failed;
+        context.eventLog.write("relayAttemptFailed", {
+            requestId: traits.callId,
+            attempt,
+            entry,
+            outcome: outcome.kind,
+            code: received && readEntryFailure(received.message, received.body, false),
+            status: received?.message.statusCode,
+            version,
+            elapsed: Math.round(elapsed),
+        });
+    }
+
     private forward({ message, body }: RelayedFailure, attempts: number): void {
         this.input.callerResponse.forwardBuffered(message, body, attempts, "");
     }
