fix(request): tell refusals of another entry from answers, and judge a relayed call by one version

Cause: an entry that relays a call answers the entry that asked in the same form as a caller. Whatever was not 503 was forwarded as if it were the answer to the call: that a token had lapsed because the other entry had restarted (GH1626), or that the other entry's configuration knows neither route nor key. The class: a message between our processes taken for a message to a caller.

Change: a response to a relayed call states whether it is the entry's own or an endpoint's; own ones of earlier builds are known by their form. A refusal leads to the next entry, or to 503 with Retry-After (GH1627). A lapsed token is not used again. The asking entry states the version that admitted the call: the other one waits for it, and refuses with a newer one (GH1628), upon which the call is admitted by that and sent again. Headers of this protocol are sent only to entries that state a version, and pass through entries of the build before without reaching an endpoint.

--- a/src/connection/hosted/relayHeaders.ts
+++ b/src/connection/hosted/relayHeaders.ts
@@ -1,6 +1,8 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { z } from "zod";
+import type { StreamOrigin } from "../../process/hosted/streamOrigin.js";
 
-/** Names of the headers between entries, in lower case; no entry forwards them to an endpoint. */
+/** Names of the headers between entries, in lower case; no entry forwards them to an endpoint or a caller. */
 export const relayHeaderNames = {
     /** Token of the entry that is asked, which only entries of the installation know. */
     token: "gullhall-relay-token",
@@ -8,20 +10,53 @@
     team: "gullhall-relay-team",
     /** Number of attempts in which the call may have run already. */
     executions: "gullhall-relay-executions",
+    /**
+     * In a request: version of the configuration by which the asking entry admitted the call; entries of earlier builds
+     * do not send it, and get none of the response headers. In a response: version at the entry that was asked.
+     */
+    version: "gullhall-relay-version",
+    /** What began the stream that a request continues, or that a response begins: percent-encoded JSON. */
+    origin: "gullhall-relay-origin",
+    /** In a response: whether it is one of the entry itself or of an endpoint, see {@link ResponseSource}. */
+    source: "gullhall-relay-source",
 } as const;
 
+/** Who a response to a relayed call is from. */
+export type ResponseSource = "entry" | "endpoint";
+
+/** Header by which a sender lists further hop-by-hop headers (RFC 9110, section 7.6.1). */
+const connectionHeader = "connection";
+
+const originSchema = z.object({ service: z.string(), softwareVersion: z.string() });
+
 /** A call that another entry has admitted, and that this entry sends to an endpoint for it. */
 export interface RelayedCall {
     /** Undefined for a call without a key. */
     readonly team: string | undefined;
     /** Number of attempts in which the call may have run already. */
     readonly executions: number;
+    /** Version of the configuration that admitted the call; undefined if the asking entry does not state it. */
+    readonly version: number | undefined;
+    /** What began the stream that the call continues; undefined if it begins one, or if that is not known. */
+    readonly origin: StreamOrigin | undefined;
 }
 
 /** Alternating names and values of the headers for a relayed call. */
-export function relayHeadersOf({ team, executions }: RelayedCall, token: string): readonly string[] {
-    const teamHeaders = team === undefined ? [] : [relayHeaderNames.team, encodeURIComponent(team)];
-    return [relayHeaderNames.token, token, relayHeaderNames.executions, String(executions), ...teamHeaders];
+export function relayHeadersOf(call: RelayedCall, token: string): readonly string[] {
+    const { team, executions, version, origin } = call;
+    const headers = [relayHeaderNames.token, token, relayHeaderNames.executions, String(executions)];
+    if (team !== undefined) {
+        headers.push(relayHeaderNames.team, encodeURIComponent(team));
+    }
+    if (version !== undefined) {
+        headers.push(relayHeaderNames.version, String(version));
+    }
+    if (origin !== undefined) {
+        headers.push(relayHeaderNames.origin, formatOrigin(origin));
+    }
+    // Entries of earlier builds do not know these two by themselves, and would forward them to the endpoint.
+    headers.push(connectionHeader, `keep-alive, ${relayHeaderNames.version}, ${relayHeaderNames.origin}`);
+    return headers;
 }
 
 /** Parses the headers of a relayed call; undefined if they are malformed. */
@@ -32,7 +67,35 @@
         return undefined;
     }
     try {
-        return { team: team === undefined ? undefined : decodeURIComponent(team), executions };
+        return {
+            team: team === undefined ? undefined : decodeURIComponent(team),
+            executions,
+            version: readRelayVersion(headers),
+            origin: readRelayOrigin(headers),
+        };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** The version of the configuration that the other entry states; undefined if it states none. */
+export function readRelayVersion(headers: IncomingHttpHeaders): number | undefined {
+    const version = Number(headers[relayHeaderNames.version]);
+    return Number.isSafeInteger(version) && version > 0 ? version : undefined;
+}
+
+/** The header value for an origin. */
+export function formatOrigin({ service, softwareVersion }: StreamOrigin): string {
+    return encodeURIComponent(JSON.stringify({ service, softwareVersion }));
+}
+
+/** What began a stream, as the other entry states it; undefined if it states nothing that can be read. */
+export function readRelayOrigin(headers: IncomingHttpHeaders): StreamOrigin | undefined {
+    try {
+        const text = decodeURIComponent(String(headers[relayHeaderNames.origin] ?? ""));
+        const { success, data } = originSchema.safeParse(JSON.parse(text));
+        return success ? data : undefined;
     }
     catch {
         return undefined;
--- a/src/connection/hosted/relayServer.ts
+++ b/src/connection/hosted/relayServer.ts
@@ -7,7 +7,7 @@
 import { listen } from "../../util/socketAddress.js";
 import { sendFailure } from "../httpResponse.js";
 import { readRelayedCall, relayHeaderNames } from "./relayHeaders.js";
-import type { RelayedCall } from "./relayHeaders.js";
+import type { RelayedCall, ResponseSource } from "./relayHeaders.js";
 
 /** Maximum number of calls that run for other entries at the same time. */
 const maximumRelayedCalls = 256;
@@ -55,6 +55,10 @@
     private accept(request: IncomingMessage, response: ServerResponse): void {
         response.sendDate = false;
         const call = readRelayedCall(request.headers);
+        if (call?.version !== undefined) {
+            // Holds for all responses but those that are marked as an endpoint's.
+            response.setHeader(relayHeaderNames.source, "entry" satisfies ResponseSource);
+        }
         if (call === undefined || !this.isAuthorized(request)) {
             this.reject(request, response, "relayForbidden");
             return;
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -253,7 +253,7 @@
         number: 2476,
         level: "warn",
         text: "Another entry did not complete a call that was sent through it.",
-        fields: ["requestId", "attempt", "entry", "outcome", "code", "status", "version", "elapsed"],
+        fields: ["requestId", "attempt", "entry", "outcome", "code", "status", "version", "entryVersion", "elapsed"],
     },
     relayedCallRejected: {
         number: 2477,
--- a/src/process/hosted/entry/relayDirectory.ts
+++ b/src/process/hosted/entry/relayDirectory.ts
@@ -24,12 +24,18 @@
 /** The entries that control processes name to an entry that is cut off from all endpoints. */
 export class RelayDirectory implements Disposable {
     private readonly relays = new Map<string, KnownRelay>();
+    /** Tokens that their entries did not accept, by address; control processes may name them for a while. */
+    private readonly rejectedTokens = new Map<string, string>();
 
     constructor(private readonly random: RandomSource) {}
 
     /** Replaces the entries that may be asked; connections to those that stay are kept. */
     applyOffers(offers: readonly RelayOffer[], now: Milliseconds): void {
         for (const { entry, address, token } of offers.filter(offer => isSocketAddress(offer.address))) {
+            if (this.rejectedTokens.get(address) === token) {
+                continue;
+            }
+            this.rejectedTokens.delete(address);
             const known = this.relays.get(address);
             const agent = known?.agent ?? new Agent({ keepAlive: true, noDelay: true });
             const runningCalls = known?.runningCalls ?? 0;
@@ -53,6 +59,15 @@
         return first !== undefined && second !== undefined && second.runningCalls < first.runningCalls ? second : first;
     }
 
+    /** Stops asking an entry that did not accept its token, until control processes name a new one. */
+    reject({ address, token, agent }: Relay): void {
+        if (this.relays.get(address)?.token === token) {
+            agent.destroy();
+            this.relays.delete(address);
+            this.rejectedTokens.set(address, token);
+        }
+    }
+
     /** Counts a call at an entry until it has ended. */
     async countWhile<T>({ address }: Relay, call: Promise<T>): Promise<T> {
         this.changeRunning(address, 1);
--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { RelayedCall } from "../../connection/hosted/relayHeaders.js";
 import { readBody } from "../../connection/httpBody.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -23,6 +24,7 @@
 /**
  * Admits a call: resolves its route, service and team, and reads its body.
  *
+ * @param relayed The call as another entry has admitted it; only the same version of the configuration may admit it here.
  * @returns The admitted call, or the reason why it is refused.
  */
 export async function admitCall(
@@ -30,11 +32,15 @@
     traits: CallTraits,
     resolveTeam: TeamResolver,
     context: CallContext,
+    relayed?: RelayedCall,
 ): Promise<Result<AdmittedCall, Refusal>> {
-    const indexBeforeBody = await waitForPermittedIndex(context);
+    const indexBeforeBody = await waitForPermittedIndex(context, relayed?.version);
     if (indexBeforeBody === undefined) {
         return Err({ reason: failure("entryNotPermitted"), retryAfter: permitRetryAfter });
     }
+    if (isNewerThanAdmission(indexBeforeBody, relayed)) {
+        return Err({ reason: failure("relayVersionDiffers") });
+    }
     const { headerBytes, bodyBytes } = indexBeforeBody.deployment.limits;
     if (request.rawHeaders.join("").length > headerBytes) {
         return Err({ reason: failure("callHeadersTooLarge", { limit: headerBytes }) });
@@ -51,10 +57,13 @@
     // Only after another poll is known whether the caller is still connected.
     await waitForSocketPoll();
     // The configuration may have changed meanwhile.
-    const indexAfterBody = await waitForPermittedIndex(context);
+    const indexAfterBody = await waitForPermittedIndex(context, relayed?.version);
     if (indexAfterBody === undefined) {
         return Err({ reason: failure("entryNotPermitted"), call: admitted.val, retryAfter: permitRetryAfter });
     }
+    if (isNewerThanAdmission(indexAfterBody, relayed)) {
+        return Err({ reason: failure("relayVersionDiffers"), call: admitted.val });
+    }
     const readmitted = indexAfterBody === indexBeforeBody
         ? admitted
         : resolveCall(request, resolveTeam, indexAfterBody, context.random.float());
@@ -67,24 +76,39 @@
 }
 
 /**
- * Why an admitted call may not be sent any more, because its key or route was withdrawn or the permit has lapsed while
- * it waited; undefined if it may.
+ * Admits an admitted call anew by the configuration in force, which may have changed while the call waited.
+ *
+ * @returns The call, or why it may not be sent any more: its key or route was withdrawn, or the permit has lapsed.
  */
-export function withdrawnAdmission(
+export function readmitCall(
     call: AdmittedCall,
     request: IncomingMessage,
     resolveTeam: TeamResolver,
     { view, suspensionDetector, random }: CallContext,
-): Refusal | undefined {
+): Result<AdmittedCall, Refusal> {
     const index = view.permitsCalls(suspensionDetector.now()) ? view.current : undefined;
     if (index === undefined) {
-        return { reason: failure("entryNotPermitted"), call, retryAfter: permitRetryAfter };
+        return Err({ reason: failure("entryNotPermitted"), call, retryAfter: permitRetryAfter });
     }
     if (index.version === call.version) {
-        return undefined;
+        return Ok(call);
     }
-    const resolved = resolveCall(request, resolveTeam, index, random.float());
-    return resolved.err ? resolved.val : undefined;
+    const { body, features } = call;
+    return resolveCall(request, resolveTeam, index, random.float()).map(resolved => ({ ...resolved, body, features }));
+}
+
+/** Waits until a version is in force, but not longer than a call waits for the permit; returns whether it is. */
+export async function waitForVersion(version: number, { view, clock }: CallContext): Promise<boolean> {
+    const deadline = clock.now() + permitWaitLimit;
+    while (view.version < version && clock.now() < deadline) {
+        await clock.sleep(permitPollInterval);
+    }
+    return view.version >= version;
+}
+
+/** Whether this entry applies a newer configuration than the one by which another entry admitted a call. */
+function isNewerThanAdmission(index: DeploymentIndex, relayed: RelayedCall | undefined): boolean {
+    return relayed?.version !== undefined && index.version > relayed.version;
 }
 
 /** The call at another service, if its route still leads there; undefined if it does not. */
@@ -97,16 +121,21 @@
     return service && { ...call, service, minimumEventGapTarget: view.current?.minimumEventGapTarget(name) };
 }
 
-/** The current configuration once a recent quorum confirmation permits calls; undefined if that takes too long. */
+/**
+ * The current configuration once a recent quorum confirmation permits calls and it has a minimum version; undefined if
+ * that takes too long.
+ */
 async function waitForPermittedIndex(
     { view, suspensionDetector, clock }: CallContext,
+    minimumVersion = 0,
 ): Promise<DeploymentIndex | undefined> {
     const deadline = clock.now() + permitWaitLimit;
-    while (!view.permitsCalls(suspensionDetector.now()) && clock.now() < deadline) {
+    const isReady = (): boolean => view.permitsCalls(suspensionDetector.now()) && view.version >= minimumVersion;
+    while (!isReady() && clock.now() < deadline) {
         await clock.sleep(permitPollInterval);
         await waitForSocketPoll();
     }
-    return view.permitsCalls(suspensionDetector.now()) ? view.current : undefined;
+    return isReady() ? view.current : undefined;
 }
 
 /**
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
 import type { CallTraits } from "./callTraits.js";
+import type { RelayedResponseHeaders } from "./relayedResponseHeaders.js";
 
 /** Status code 503 (Service Unavailable). */
 const unavailableStatus = 503;
@@ -32,6 +33,7 @@
         private readonly context: CallContext,
         private readonly arrivedAt: Milliseconds,
         private readonly abortSignal: AbortSignal,
+        private readonly relayedHeaders: RelayedResponseHeaders,
     ) {}
 
     /** Whether the caller disconnected before the response was complete. */
@@ -109,6 +111,7 @@
         else {
             this.delimitByConnectionClose();
         }
+        this.relayedHeaders.set("endpoint");
         this.response.writeHead(message.statusCode ?? 502, headers);
         this.response.end(body);
         this.recordDelivery(message.statusCode ?? 0, attempts, endpointId);
@@ -130,6 +133,7 @@
             retryAfter: seconds,
             feature,
         });
+        this.relayedHeaders.set("entry");
         sendFailure(this.response, reason, seconds === undefined ? {} : { "retry-after": seconds });
     }
 
@@ -151,6 +155,7 @@
             abortResponse(this.response);
             return;
         }
+        this.relayedHeaders.set("entry");
         sendFailure(this.response, reason);
     }
 
@@ -182,6 +187,7 @@
     private writeHead(message: IncomingMessage, framingHeaders: readonly string[] = []): void {
         if (!this.response.headersSent) {
             const headers = [...responseHeadersForCaller(message.rawHeaders), ...framingHeaders];
+            this.relayedHeaders.set("endpoint");
             this.response.writeHead(message.statusCode ?? 200, headers);
         }
     }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -4,11 +4,14 @@
 import type { RelayedCall } from "../../connection/hosted/relayHeaders.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import { failure } from "../../resultCode/resultCode.js";
+import type { ResultCode } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
+import { Ok } from "../../util/result.js";
+import type { Result } from "../../util/result.js";
 import { waitForSocketPoll } from "../../util/waitForSocketPoll.js";
 import type { DeployedRoute, DeployedService } from "../../version/deployment.js";
-import { admitCall, withdrawnAdmission } from "./callAdmission.js";
-import type { AdmittedCall, CallContext, TeamResolver } from "./callContext.js";
+import { admitCall, readmitCall } from "./callAdmission.js";
+import type { AdmittedCall, CallContext, Refusal, TeamResolver } from "./callContext.js";
 import { CallDetour } from "./callDetour.js";
 import { CallerResponse } from "./callerResponse.js";
 import type { CallTraits } from "./callTraits.js";
@@ -16,6 +19,7 @@
 import { EndpointAttempt } from "./endpointAttempt.js";
 import type { AttemptOutcome, FailedOutcome } from "./endpointAttempt.js";
 import type { Placement, PlacementRequest } from "./endpointChooser.js";
+import { RelayedResponseHeaders } from "./relayedResponseHeaders.js";
 import { decideRetry } from "./retryRule.js";
 import { StreamContinuation } from "./streamContinuation.js";
 
@@ -92,16 +96,30 @@
         this.traits = readCallTraits(request.headers);
         this.arrivedAt = context.clock.now();
         this.crashGuard = new CrashGuard(context);
-        this.continuation = new StreamContinuation(this.traits, context);
+        this.continuation = new StreamContinuation(this.traits, context, relayed?.origin);
         const abortSignal = createCallerAbortSignal(request, response);
-        this.callerResponse = new CallerResponse(response, this.traits, context, this.arrivedAt, abortSignal);
+        const relayedHeaders = new RelayedResponseHeaders(
+            response,
+            relayed,
+            () => context.view.version,
+            () => this.continuation.statedOrigin,
+        );
+        this.callerResponse = new CallerResponse(
+            response,
+            this.traits,
+            context,
+            this.arrivedAt,
+            abortSignal,
+            relayedHeaders,
+        );
         this.detour = new CallDetour({
             request,
             traits: this.traits,
             callerResponse: this.callerResponse,
             context,
+            continuation: this.continuation,
             remainingTime: ({ route }) => this.remainingTime(route),
-            refuseIfWithdrawn: call => this.refuseIfWithdrawn(call),
+            readmit: call => this.readmit(call),
         });
         abortSignal.addEventListener("abort", () => {
             this.attempt?.cancel("the caller disconnected");
@@ -111,7 +129,7 @@
 
     /** Handles the call; resolves when the response is complete or aborted. */
     async run(): Promise<void> {
-        const call = await admitCall(this.request, this.traits, this.resolveTeam, this.context);
+        const call = await admitCall(this.request, this.traits, this.resolveTeam, this.context, this.relayed);
         if (call.ok) {
             if (this.relayed === undefined) {
                 this.context.retryBudget.recordCall(call.val.service.name, this.context.clock.now());
@@ -174,7 +192,11 @@
 
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
-            if (this.mayDetour() && await this.detour.run(call, this.executions)) {
+            const detoured = this.mayDetour() ? await this.detour.run(call, this.executions) : "notTaken";
+            if (detoured === "lost") {
+                this.callerResponse.fail(failure("callOutcomeUnknown"), call);
+            }
+            if (detoured !== "notTaken") {
                 return;
             }
             if (await this.endIfHeldBack(call)) {
@@ -241,13 +263,21 @@
 
     /** Refuses a call that has not run if its key, its route or the permit has lapsed while it waited. */
     private refuseIfWithdrawn(call: AdmittedCall): boolean {
-        const withdrawn = this.executions > 0
-            ? undefined
-            : withdrawnAdmission(call, this.request, this.resolveTeam, this.context);
-        if (withdrawn !== undefined) {
-            this.callerResponse.refuse(withdrawn);
+        const readmitted = this.readmit(call);
+        if (readmitted.err) {
+            this.callerResponse.refuse(readmitted.val);
         }
-        return withdrawn !== undefined;
+        return readmitted.err;
+    }
+
+    /** Admits the call by the configuration in force; one that may have run keeps its admission. */
+    private readmit(call: AdmittedCall): Result<AdmittedCall, Refusal> {
+        return this.executions > 0 ? Ok(call) : readmitCall(call, this.request, this.resolveTeam, this.context);
+    }
+
+    /** Why a call has no response that may have run. */
+    private lostCode(route: DeployedRoute): ResultCode {
+        return this.remainingTime(route) < minimumAttemptTime ? "callTimedOutAtEndpoint" : "callOutcomeUnknown";
     }
 
     /**
@@ -426,8 +456,7 @@
             this.failOrRefuse(call);
             return;
         }
-        const isLate = this.remainingTime(call.route) < minimumAttemptTime;
-        this.callerResponse.fail(failure(isLate ? "callTimedOutAtEndpoint" : "callOutcomeUnknown"), call);
+        this.callerResponse.fail(failure(this.lostCode(call.route)), call);
     }
 
     private respondWithoutEndpoint(call: AdmittedCall): void {
--- a/src/request/hosted/relayAttempt.ts
+++ b/src/request/hosted/relayAttempt.ts
@@ -1,8 +1,12 @@
 import type { IncomingMessage } from "node:http";
 import { readResponseTraits, requestHeadersForRelay } from "../../../platform/callHeaders.js";
 import { EndpointExchange } from "../../connection/hosted/endpointExchange.js";
-import { relayHeadersOf } from "../../connection/hosted/relayHeaders.js";
+import { readEntryFailure } from "../../connection/hosted/relayedResponse.js";
+import { readRelayVersion, relayHeadersOf } from "../../connection/hosted/relayHeaders.js";
 import type { Relay } from "../../process/hosted/entry/relayDirectory.js";
+import type { StreamOrigin } from "../../process/hosted/streamOrigin.js";
+import { definitionOf } from "../../resultCode/resultCode.js";
+import type { ResultCode } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall } from "./callContext.js";
 import type { CallerResponse } from "./callerResponse.js";
@@ -13,24 +17,28 @@
 /** Additional time for the response of the other entry, which keeps to the call's deadline itself. */
 const deadlineAllowance: Milliseconds = 150;
 
-/** Status code 503 (Service Unavailable): the other entry states that the call has not run. */
-const refusedStatus = 503;
-
 /** Result of an attempt through another entry. */
 export type RelayOutcome =
     /** The caller received the complete response. */
     | { readonly kind: "delivered"; }
-    /** The other entry could not be reached, or refused the call, which has not run. */
-    | { readonly kind: "notRun"; readonly refusal: RelayedFailure | undefined; }
-    /** The other entry or its endpoint responded with an error status. */
-    | { readonly kind: "failed"; readonly failure: RelayedFailure; }
+    /** The other entry was not reached. */
+    | { readonly kind: "unreached"; }
+    /** The other entry refused the call, which has not run. */
+    | { readonly kind: "refused"; readonly refusal: RelayRefusal; }
+    /** The endpoint responded with an error status. */
+    | { readonly kind: "failedAnswer"; readonly message: IncomingMessage; readonly body: Buffer; }
+    /** The other entry gave the call up, which may have run. */
+    | { readonly kind: "failed"; readonly code: ResultCode; }
     /** The call may have run, but its response is missing or incomplete. */
     | { readonly kind: "lost"; };
 
-/** An error response that was relayed whole. */
-export interface RelayedFailure {
-    readonly message: IncomingMessage;
-    readonly body: Buffer;
+/** Why another entry refused a call. */
+export interface RelayRefusal {
+    readonly code: ResultCode;
+    /** Time after which the other entry would take the call; undefined if it states none. */
+    readonly retryAfter: Milliseconds | undefined;
+    /** Version of the configuration at the other entry; undefined if it states none. */
+    readonly version: number | undefined;
 }
 
 /** Inputs of {@link RelayAttempt}. */
@@ -43,6 +51,8 @@
     readonly remainingTime: Milliseconds;
     /** Number of attempts in which the call may have run already. */
     readonly executions: number;
+    /** What began the stream that the attempt continues; undefined if it begins one, or if that is not known. */
+    readonly origin: StreamOrigin | undefined;
 }
 
 /** One attempt to have a call run through another entry, including the forwarding of its response. */
@@ -52,21 +62,27 @@
 
     /** Sends the request. */
     constructor(private readonly input: RelayAttemptInput) {
-        const { call, request, relay, remainingTime, executions } = input;
+        const { call, callerResponse, request, relay, remainingTime, executions, origin } = input;
         const { method = "GET", url = "/", rawHeaders } = request;
+        const relayed = { team: call.team?.name, executions, version: call.version, origin };
         this.exchange = new EndpointExchange({
             agent: relay.agent,
             address: relay.address,
             method,
             target: url,
             headers: [
-                ...requestHeadersForRelay(rawHeaders, remainingTime),
-                ...relayHeadersOf({ team: call.team?.name, executions }, relay.token),
+                ...requestHeadersForRelay(rawHeaders, remainingTime, callerResponse.lastEventId),
+                ...relayHeadersOf(relayed, relay.token),
             ],
             body: call.body,
         });
     }
 
+    /** Whether the request may have been written. */
+    get isSent(): boolean {
+        return this.exchange.isSent;
+    }
+
     /** Aborts the attempt, upon which the other entry cancels the call at its endpoint. */
     cancel(reason: string): void {
         this.cancelled.abort();
@@ -81,12 +97,13 @@
         try {
             const head = await this.exchange.head();
             if (head.kind !== "response") {
-                return head.kind === "notSent" ? { kind: "notRun", refusal: undefined } : { kind: "lost" };
+                return head.kind === "notSent" ? { kind: "unreached" } : { kind: "lost" };
             }
             const { status } = head.traits;
-            return status >= 200 && status < 300
-                ? await this.forward(head.message)
-                : await this.readFailure(head.message);
+            if (status < 200 || status >= 300) {
+                return await this.readFailure(head.message);
+            }
+            return await this.forwardBody(head.message);
         }
         catch {
             return { kind: "lost" };
@@ -96,15 +113,20 @@
         }
     }
 
-    private async forward(message: IncomingMessage): Promise<RelayOutcome> {
-        const { callerResponse, relay, executions } = this.input;
+    private async forwardBody(message: IncomingMessage): Promise<RelayOutcome> {
+        const { callerResponse } = this.input;
         for await (const chunk of this.exchange.body(message)) {
             await callerResponse.forwardChunk(message, chunk, this.cancelled.signal);
         }
+        return this.endForwarding(message, Buffer.alloc(0));
+    }
+
+    private endForwarding(message: IncomingMessage, trailingBytes: Buffer): RelayOutcome {
+        const { callerResponse, relay, executions } = this.input;
         if (!this.exchange.isComplete(message)) {
             return { kind: "lost" };
         }
-        callerResponse.endStream(message, Buffer.alloc(0), executions + 1, relay.entry);
+        callerResponse.endStream(message, trailingBytes, executions + 1, relay.entry);
         return { kind: "delivered" };
     }
 
@@ -122,10 +144,16 @@
         if (!this.exchange.isComplete(message)) {
             return { kind: "lost" };
         }
-        const failure = { message, body: Buffer.concat(chunks) };
-        const { status, hasSignature } = readResponseTraits(message);
-        return status === refusedStatus && !hasSignature
-            ? { kind: "notRun", refusal: failure }
-            : { kind: "failed", failure };
+        const body = Buffer.concat(chunks);
+        const { hasSignature, retryAfter } = readResponseTraits(message);
+        const code = readEntryFailure(message, body, hasSignature);
+        if (code === undefined) {
+            return { kind: "failedAnswer", message, body };
+        }
+        if (definitionOf(code).outcome !== "notRun") {
+            return { kind: "failed", code };
+        }
+        const delay = retryAfter?.kind === "delay" ? retryAfter.duration : undefined;
+        return { kind: "refused", refusal: { code, retryAfter: delay, version: readRelayVersion(message.headers) } };
     }
 }
--- a/src/request/hosted/streamContinuation.ts
+++ b/src/request/hosted/streamContinuation.ts
@@ -17,7 +17,12 @@
 export class StreamContinuation {
     private origin: StreamOrigin | undefined;
 
-    constructor(private readonly traits: CallTraits, private readonly context: CallContext) {}
+    /** @param relayedOrigin What began the stream, as the entry that relays the call states it. */
+    constructor(
+        private readonly traits: CallTraits,
+        private readonly context: CallContext,
+        private readonly relayedOrigin: StreamOrigin | undefined,
+    ) {}
 
     /** Whether the caller has received a part of the stream in an earlier attempt. */
     get isContinued(): boolean {
@@ -33,7 +38,7 @@
         if (!call.route.streaming || !this.isContinued) {
             return Ok(call);
         }
-        const origin = await this.findOrigin(call);
+        const origin = this.relayedOrigin ?? await this.findOrigin(call);
         await waitForSocketPoll();
         if (origin === undefined) {
             return Err({ reason: failure("streamOriginUnknown"), call, retryAfter: unknownOriginRetryAfter });
@@ -56,6 +61,11 @@
         );
     }
 
+    /** What began the stream, for another entry that continues it; undefined if that is not known exactly. */
+    get statedOrigin(): StreamOrigin | undefined {
+        return this.origin?.softwareVersion === undefined ? undefined : this.origin;
+    }
+
     /** Records that an endpoint has sent the first event of a response. */
     recordFirstEvent({ team, route }: AdmittedCall, { record }: HostedEndpoint, now: Milliseconds): void {
         this.origin ??= { service: record.service, softwareVersion: record.softwareVersion };
--- a/src/resultCode/hostedCodes.ts
+++ b/src/resultCode/hostedCodes.ts
@@ -98,6 +98,20 @@
         text: "Only entries of this installation may have calls relayed.",
         advice: "Call the entry at its address for callers.",
     },
+    relaysUnavailable: {
+        number: 1627,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "This entry reaches no endpoint, and no other entry took the call.",
+        advice: "Use another entry, or try again at the time that Retry-After names.",
+    },
+    relayVersionDiffers: {
+        number: 1628,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "The entry applies a newer configuration than the entry that sent the call.",
+        advice: "None needed: the entry that sent the call tries again by that configuration.",
+    },
     callOutcomeUnknown: {
         number: 1630,
         httpStatus: 502,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import { deflateRawSync } from "node:zlib";
+import { readRelayedCall, relayHeaderNames } from "../../../src/connection/hosted/relayHeaders.js";
 import { probeListener } from "../../../src/connection/probeListener.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
@@ -44,7 +45,10 @@
     resolutionTimeToLive: 2_000,
 };
 
-/** Serves calls like an entry, without control processes: the test gives permits and lists endpoints. */
+/**
+ * Serves calls like an entry, without control processes: the test gives permits and lists endpoints. A call with a token
+ * counts as one of another entry.
+ */
 export class CallServer implements AsyncDisposable {
     private readonly store = new DisposableStore();
     readonly clock = new SystemClock();
@@ -109,7 +113,9 @@
         view.applyConfiguration(version, deflateRawSync(JSON.stringify(document)));
         fleet.applyList(endpoints, 0, clock.now());
         const server = createServer((request, response) => {
-            void new HostedCall(request, response, callServer.context).run();
+            const isRelayed = request.headers[relayHeaderNames.token] !== undefined;
+            const relayed = isRelayed ? readRelayedCall(request.headers) : undefined;
+            void new HostedCall(request, response, callServer.context, relayed).run();
         });
         store.defer(() => {
             server.close();
--- a/tests/request/hosted/scriptedRelays.ts
+++ b/tests/request/hosted/scriptedRelays.ts
@@ -40,8 +40,8 @@
     ],
 });
 
-/** What one of the other entries does with a call. */
-export type RelayScript = (response: ServerResponse, headers: IncomingHttpHeaders) => void;
+/** What one of the other entries does with a call; `asker` is the entry that sent it. */
+export type RelayScript = (response: ServerResponse, headers: IncomingHttpHeaders, asker: CallServer) => void;
 
 /** Refuses a call as an entry does. */
 export function refuseAs(
@@ -89,6 +89,8 @@
  */
 export async function makeRelayedCall(path: string, scripts: readonly RelayScript[]): Promise<RelayedResponse> {
     await using store = new DisposableStore();
+    const records = ["e0", "e1"].map(id => createEndpointRecord(id, { service: "desk", address: unreachableAddress }));
+    const entry = store.add(await CallServer.start(relayDocument, records));
     const requests: IncomingHttpHeaders[] = [];
     const offers: { readonly entry: string; readonly address: string; readonly token: string; }[] = [];
     for (let index = 0; index < relayCount; index++) {
@@ -97,7 +99,7 @@
             request.once("end", () => {
                 const script = scripts[Math.min(requests.length, scripts.length - 1)];
                 requests.push(request.headers);
-                script?.(response, request.headers);
+                script?.(response, request.headers, entry);
             });
         });
         store.defer(() => {
@@ -106,8 +108,6 @@
         });
         offers.push({ entry: `entry-${index}`, address: await listen(server, "127.0.0.1:0"), token: `token-${index}` });
     }
-    const records = ["e0", "e1"].map(id => createEndpointRecord(id, { service: "desk", address: unreachableAddress }));
-    const entry = store.add(await CallServer.start(relayDocument, records));
     entry.givePermit();
     await entry.setCutOff(true);
     entry.context.relays.applyOffers(offers, entry.clock.now());
