fix(request): continue a relayed call through a further entry when the relaying one ends

A stream that another entry relayed ended with that entry, although its route may be resumed and further entries were left; a call that may run again failed with 502.

Cause: a detour ended at its first attempt that was lost; what an endpoint's end leads to was decided for direct attempts only. The class: a rule for the loss of an endpoint that was not applied to the loss of an own process.

Change: events are forwarded whole, and the attempt that follows goes on behind the last one, through a further entry or, once this entry reaches endpoints again, directly. The entries tell each other what began the stream, so that it goes on only at that service and software version. The retry budget and the route's attempts count as for endpoints. A stream that an endpoint of a cut-off entry began goes on in the same way.

--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -144,6 +144,9 @@
             remainingTime: remainingTime(call),
             executions,
             origin: continuation.statedOrigin,
+            onFirstEvent: origin => {
+                continuation.recordRelayedEvent(call, origin);
+            },
         });
         const outcome = await relays.countWhile(relay, this.attempt.run());
         this.attempt = undefined;
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -186,19 +186,24 @@
     }
 
     private mayDetour(): boolean {
-        return this.relayed === undefined && !this.callerResponse.hasBegun
-            && this.detour.isNeeded(this.context.clock.now());
+        return this.relayed === undefined && this.mayGoOn && this.detour.isNeeded(this.context.clock.now());
+    }
+
+    /** Whether another response could be sent from its start, or behind the last event that was sent. */
+    private get mayGoOn(): boolean {
+        const { hasBegun, isBodyForwarded, lastEventId } = this.callerResponse;
+        return !hasBegun || (!isBodyForwarded && lastEventId !== undefined);
     }
 
     private async serve(call: AdmittedCall): Promise<void> {
         while (!this.callerResponse.hasCallerDisconnected()) {
             const detoured = this.mayDetour() ? await this.detour.run(call, this.executions) : "notTaken";
-            if (detoured === "lost") {
-                this.callerResponse.fail(failure("callOutcomeUnknown"), call);
-            }
-            if (detoured !== "notTaken") {
+            if (detoured === "ended" || (detoured === "lost" && !await this.acquireRetryAfterDetour(call))) {
                 return;
             }
+            if (detoured === "lost") {
+                continue;
+            }
             if (await this.endIfHeldBack(call)) {
                 return;
             }
@@ -275,6 +280,26 @@
         return this.executions > 0 ? Ok(call) : readmitCall(call, this.request, this.resolveTeam, this.context);
     }
 
+    /** Whether a call that was lost on a detour may be sent once more; if not, ends it. */
+    private async acquireRetryAfterDetour(call: AdmittedCall): Promise<boolean> {
+        const { route, service } = call;
+        const { retryBudget, grantSource } = this.context;
+        this.executions++;
+        const lost = {
+            kind: "lost",
+            reason: "the other entry did not complete the call",
+            wasDisconnected: false,
+        } as const;
+        const isRepeatable = this.mayGoOn && this.remainingTime(route) >= minimumAttemptTime
+            && decideRetry(lost, route, this.executions, this.rejections) === "counted";
+        const isGranted = isRepeatable && await retryBudget.acquire(service.name, grantSource);
+        await waitForSocketPoll();
+        if (!isGranted && !this.callerResponse.hasCallerDisconnected()) {
+            this.callerResponse.fail(failure(this.lostCode(route)), call);
+        }
+        return isGranted && !this.callerResponse.hasCallerDisconnected();
+    }
+
     /** Why a call has no response that may have run. */
     private lostCode(route: DeployedRoute): ResultCode {
         return this.remainingTime(route) < minimumAttemptTime ? "callTimedOutAtEndpoint" : "callOutcomeUnknown";
@@ -430,7 +455,7 @@
         const mayBeCause = outcome.kind === "lost" && outcome.wasDisconnected
             && this.crashGuard.isSuspicious(call);
         if (
-            mayBeCause || this.callerResponse.isBodyForwarded || !hasOpenEndpoint
+            mayBeCause || !this.mayGoOn || !hasOpenEndpoint
             || this.remainingTime(route) < minimumAttemptTime
         ) {
             return false;
--- a/src/request/hosted/relayAttempt.ts
+++ b/src/request/hosted/relayAttempt.ts
@@ -2,7 +2,7 @@
 import { readResponseTraits, requestHeadersForRelay } from "../../../platform/callHeaders.js";
 import { EndpointExchange } from "../../connection/hosted/endpointExchange.js";
 import { readEntryFailure } from "../../connection/hosted/relayedResponse.js";
-import { readRelayVersion, relayHeadersOf } from "../../connection/hosted/relayHeaders.js";
+import { readRelayOrigin, readRelayVersion, relayHeadersOf } from "../../connection/hosted/relayHeaders.js";
 import type { Relay } from "../../process/hosted/entry/relayDirectory.js";
 import type { StreamOrigin } from "../../process/hosted/streamOrigin.js";
 import { definitionOf } from "../../resultCode/resultCode.js";
@@ -10,6 +10,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall } from "./callContext.js";
 import type { CallerResponse } from "./callerResponse.js";
+import { EventSplitter } from "./eventSplitter.js";
 
 /** Maximum size of a failure of the other entry, in bytes. */
 const maximumFailureBytes = 64 * 1024;
@@ -53,6 +54,8 @@
     readonly executions: number;
     /** What began the stream that the attempt continues; undefined if it begins one, or if that is not known. */
     readonly origin: StreamOrigin | undefined;
+    /** Called when the first event has arrived, with what began the stream; undefined if that is not stated. */
+    readonly onFirstEvent: (origin: StreamOrigin | undefined) => void;
 }
 
 /** One attempt to have a call run through another entry, including the forwarding of its response. */
@@ -103,7 +106,9 @@
             if (status < 200 || status >= 300) {
                 return await this.readFailure(head.message);
             }
-            return await this.forwardBody(head.message);
+            return this.input.call.route.streaming
+                ? await this.forwardStream(head.message)
+                : await this.forwardBody(head.message);
         }
         catch {
             return { kind: "lost" };
@@ -121,6 +126,29 @@
         return this.endForwarding(message, Buffer.alloc(0));
     }
 
+    /** Forwards whole events only, so that another attempt can continue behind the last one. */
+    private async forwardStream(message: IncomingMessage): Promise<RelayOutcome> {
+        const { callerResponse, onFirstEvent } = this.input;
+        const splitter = new EventSplitter(callerResponse.lastEventId);
+        let hasBegun = false;
+        for await (const chunk of this.exchange.body(message)) {
+            const events = splitter.push(chunk);
+            if (splitter.isEventTooLong) {
+                this.cancel("an event of the stream is too long");
+                return { kind: "lost" };
+            }
+            if (events === undefined) {
+                continue;
+            }
+            if (!hasBegun) {
+                hasBegun = true;
+                onFirstEvent(readRelayOrigin(message.headers));
+            }
+            await callerResponse.forwardEvents(message, events.bytes, events.lastId, this.cancelled.signal);
+        }
+        return this.endForwarding(message, splitter.incomplete);
+    }
+
     private endForwarding(message: IncomingMessage, trailingBytes: Buffer): RelayOutcome {
         const { callerResponse, relay, executions } = this.input;
         if (!this.exchange.isComplete(message)) {
--- a/src/request/hosted/streamContinuation.ts
+++ b/src/request/hosted/streamContinuation.ts
@@ -66,6 +66,15 @@
         return this.origin?.softwareVersion === undefined ? undefined : this.origin;
     }
 
+    /**
+     * Records that another entry has sent the first event of a response.
+     *
+     * @param origin What began the stream; undefined if the other entry does not state it.
+     */
+    recordRelayedEvent({ service }: AdmittedCall, origin: StreamOrigin | undefined): void {
+        this.origin ??= origin ?? { service: service.name, softwareVersion: undefined };
+    }
+
     /** Records that an endpoint has sent the first event of a response. */
     recordFirstEvent({ team, route }: AdmittedCall, { record }: HostedEndpoint, now: Milliseconds): void {
         this.origin ??= { service: record.service, softwareVersion: record.softwareVersion };
