fix(hosted): refuse or answer what comes late in a planned stop instead of cutting it

In a planned stop of one entry, in calm, requests whose bodies ended late in the shutdown time were sent to endpoints and ran; at its end their connections were closed without an answer, also of requests that may not be repeated (rule LOST).

Cause: an entry that stops admitted calls to the end as if it had all the time of their routes, and ended what remained by closing connections. The class: a deadline of the process that the decisions about a call do not know.

Change: entries keep how long the newest calls of each route took. A call that would not be answered before the remaining calls are ended is refused as not run, with a short Retry-After (GH1629); without durations, its route's target latency counts. Responses that began before the signal close their connections, too. The same holds for calls that the entry relays: the entry that asked tries the next one.

--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -32,6 +32,7 @@
 import type { HostedProcess } from "../hostedProcess.js";
 import type { HostedSettings } from "../hostedSettings.js";
 import { startMetrics } from "../startMetrics.js";
+import { CallDurations } from "./callDurations.js";
 import { CallQuarantine } from "./callQuarantine.js";
 import { ControlLinks } from "./controlLinks.js";
 import { CrashObserver } from "./crashObserver.js";
@@ -56,12 +57,15 @@
 /** Time for which an entry that shuts down still accepts calls: callers may cache a resolution response that long. */
 const drainingAcceptTime: Milliseconds = 2_600;
 
-/** Fraction of the shutdown time after which the remaining calls are aborted. */
+/** Fraction of the shutdown time after which the remaining calls are ended. */
 const shutdownFraction = 0.94;
 
 /** Time within which the host of an ended endpoint refuses a connection; several times the round-trip time. */
 const crashProbeTimeout: Milliseconds = 250;
 
+/** Time for which the final responses of the remaining calls are written. */
+const finalResponseTime: Milliseconds = 200;
+
 /** Polling interval while the running calls finish. */
 const shutdownPollInterval: Milliseconds = 50;
 
@@ -73,7 +77,7 @@
     private readonly disposables = new DisposableStore();
     private readonly shutdownController = new AbortController();
     private readonly sockets = new Set<Socket>();
-    private readonly runningResponses = new Set<ServerResponse>();
+    private readonly runningCalls = new Map<ServerResponse, HostedCall>();
     private readonly fleet: EndpointFleet;
     private readonly view: DeploymentView;
     private readonly suspensionDetector: SuspensionDetector;
@@ -83,7 +87,8 @@
     private readonly relayServer: RelayServer;
     /** Undefined while no calls can be relayed. */
     private relayAddress: string | undefined;
-    private isDraining = false;
+    /** When the remaining calls are ended; undefined until the entry shuts down. */
+    private callsEndAt: Milliseconds | undefined;
     private entryCount = 1;
 
     constructor(
@@ -214,6 +219,8 @@
             }),
             quarantine,
             streamOrigins,
+            durations: new CallDurations(),
+            callsEndAt: () => this.callsEndAt,
             reachability,
             relays,
         };
@@ -277,13 +284,13 @@
                     writer.family("gullhall_version", "gauge", "Version of the configuration in force.");
                     writer.sample("gullhall_version", {}, view.version);
                     writer.family("gullhall_running_calls", "gauge", "Calls that are under way.");
-                    writer.sample("gullhall_running_calls", {}, this.runningResponses.size);
+                    writer.sample("gullhall_running_calls", {}, this.runningCalls.size);
                     return writer.toString();
                 },
                 state: () => ({
                     version: view.version,
                     isReady: this.isReady(),
-                    runningCalls: this.runningResponses.size,
+                    runningCalls: this.runningCalls.size,
                 }),
             }),
         );
@@ -296,27 +303,42 @@
 
     /**
      * Shuts down gracefully: reports that the entry is not ready, so that callers use other entries, lets running calls
-     * finish, and aborts those that take too long.
+     * finish, and ends those that take too long.
      */
     async [Symbol.asyncDispose](): Promise<void> {
         const startedAt = this.clock.now();
-        const abortAt = startedAt + this.settings().bounds.shutdown * shutdownFraction;
-        this.isDraining = true;
+        const endAt = startedAt + this.settings().bounds.shutdown * shutdownFraction;
+        this.callsEndAt = endAt;
+        for (const response of this.runningCalls.keys()) {
+            response.shouldKeepAlive = false;
+        }
         this.controlLinks.sendHeartbeats(startedAt);
         await this.clock.sleep(drainingAcceptTime);
         this.server.close();
         this.server.closeIdleConnections();
-        while (this.runningResponses.size > 0 && this.clock.now() < abortAt) {
-            await this.clock.sleep(shutdownPollInterval);
-            this.server.closeIdleConnections();
-        }
+        await this.waitForCalls(endAt);
         this.controlLinks.sendHeartbeats(this.clock.now());
+        this.runningCalls.forEach(call => {
+            call.endBecauseEntryStops();
+        });
+        await this.waitForCalls(this.clock.now() + finalResponseTime);
         this.shutdownController.abort();
-        this.runningResponses.forEach(abortResponse);
+        [...this.runningCalls.keys()].forEach(abortResponse);
         this.sockets.forEach(socket => socket.destroy());
         await this.disposables.dispose();
     }
 
+    private async waitForCalls(endAt: Milliseconds): Promise<void> {
+        while (this.runningCalls.size > 0 && this.clock.now() < endAt) {
+            await this.clock.sleep(shutdownPollInterval);
+            this.server.closeIdleConnections();
+        }
+    }
+
+    private get isDraining(): boolean {
+        return this.callsEndAt !== undefined;
+    }
+
     private isReady(): boolean {
         return !this.isDraining && this.fleet.hasList && this.view.permitsCalls(this.suspensionDetector.now());
     }
@@ -340,11 +362,12 @@
         if (this.isDraining) {
             response.shouldKeepAlive = false;
         }
-        this.runningResponses.add(response);
+        const call = new HostedCall(request, response, this.callContext, relayed);
+        this.runningCalls.set(response, call);
         response.once("close", () => {
-            this.runningResponses.delete(response);
+            this.runningCalls.delete(response);
         });
-        new HostedCall(request, response, this.callContext, relayed).run().catch((error: unknown) => {
+        call.run().catch((error: unknown) => {
             const reason = error instanceof Error ? error.stack ?? error.message : String(error);
             this.callContext.eventLog.write("taskFailed", { task: "call", reason });
             if (response.headersSent) {
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from "../../logEvent/eventLog.js";
+import type { CallDurations } from "../../process/hosted/entry/callDurations.js";
 import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { CrashObserver } from "../../process/hosted/entry/crashObserver.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
@@ -43,6 +44,9 @@
     readonly crashObserver: CrashObserver;
     readonly quarantine: CallQuarantine;
     readonly streamOrigins: StreamOrigins;
+    readonly durations: CallDurations;
+    /** When the entry ends its remaining calls, because it stops; undefined while it does not stop. */
+    readonly callsEndAt: () => Milliseconds | undefined;
     readonly reachability: EndpointReachability;
     readonly relays: RelayDirectory;
 }
--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -98,7 +98,7 @@
             this.attemptCount++;
             const outcome = await this.runAttempt(call, relay, executions);
             await waitForSocketPoll();
-            if (outcome.kind === "delivered" || callerResponse.hasCallerDisconnected()) {
+            if (outcome.kind === "delivered" || callerResponse.hasEnded()) {
                 return "ended";
             }
             if (outcome.kind === "lost") {
@@ -126,7 +126,7 @@
 
     private async runAttempt(call: AdmittedCall, relay: Relay, executions: number): Promise<RelayOutcome> {
         const { request, traits, callerResponse, context, continuation, remainingTime } = this.input;
-        const { clock, counters, eventLog, relays } = context;
+        const { clock, counters, durations, eventLog, relays } = context;
         counters.count("relayed");
         eventLog.write("callRelayed", {
             requestId: traits.callId,
@@ -150,6 +150,9 @@
         });
         const outcome = await relays.countWhile(relay, this.attempt.run());
         this.attempt = undefined;
+        if (outcome.kind === "delivered" || outcome.kind === "failedAnswer") {
+            durations.record(call.route.name, clock.now() - sentAt);
+        }
         if (outcome.kind !== "delivered" && !callerResponse.hasCallerDisconnected()) {
             eventLog.write("relayAttemptFailed", {
                 requestId: traits.callId,
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -41,6 +41,11 @@
         return this.abortSignal.aborted;
     }
 
+    /** Whether nothing can be sent to the caller any more: it disconnected, or the response was ended or aborted. */
+    hasEnded(): boolean {
+        return this.abortSignal.aborted || this.response.writableEnded || this.response.destroyed;
+    }
+
     /** Id of the last event that was forwarded to the caller; undefined if none had an id. */
     get lastEventId(): number | undefined {
         return this.forwardedEventId;
@@ -141,14 +146,14 @@
      * Fails a call that may have run; a response that has begun is aborted, so that the caller cannot take it for
      * complete.
      */
-    fail(reason: Failure, call: AdmittedCall): void {
+    fail(reason: Failure, call?: AdmittedCall): void {
         this.context.counters.count("failed");
         this.context.eventLog.write("callFailed", {
             requestId: this.traits.callId,
-            team: call.team?.name,
-            route: call.route.name,
+            team: call?.team?.name,
+            route: call?.route.name,
             code: reason.code,
-            version: call.version,
+            version: call?.version ?? this.context.view.version,
             waited: this.elapsedTime(),
         });
         if (this.response.headersSent) {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -49,6 +49,9 @@
 /** Number of urgencies; a less urgent call waits shorter for a limited endpoint, and thus is refused first. */
 const urgencyCount = 10;
 
+/** Lower bound of the random `retry-after` time of a call that the entry refuses because it stops. */
+const stoppingRetryAfter: Milliseconds = 50;
+
 /** Number of denied grants after which a call is not sent to an endpoint whose rate is limited. */
 const maximumDenials = 4;
 
@@ -195,8 +198,54 @@
         return !hasBegun || (!isBodyForwarded && lastEventId !== undefined);
     }
 
+    /** Ends the call because the entry stops; its caller learns whether it may have run. */
+    endBecauseEntryStops(): void {
+        const { attempt, callerResponse, detour, executions } = this;
+        if (callerResponse.hasEnded()) {
+            return;
+        }
+        if (callerResponse.hasBegun || executions > 0 || attempt?.isSent === true || detour.isSent) {
+            callerResponse.fail(failure("entryStopped"));
+        }
+        else {
+            callerResponse.refuse({ reason: failure("entryStopping"), retryAfter: this.stopRetryAfter() });
+        }
+        attempt?.cancel("the entry stops");
+        detour.cancel("the entry stops");
+    }
+
+    /** Ends a call whose response would not be complete when the entry stops; returns whether it did. */
+    private endIfTooLate(call: AdmittedCall): boolean {
+        const { callsEndAt, clock, durations } = this.context;
+        const endAt = callsEndAt();
+        // A stream that has begun goes on as long as it can: its caller can continue it elsewhere.
+        if (endAt === undefined || this.callerResponse.hasBegun) {
+            return false;
+        }
+        const { route } = call;
+        const duration = Math.min(durations.expected(route.name) ?? route.targetLatency, this.remainingTime(route));
+        if (clock.now() + duration <= endAt) {
+            return false;
+        }
+        if (this.executions > 0) {
+            this.callerResponse.fail(failure("entryStopped"), call);
+        }
+        else {
+            this.callerResponse.refuse({ reason: failure("entryStopping"), call, retryAfter: this.stopRetryAfter() });
+        }
+        return true;
+    }
+
+    /** `retry-after` time of a caller that should use another entry: there is nothing to wait for. */
+    private stopRetryAfter(): Milliseconds {
+        return stoppingRetryAfter * (1 + this.context.random.float());
+    }
+
     private async serve(call: AdmittedCall): Promise<void> {
-        while (!this.callerResponse.hasCallerDisconnected()) {
+        while (!this.callerResponse.hasEnded()) {
+            if (this.endIfTooLate(call)) {
+                return;
+            }
             const detoured = this.mayDetour() ? await this.detour.run(call, this.executions) : "notTaken";
             if (detoured === "ended" || (detoured === "lost" && !await this.acquireRetryAfterDetour(call))) {
                 return;
@@ -233,11 +282,11 @@
             }
             this.lastFailure = { outcome, placement };
             await waitForSocketPoll();
-            if (this.callerResponse.hasCallerDisconnected()) {
+            if (this.callerResponse.hasEnded()) {
                 return;
             }
             const mayRetry = await this.acquireRetry(call, outcome);
-            if (this.callerResponse.hasCallerDisconnected()) {
+            if (this.callerResponse.hasEnded()) {
                 return;
             }
             if (!mayRetry) {
@@ -249,9 +298,9 @@
 
     /** Ends a call that is held back, or that was withdrawn while it waited to be let through; returns whether it ended. */
     private async endIfHeldBack(call: AdmittedCall): Promise<boolean> {
-        const mayBeTried = (): boolean => this.executions === 0 && !this.callerResponse.hasCallerDisconnected();
+        const mayBeTried = (): boolean => this.executions === 0 && !this.callerResponse.hasEnded();
         const hold = await this.crashGuard.resolveHold(call, mayBeTried);
-        if (this.callerResponse.hasCallerDisconnected()) {
+        if (this.callerResponse.hasEnded()) {
             return true;
         }
         if (hold === undefined) {
@@ -294,10 +343,10 @@
             && decideRetry(lost, route, this.executions, this.rejections) === "counted";
         const isGranted = isRepeatable && await retryBudget.acquire(service.name, grantSource);
         await waitForSocketPoll();
-        if (!isGranted && !this.callerResponse.hasCallerDisconnected()) {
+        if (!isGranted && !this.callerResponse.hasEnded()) {
             this.callerResponse.fail(failure(this.lostCode(route)), call);
         }
-        return isGranted && !this.callerResponse.hasCallerDisconnected();
+        return isGranted && !this.callerResponse.hasEnded();
     }
 
     /** Why a call has no response that may have run. */
@@ -439,6 +488,9 @@
         this.attempt = undefined;
         endpoint.removeCall(outstandingCall);
         this.executions += outcome.kind === "notRun" ? 0 : 1;
+        if (outcome.kind === "delivered" || outcome.kind === "failedAnswer") {
+            this.context.durations.record(route.name, clock.now() - sentAt);
+        }
         this.crashGuard.recordOutcome(call, endpoint, outcome, sentAt, clock.now());
         this.recordOutcome(endpoint, outcome, sentAt);
         return outcome;
--- a/src/resultCode/hostedCodes.ts
+++ b/src/resultCode/hostedCodes.ts
@@ -112,6 +112,13 @@
         text: "The entry applies a newer configuration than the entry that sent the call.",
         advice: "None needed: the entry that sent the call tries again by that configuration.",
     },
+    entryStopping: {
+        number: 1629,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "The entry stops before the call would be answered.",
+        advice: "Use another entry.",
+    },
     callOutcomeUnknown: {
         number: 1630,
         httpStatus: 502,
@@ -126,4 +133,11 @@
         text: "The endpoint did not answer within the time of the route; the call may have run.",
         advice: "Repeat the call only if it may run twice.",
     },
+    entryStopped: {
+        number: 1632,
+        httpStatus: 502,
+        outcome: "unknown",
+        text: "The entry stopped before the endpoint answered; the call may have run.",
+        advice: "Repeat the call only if it may run twice.",
+    },
 } as const satisfies Readonly<Record<string, ResultCodeDefinition>>;
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -42,6 +42,8 @@
  * Each simulated VM has its own loopback address.
  */
 export class HostedInstallation implements AsyncDisposable {
+    /** Time within which a process that started after the last change of this value must stop, in milliseconds. */
+    shutdownTime = 1_000;
     /** Calls that the endpoint has run, in order of arrival. */
     readonly receivedCalls: ReceivedCall[] = [];
     private readonly store = new DisposableStore();
@@ -355,7 +357,7 @@
             dataFolder,
             bounds: {
                 keyWithdrawal: 5_000,
-                shutdown: 1_000,
+                shutdown: this.shutdownTime,
                 dutyHandoverDelay: 3_000,
                 usageWindow: 5_000,
                 retryWindow: 10_000,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -4,6 +4,7 @@
 import { probeListener } from "../../../src/connection/probeListener.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
+import { CallDurations } from "../../../src/process/hosted/entry/callDurations.js";
 import { CallQuarantine } from "../../../src/process/hosted/entry/callQuarantine.js";
 import { CrashObserver } from "../../../src/process/hosted/entry/crashObserver.js";
 import { DeploymentView } from "../../../src/process/hosted/entry/deploymentView.js";
@@ -84,6 +85,8 @@
                 onCrash: () => undefined,
             }),
             quarantine: new CallQuarantine(() => undefined),
+            durations: new CallDurations(),
+            callsEndAt: () => undefined,
             reachability: new EndpointReachability({
                 clock,
                 eventLog,
