feat(replicatedLog): report when a disk is full and when it has room again

2137 appendRefused came with each refused write of the log, and nothing said that the disk had room again. 2142 and 2143 mark both ends, whichever operation was refused; gullhall_disk_full shows it at hosted control processes.

--- a/src/logEvent/controlEvents.ts
+++ b/src/logEvent/controlEvents.ts
@@ -92,6 +92,18 @@
         text: "Log entries could not be stored.",
         fields: ["group", "code"],
     },
+    diskFull: {
+        number: 2142,
+        level: "warn",
+        text: "The disk is full: it refused an operation; the process goes on once there is room.",
+        fields: ["operation", "name"],
+    },
+    diskWritable: {
+        number: 2143,
+        level: "info",
+        text: "The disk has room again.",
+        fields: ["duration"],
+    },
     joinRequested: {
         number: 2138,
         level: "info",
--- a/src/process/control/controlLog.ts
+++ b/src/process/control/controlLog.ts
@@ -7,6 +7,7 @@
 import type { DisposableStore } from "../../util/disposableStore.js";
 import { RandomSource } from "../../util/randomSource.js";
 import type { Result } from "../../util/result.js";
+import { DiskSpace } from "../replicatedLog/diskSpace.js";
 import { FileLogStorage } from "../replicatedLog/fileLogStorage.js";
 import { defaultLogTiming } from "../replicatedLog/logTiming.js";
 import { loadIdentity } from "../replicatedLog/memberIdentity.js";
@@ -54,7 +55,7 @@
 ): Promise<Result<ReplicatedLog<ControlCommand, ControlOutcome>, Failure>> {
     const { settings, state, clock, eventLog, store } = options;
     const { peerAddress, operatorAddress } = getOwnAddresses(settings);
-    const storage = await FileLogStorage.open(settings.dataFolder);
+    const storage = await FileLogStorage.open(settings.dataFolder, new DiskSpace(clock, eventLog));
     if (storage.err) {
         return storage;
     }
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -17,6 +17,7 @@
 import { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import { HttpLeasedCaller } from "../../platform/httpLeasedCaller.js";
 import { runWhileLeading } from "../../platform/platformDuties.js";
+import { DiskSpace } from "../../replicatedLog/diskSpace.js";
 import { FileLogStorage } from "../../replicatedLog/fileLogStorage.js";
 import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import { votersOf } from "../../replicatedLog/membership.js";
@@ -70,6 +71,7 @@
  */
 export class HostedControlProcess implements HostedProcess {
     private readonly disposables = new DisposableStore();
+    private readonly diskSpace: DiskSpace;
     private readonly shutdownController = new AbortController();
     private readonly links = new Set<EntryLink>();
     private readonly registry = new EntryRegistry(() => {
@@ -109,8 +111,9 @@
         private readonly settings: () => HostedSettings,
         private readonly clock: Clock,
         private readonly eventLog: EventLog,
-        private readonly openStorage: OpenStorage = folder => FileLogStorage.open(folder),
+        private readonly openStorage: OpenStorage = (folder, diskSpace) => FileLogStorage.open(folder, diskSpace),
     ) {
+        this.diskSpace = new DiskSpace(clock, eventLog);
         this.suspensionDetector = new SuspensionDetector(clock);
         this.rateLimits = new RateLimitLedger(eventLog);
         this.retries = new RetryLedger(settings().bounds);
@@ -176,7 +179,7 @@
 
     /** Opens the log, retrying while the disk or the address is unavailable; undefined if the process stops first. */
     private async openLog(): Promise<HostedLog | undefined> {
-        const { state, clock, eventLog, disposables, openStorage } = this;
+        const { state, clock, eventLog, disposables, diskSpace, openStorage } = this;
         while (!this.shutdownController.signal.aborted) {
             const opened = await openHostedLog({
                 settings: this.settings(),
@@ -184,7 +187,7 @@
                 clock,
                 eventLog,
                 disposables,
-                openStorage,
+                openStorage: folder => openStorage(folder, diskSpace),
             });
             if (opened.ok) {
                 return opened.val;
@@ -306,6 +309,7 @@
                 version: state.version,
                 entries: registry.count(clock.now()),
                 endpoints: endpointPoller.snapshot?.endpoints.length ?? 0,
+                disk_full: this.diskSpace.isFull ? 1 : 0,
             };
         };
         const metrics = this.disposables.add(
--- a/src/process/hosted/control/hostedLog.ts
+++ b/src/process/hosted/control/hostedLog.ts
@@ -10,6 +10,7 @@
 import { Err } from "../../../util/result.js";
 import type { Result } from "../../../util/result.js";
 import { splitAddress } from "../../../util/socketAddress.js";
+import type { DiskSpace } from "../../replicatedLog/diskSpace.js";
 import type { LogStorage } from "../../replicatedLog/logStorage.js";
 import { defaultLogTiming } from "../../replicatedLog/logTiming.js";
 import { loadIdentity } from "../../replicatedLog/memberIdentity.js";
@@ -39,11 +40,11 @@
     readonly eventLog: EventLog;
     /** Takes ownership of the opened resources. */
     readonly disposables: DisposableStore;
-    readonly openStorage: OpenStorage;
+    readonly openStorage: (folder: string) => Promise<Result<LogStorage, Failure>>;
 }
 
-/** Opens the storage in a folder. */
-export type OpenStorage = (folder: string) => Promise<Result<LogStorage, Failure>>;
+/** Opens the storage in a folder; it reports there when its disk is full. */
+export type OpenStorage = (folder: string, diskSpace: DiskSpace) => Promise<Result<LogStorage, Failure>>;
 
 /**
  * Opens the replicated log with its storage in the data folder and its peer network.
--- a/src/process/replicatedLog/fileLogStorage.ts
+++ b/src/process/replicatedLog/fileLogStorage.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
+import type { DiskSpace } from "./diskSpace.js";
 import { LogStorage } from "./logStorage.js";
 
 /** Suffix of a file that is still being written; such files are ignored and overwritten. */
@@ -40,32 +41,41 @@
 export class FileLogStorage extends LogStorage {
     private readonly openFiles = new Map<string, OpenFile>();
 
-    private constructor(private readonly folder: string, private readonly fileSystem: FileSystem) {
+    private constructor(
+        private readonly folder: string,
+        private readonly diskSpace: DiskSpace | undefined,
+        private readonly fileSystem: FileSystem,
+    ) {
         super();
     }
 
-    /** Opens a folder, creating it durably if it does not exist. */
+    /**
+     * Opens a folder, creating it durably if it does not exist.
+     *
+     * @param diskSpace Is told when the disk is full and when it has room again.
+     */
     static async open(
         folder: string,
+        diskSpace?: DiskSpace,
         fileSystem: FileSystem = { open, rename, rm },
     ): Promise<Result<FileLogStorage, Failure>> {
-        return toResult("open", folder, async () => {
+        return toResult(diskSpace, "open", folder, async () => {
             const path = resolve(folder);
             const firstCreated = await mkdir(path, { recursive: true, mode: 0o700 });
             await syncParents(fileSystem, path, firstCreated ?? path);
-            return new FileLogStorage(path, fileSystem);
+            return new FileLogStorage(path, diskSpace, fileSystem);
         });
     }
 
     override async list(): Promise<Result<readonly string[], Failure>> {
-        return toResult("list", this.folder, async () => {
+        return this.toResult("list", this.folder, async () => {
             const names = await readdir(this.folder);
             return names.filter(name => !name.endsWith(temporarySuffix));
         });
     }
 
     override async read(name: string): Promise<Result<Uint8Array | undefined, Failure>> {
-        return toResult("read", name, async () => {
+        return this.toResult("read", name, async () => {
             try {
                 return await readFile(this.pathOf(name));
             }
@@ -79,7 +89,7 @@
     }
 
     override async replace(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
-        return toResult("replace", name, async () => {
+        return this.write("replace", name, async () => {
             await this.closeFile(name);
             const temporary = this.pathOf(name) + temporarySuffix;
             try {
@@ -95,14 +105,14 @@
     }
 
     override async append(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
-        return toResult("append", name, async () => {
+        return this.write("append", name, async () => {
             const file = await this.openFile(name);
             try {
                 await file.handle.appendFile(bytes);
                 await file.handle.datasync();
             }
             catch (error) {
-                await completeOnceWritable(async () => {
+                await this.completeOnceWritable(name, async () => {
                     await file.handle.truncate(file.bytes);
                     await file.handle.sync();
                 });
@@ -113,9 +123,9 @@
     }
 
     override async truncate(name: string, length: number): Promise<Result<void, Failure>> {
-        return toResult("truncate", name, async () => {
+        return this.toResult("truncate", name, async () => {
             const { handle } = await this.openFile(name);
-            await completeOnceWritable(async () => {
+            await this.completeOnceWritable(name, async () => {
                 await handle.truncate(length);
                 await handle.sync();
             });
@@ -124,7 +134,7 @@
     }
 
     override async remove(name: string): Promise<Result<void, Failure>> {
-        return toResult("remove", name, async () => {
+        return this.toResult("remove", name, async () => {
             await this.closeFile(name);
             await this.fileSystem.rm(this.pathOf(name), { force: true });
             await this.syncRenames();
@@ -137,6 +147,36 @@
         }
     }
 
+    private toResult<T>(operation: string, name: string, action: () => Promise<T>): Promise<Result<T, Failure>> {
+        return toResult(this.diskSpace, operation, name, action);
+    }
+
+    /** Runs an operation that needs room. */
+    private async write(operation: string, name: string, action: () => Promise<void>): Promise<Result<void, Failure>> {
+        const written = await this.toResult(operation, name, action);
+        if (written.ok) {
+            this.diskSpace?.recordWritten();
+        }
+        return written;
+    }
+
+    /** Repeats an action while the disk is full; any other error leaves the stored state unknown. */
+    private async completeOnceWritable(name: string, action: () => Promise<void>): Promise<void> {
+        for (;;) {
+            try {
+                await action();
+                return;
+            }
+            catch (error) {
+                if (!isFullDiskError(error)) {
+                    throw new UncertainStateError(String(error));
+                }
+                this.diskSpace?.recordFull("recovery", name);
+                await sleep(fullDiskRetryInterval);
+            }
+        }
+    }
+
     private async writeSynced(path: string, bytes: Uint8Array): Promise<void> {
         const handle = await this.fileSystem.open(path, "w");
         try {
@@ -150,7 +190,7 @@
 
     /** Makes the names in the folder durable. */
     private async syncRenames(): Promise<void> {
-        await completeOnceWritable(() => syncFolder(this.fileSystem, this.folder));
+        await this.completeOnceWritable(this.folder, () => syncFolder(this.fileSystem, this.folder));
     }
 
     private pathOf(name: string): string {
@@ -178,22 +218,6 @@
 /** A failure that leaves the stored state unknown; reported as `storageFailed` even if its cause is a full disk. */
 class UncertainStateError extends Error {}
 
-/** Repeats an action while the disk is full; any other error leaves the stored state unknown. */
-async function completeOnceWritable(action: () => Promise<void>): Promise<void> {
-    for (;;) {
-        try {
-            await action();
-            return;
-        }
-        catch (error) {
-            if (!isFullDiskError(error)) {
-                throw new UncertainStateError(String(error));
-            }
-            await sleep(fullDiskRetryInterval);
-        }
-    }
-}
-
 /** Syncs each folder in which a folder was created, from the parent of `path` up to the parent of `firstCreated`. */
 async function syncParents(fileSystem: FileSystem, path: string, firstCreated: string): Promise<void> {
     const lastParent = dirname(firstCreated);
@@ -224,17 +248,20 @@
 }
 
 /** Runs an operation; maps errors to `storageFull` if no space is left, otherwise to `storageFailed`. */
-async function toResult<T>(operation: string, name: string, action: () => Promise<T>): Promise<Result<T, Failure>> {
+async function toResult<T>(
+    diskSpace: DiskSpace | undefined,
+    operation: string,
+    name: string,
+    action: () => Promise<T>,
+): Promise<Result<T, Failure>> {
     try {
         return Ok(await action());
     }
     catch (error) {
-        return Err(
-            failure(isFullDiskError(error) ? "storageFull" : "storageFailed", {
-                operation,
-                name,
-                reason: String(error),
-            }),
-        );
+        const isFull = isFullDiskError(error);
+        if (isFull) {
+            diskSpace?.recordFull(operation, name);
+        }
+        return Err(failure(isFull ? "storageFull" : "storageFailed", { operation, name, reason: String(error) }));
     }
 }
--- a/tests/process/replicatedLog/fileLogStorage.test.ts
+++ b/tests/process/replicatedLog/fileLogStorage.test.ts
@@ -43,7 +43,7 @@
                     const folder = await mkdtemp(join(tmpdir(), "gullhall-storage-"));
                     t.teardown(() => rm(folder, { recursive: true }));
                     const fileSystem = new FaultyFileSystem(operation, takesEffect);
-                    const storage = (await FileLogStorage.open(folder, fileSystem)).unwrap();
+                    const storage = (await FileLogStorage.open(folder, undefined, fileSystem)).unwrap();
                     (await storage.replace("log", Buffer.from(before))).unwrap();
                     fileSystem.remainingFailures = 3;
                     let result = await run(storage);
@@ -68,7 +68,7 @@
         const folder = await mkdtemp(join(tmpdir(), "gullhall-storage-"));
         t.teardown(() => rm(folder, { recursive: true }));
         const fileSystem = new FaultyFileSystem("rm", false);
-        const storage = (await FileLogStorage.open(folder, fileSystem)).unwrap();
+        const storage = (await FileLogStorage.open(folder, undefined, fileSystem)).unwrap();
         const files = { storage, identity: { cluster: "test", memberId: "me" }, group: "main" };
         const log = (await DurableLog.open(files, true)).unwrap();
         (await log.append([{ kind: "noOp", position: 1, term: 1 }])).unwrap();
