--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -1,6 +1,8 @@
+import { once } from "node:events";
 import { mkdtemp, rm } from "node:fs/promises";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { OpenConnection } from "../../../src/connection/hosted/endpointAgent.js";
@@ -321,6 +323,29 @@
         await entry?.[Symbol.asyncDispose]();
     }
 
+    /** Ends an entry as a kill does: nobody is told, and its connections are reset. */
+    async killEntry(index: number): Promise<void> {
+        const entry = this.entries.get(index);
+        this.entries.delete(index);
+        if (entry === undefined) {
+            return;
+        }
+        const partOf = <T>(name: string): T => Reflect.get(entry, name) as T;
+        partOf<AbortController>("shutdownController").abort();
+        partOf<ReadonlySet<Socket>>("sockets").forEach(socket => {
+            socket.resetAndDestroy();
+        });
+        const closed = once(partOf<Server>("server").close(), "close");
+        await partOf<DisposableStore>("disposables").dispose();
+        await closed;
+    }
+
+    /** Starts an entry at the addresses of one that was killed. */
+    async restartEntry(index: number): Promise<void> {
+        const { port } = splitAddress(this.callerAddress);
+        await this.startEntry(index, `127.0.${this.network}.${index}:${port}`);
+    }
+
     private async startEntry(
         index = 100,
         callerAddress = this.callerAddress,
