fix(request): send nothing for a call that the stopping entry has ended

A call that waited for a newer configuration or for a grant when the entry ended it got 503, which states that it has not run and will not; for the 0.2 s in which final responses are written it could still be sent to an endpoint or another entry.

Cause: two waits looked for a caller that has left, not for a response that has ended.

Before: 'is not sent again once the entry has ended it' failed (2 requests, 1 expected).

--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -83,7 +83,7 @@
         const { callerResponse, context, remainingTime, readmit } = this.input;
         let call = admitted;
         let refusal: RelayRefusal | undefined;
-        while (this.mayAsk && remainingTime(call) > 0) {
+        while (this.mayAsk && remainingTime(call) > 0 && !callerResponse.hasEnded()) {
             const readmitted = readmit(call);
             if (readmitted.err) {
                 callerResponse.refuse(readmitted.val);
@@ -113,6 +113,9 @@
                 await this.prepareNextAttempt(refusal, relay, call);
             }
         }
+        if (callerResponse.hasEnded()) {
+            return "ended";
+        }
         if (refusal === undefined) {
             return "notTaken";
         }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -401,7 +401,7 @@
         const maySend = isGranted && fleet.serving(service.name).includes(endpoint)
             && !endpoint.isResting(this.context.clock.now()) && endpoint.hasRoom(this.context.entryCount());
         this.denials += maySend ? 0 : 1;
-        return maySend && !this.callerResponse.hasCallerDisconnected();
+        return maySend && !this.callerResponse.hasEnded();
     }
 
     /**
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -55,6 +55,8 @@
     readonly clock = new SystemClock();
     readonly context: CallContext;
     callerAddress = "";
+    /** The calls that were received. */
+    readonly calls: HostedCall[] = [];
     private areEndpointsReachable = true;
 
     private constructor(eventLog: EventLog, grantSource: GrantSource) {
@@ -118,7 +120,9 @@
         const server = createServer((request, response) => {
             const isRelayed = request.headers[relayHeaderNames.token] !== undefined;
             const relayed = isRelayed ? readRelayedCall(request.headers) : undefined;
-            void new HostedCall(request, response, callServer.context, relayed).run();
+            const call = new HostedCall(request, response, callServer.context, relayed);
+            callServer.calls.push(call);
+            void call.run();
         });
         store.defer(() => {
             server.close();
--- a/tests/request/hosted/relayedVersion.test.ts
+++ b/tests/request/hosted/relayedVersion.test.ts
@@ -174,6 +174,21 @@
         t.is(response.requests.length, 1);
     });
 
+    // Guards against a call that runs after its caller was told that it has not, because the entry stops.
+    itSerially("is not sent again once the entry has ended it", async t => {
+        const script: RelayScript = (response, headers, asker) => {
+            setTimeout(() => {
+                asker.calls.forEach(call => {
+                    call.endBecauseEntryStops();
+                });
+            }, propagationDelay / 2);
+            differsFrom(newerDocument)(response, headers, asker);
+        };
+        const response = await makeRelayedCall("/bookings/a", [script, answerAs(200, "answer")]);
+        t.regex(response.head, /^HTTP\/1\.1 503 /);
+        t.is(response.requests.length, 1);
+    });
+
     // Guards against a promise that is broken because the newer configuration never arrives.
     itSerially("is refused as not run if that configuration does not arrive", async t => {
         const response = await makeRelayedCall("/bookings/a", [differs]);
