--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -181,6 +181,8 @@
             "softwareVersion",
             "resumedCallId",
             "lastEventId",
+            "expectedDuration",
+            "shutdownLeft",
         ],
     },
     callAttemptFailed: {
@@ -193,7 +195,19 @@
         number: 2462,
         level: "info",
         text: "A call was rejected without having run.",
-        fields: ["requestId", "team", "route", "code", "version", "permitAge", "waited", "retryAfter", "feature"],
+        fields: [
+            "requestId",
+            "team",
+            "route",
+            "code",
+            "version",
+            "permitAge",
+            "waited",
+            "retryAfter",
+            "feature",
+            "expectedDuration",
+            "shutdownLeft",
+        ],
     },
     callFailed: {
         number: 2463,
@@ -247,7 +261,7 @@
         number: 2471,
         level: "info",
         text: "A call was sent through another entry.",
-        fields: ["requestId", "attempt", "entry", "version", "lastEventId"],
+        fields: ["requestId", "attempt", "entry", "version", "lastEventId", "expectedDuration", "shutdownLeft"],
     },
     relayAttemptFailed: {
         number: 2476,
@@ -279,4 +293,22 @@
         text: "An endpoint stated that it is about to stop; it gets no new calls of this entry.",
         fields: ["endpoint"],
     },
+    entryShutdownBegan: {
+        number: 2478,
+        level: "info",
+        text: "The entry began to shut down; calls that are under way get the rest of the shutdown time.",
+        fields: ["runningCalls", "listedCalls", "shutdownLeft"],
+    },
+    callUnderWayAtShutdown: {
+        number: 2479,
+        level: "info",
+        text: "A call was under way when the entry began to shut down.",
+        fields: ["requestId", "route", "waited", "attempts", "sinceDispatch", "expectedDuration", "remaining"],
+    },
+    entryShutdownEnded: {
+        number: 2480,
+        level: "info",
+        text: "The entry ended its last calls.",
+        fields: ["duration", "answered", "refused", "failed", "left", "ended"],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/process/hosted/entry/entryCounters.ts
+++ b/src/process/hosted/entry/entryCounters.ts
@@ -8,6 +8,9 @@
 /** An event of a call or attempt that is counted. */
 export type CountedEvent = (typeof countedEvents)[number];
 
+/** Numbers of calls by how they ended. */
+export type CallCounts = Readonly<Record<"answered" | "refused" | "failed" | "left", number>>;
+
 /** Metrics of an entry's calls since its start. */
 export class EntryCounters {
     private readonly counts = new Map<CountedEvent, number>();
@@ -22,6 +25,17 @@
         this.times.record(time);
     }
 
+    /** Number of calls that have ended since the start, by how they ended. */
+    endedCalls(): CallCounts {
+        const countOf = (event: CountedEvent): number => this.counts.get(event) ?? 0;
+        return {
+            answered: countOf("answered"),
+            refused: countOf("refused"),
+            failed: countOf("failed"),
+            left: countOf("left"),
+        };
+    }
+
     write(writer: ExpositionWriter): void {
         writer.family("gullhall_calls_total", "counter", "Calls and attempts by what became of them.");
         writer.family("gullhall_call_seconds", "summary", "Time from a call's arrival to the end of its answer.");
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -41,6 +41,8 @@
 import { EndpointRateLimits } from "./endpointRateLimits.js";
 import { EndpointReachability } from "./endpointReachability.js";
 import { EntryCounters } from "./entryCounters.js";
+import type { CallCounts } from "./entryCounters.js";
+import { EntryShutdown } from "./entryShutdown.js";
 import { HostedRetryBudget } from "./hostedRetryBudget.js";
 import { RelayDirectory } from "./relayDirectory.js";
 import { StreamOrigins } from "./streamOrigins.js";
@@ -66,6 +68,9 @@
 /** Time for which the final responses of the remaining calls are written. */
 const finalResponseTime: Milliseconds = 200;
 
+/** Maximum number of calls that are listed in the log when a shutdown begins: the newest ones. */
+const maximumListedCalls = 256;
+
 /** Polling interval while the running calls finish. */
 const shutdownPollInterval: Milliseconds = 50;
 
@@ -87,8 +92,7 @@
     private readonly relayServer: RelayServer;
     /** Undefined while no calls can be relayed. */
     private relayAddress: string | undefined;
-    /** When the remaining calls are ended; undefined until the entry shuts down. */
-    private callsEndAt: Milliseconds | undefined;
+    private readonly shutdown = new EntryShutdown();
     private entryCount = 1;
 
     constructor(
@@ -220,7 +224,7 @@
             quarantine,
             streamOrigins,
             durations: new CallDurations(),
-            callsEndAt: () => this.callsEndAt,
+            shutdown: this.shutdown,
             reachability,
             relays,
         };
@@ -307,8 +311,10 @@
      */
     async [Symbol.asyncDispose](): Promise<void> {
         const startedAt = this.clock.now();
-        const endAt = startedAt + this.settings().bounds.shutdown * shutdownFraction;
-        this.callsEndAt = endAt;
+        const callTime = this.settings().bounds.shutdown * shutdownFraction;
+        const endAt = startedAt + callTime;
+        this.shutdown.begin(callTime, startedAt);
+        const countsBefore = this.logShutdownBegin(callTime, startedAt);
         for (const response of this.runningCalls.keys()) {
             response.shouldKeepAlive = false;
         }
@@ -318,16 +324,46 @@
         this.server.closeIdleConnections();
         await this.waitForCalls(endAt);
         this.controlLinks.sendHeartbeats(this.clock.now());
+        const endedCalls = this.runningCalls.size;
         this.runningCalls.forEach(call => {
             call.endBecauseEntryStops();
         });
         await this.waitForCalls(this.clock.now() + finalResponseTime);
+        this.logShutdownEnd(countsBefore, endedCalls, this.clock.now() - startedAt);
         this.shutdownController.abort();
         [...this.runningCalls.keys()].forEach(abortResponse);
         this.sockets.forEach(socket => socket.destroy());
         await this.disposables.dispose();
     }
 
+    /** Logs the calls that are under way; returns how many calls had ended in each way before. */
+    private logShutdownBegin(callTime: Milliseconds, now: Milliseconds): CallCounts {
+        const { counters, eventLog } = this.callContext;
+        const listed = [...this.runningCalls.values()].slice(-maximumListedCalls);
+        eventLog.write("entryShutdownBegan", {
+            runningCalls: this.runningCalls.size,
+            listedCalls: listed.length,
+            shutdownLeft: Math.round(callTime),
+        });
+        listed.forEach(call => {
+            call.logAtShutdown(now);
+        });
+        return counters.endedCalls();
+    }
+
+    private logShutdownEnd(before: CallCounts, ended: number, duration: Milliseconds): void {
+        const { counters, eventLog } = this.callContext;
+        const { answered, refused, failed, left } = counters.endedCalls();
+        eventLog.write("entryShutdownEnded", {
+            duration: Math.round(duration),
+            answered: answered - before.answered,
+            refused: refused - before.refused,
+            failed: failed - before.failed,
+            left: left - before.left,
+            ended,
+        });
+    }
+
     private async waitForCalls(endAt: Milliseconds): Promise<void> {
         while (this.runningCalls.size > 0 && this.clock.now() < endAt) {
             await this.clock.sleep(shutdownPollInterval);
@@ -336,7 +372,7 @@
     }
 
     private get isDraining(): boolean {
-        return this.callsEndAt !== undefined;
+        return this.shutdown.isUnderWay;
     }
 
     private isReady(): boolean {
--- a/src/request/hosted/callContext.ts
+++ b/src/request/hosted/callContext.ts
@@ -7,6 +7,7 @@
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
 import type { EndpointReachability } from "../../process/hosted/entry/endpointReachability.js";
 import type { EntryCounters } from "../../process/hosted/entry/entryCounters.js";
+import type { EntryShutdown } from "../../process/hosted/entry/entryShutdown.js";
 import type { GrantSource } from "../../process/hosted/entry/grantSource.js";
 import type { HostedRetryBudget } from "../../process/hosted/entry/hostedRetryBudget.js";
 import type { RelayDirectory } from "../../process/hosted/entry/relayDirectory.js";
@@ -45,8 +46,7 @@
     readonly quarantine: CallQuarantine;
     readonly streamOrigins: StreamOrigins;
     readonly durations: CallDurations;
-    /** When the entry ends its remaining calls, because it stops; undefined while it does not stop. */
-    readonly callsEndAt: () => Milliseconds | undefined;
+    readonly shutdown: EntryShutdown;
     readonly reachability: EndpointReachability;
     readonly relays: RelayDirectory;
 }
--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -12,6 +12,7 @@
 import type { CallTraits } from "./callTraits.js";
 import { RelayAttempt } from "./relayAttempt.js";
 import type { RelayOutcome, RelayRefusal } from "./relayAttempt.js";
+import { shutdownFieldsOf } from "./shutdownFields.js";
 import type { StreamContinuation } from "./streamContinuation.js";
 
 /** Maximum number of attempts of one call through other entries. */
@@ -137,6 +138,7 @@
             entry: relay.entry,
             version: call.version,
             lastEventId: callerResponse.lastEventId ?? traits.lastEventId,
+            ...shutdownFieldsOf(call.route, context, clock.now()),
         });
         const sentAt = clock.now();
         this.attempt = new RelayAttempt({
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -8,6 +8,7 @@
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
 import type { CallTraits } from "./callTraits.js";
 import type { RelayedResponseHeaders } from "./relayedResponseHeaders.js";
+import { shutdownFieldsOf } from "./shutdownFields.js";
 
 /** Status code 503 (Service Unavailable). */
 const unavailableStatus = 503;
@@ -124,7 +125,7 @@
 
     /** Responds with an error to a call that has not run. */
     refuse({ reason, call, retryAfter, feature }: Refusal): void {
-        const { view, suspensionDetector, eventLog, counters } = this.context;
+        const { view, suspensionDetector, eventLog, counters, clock } = this.context;
         const seconds = retryAfter === undefined ? undefined : (retryAfter / 1000).toFixed(3);
         counters.count("refused");
         eventLog.write("callRefused", {
@@ -137,6 +138,7 @@
             waited: this.elapsedTime(),
             retryAfter: seconds,
             feature,
+            ...shutdownFieldsOf(call?.route, this.context, clock.now()),
         });
         this.relayedHeaders.set("entry");
         sendFailure(this.response, reason, seconds === undefined ? {} : { "retry-after": seconds });
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -21,6 +21,7 @@
 import type { Placement, PlacementRequest } from "./endpointChooser.js";
 import { RelayedResponseHeaders } from "./relayedResponseHeaders.js";
 import { decideRetry } from "./retryRule.js";
+import { shutdownFieldsOf } from "./shutdownFields.js";
 import { StreamContinuation } from "./streamContinuation.js";
 
 /** Minimum remaining time for another attempt. */
@@ -84,6 +85,8 @@
     /** Number of calls to endpoints with limited rates that were not granted. */
     private denials = 0;
     private lastFailure: FailedAttempt | undefined;
+    /** Undefined until the call is admitted. */
+    private route: DeployedRoute | undefined;
     private readonly crashGuard: CrashGuard;
     private readonly continuation: StreamContinuation;
     private readonly detour: CallDetour;
@@ -134,6 +137,7 @@
     async run(): Promise<void> {
         const call = await admitCall(this.request, this.traits, this.resolveTeam, this.context, this.relayed);
         if (call.ok) {
+            this.route = call.val.route;
             if (this.relayed === undefined) {
                 this.context.retryBudget.recordCall(call.val.service.name, this.context.clock.now());
             }
@@ -149,13 +153,29 @@
                 requestId: this.traits.callId,
                 waited: this.callerResponse.elapsedTime(),
                 attempts: this.triedEndpoints.size,
-                sinceDispatch: this.dispatchedAt === undefined
-                    ? undefined
-                    : Math.round(this.context.clock.now() - this.dispatchedAt),
+                sinceDispatch: this.timeSinceDispatch(this.context.clock.now()),
             });
         }
     }
 
+    /** Logs that the call is under way while the entry begins to shut down. */
+    logAtShutdown(now: Milliseconds): void {
+        const { route, context, traits } = this;
+        context.eventLog.write("callUnderWayAtShutdown", {
+            requestId: traits.callId,
+            route: route?.name,
+            waited: this.callerResponse.elapsedTime(),
+            attempts: this.triedEndpoints.size,
+            sinceDispatch: this.timeSinceDispatch(now),
+            expectedDuration: shutdownFieldsOf(route, context, now).expectedDuration,
+            remaining: route && Math.round(this.remainingTime(route)),
+        });
+    }
+
+    private timeSinceDispatch(now: Milliseconds): Milliseconds | undefined {
+        return this.dispatchedAt === undefined ? undefined : Math.round(now - this.dispatchedAt);
+    }
+
     private readonly resolveTeam: TeamResolver = index => {
         const { relayed, traits } = this;
         if (relayed !== undefined) {
@@ -216,15 +236,15 @@
 
     /** Ends a call whose response would not be complete when the entry stops; returns whether it did. */
     private endIfTooLate(call: AdmittedCall): boolean {
-        const { callsEndAt, clock, durations } = this.context;
-        const endAt = callsEndAt();
+        const { shutdown, clock, durations } = this.context;
+        const timeLeft = shutdown.timeLeft(clock.now());
         // A stream that has begun goes on as long as it can: its caller can continue it elsewhere.
-        if (endAt === undefined || this.callerResponse.hasBegun) {
+        if (timeLeft === undefined || this.callerResponse.hasBegun) {
             return false;
         }
         const { route } = call;
         const duration = Math.min(durations.expected(route.name) ?? route.targetLatency, this.remainingTime(route));
-        if (clock.now() + duration <= endAt) {
+        if (duration <= timeLeft) {
             return false;
         }
         if (this.executions > 0) {
@@ -637,6 +657,7 @@
             softwareVersion: endpoint.record.softwareVersion,
             resumedCallId: this.traits.resumedCallId,
             lastEventId: this.callerResponse.lastEventId ?? this.traits.lastEventId,
+            ...shutdownFieldsOf(call.route, this.context, clock.now()),
         });
     }
 }
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -12,6 +12,7 @@
 import { EndpointRateLimits } from "../../../src/process/hosted/entry/endpointRateLimits.js";
 import { EndpointReachability } from "../../../src/process/hosted/entry/endpointReachability.js";
 import { EntryCounters } from "../../../src/process/hosted/entry/entryCounters.js";
+import { EntryShutdown } from "../../../src/process/hosted/entry/entryShutdown.js";
 import type { GrantSource } from "../../../src/process/hosted/entry/grantSource.js";
 import { HostedRetryBudget } from "../../../src/process/hosted/entry/hostedRetryBudget.js";
 import { RelayDirectory } from "../../../src/process/hosted/entry/relayDirectory.js";
@@ -88,7 +89,7 @@
             }),
             quarantine: new CallQuarantine(() => undefined),
             durations: new CallDurations(),
-            callsEndAt: () => undefined,
+            shutdown: new EntryShutdown(),
             reachability: new EndpointReachability({
                 clock,
                 eventLog,
