fix(request): send calls while an entry stops only if they certainly end before it

Callers saw streams begin with status 200 and break off at the end of a planned stop (LOST). The entry expected a call to take as long as nine of ten of the last 32 delivered calls of its route, or without any, the time to the first event. That is too short for the tenth call, for a route whose calls became longer, for a process that has just started; and a call was not judged again after it had waited for a grant or another entry. The class of fault: a guarantee that rests on an estimate of usual cases.

Now a call is sent after the signal if its own deadline ends before the entry does. Otherwise the longest time that calls of its route took in the last minutes must fit: with a tenth to spare for calls with one answer; twice for streams, and those only within the 2.6 s in which callers may not know yet that the entry stops. A call that runs, or ended undelivered, for longer than all delivered ones makes that time unknown. The decision is repeated directly before each attempt, relayed ones too, on the clock that counts suspensions. A stream that has begun is continued only if its longest duration fits: otherwise its caller can continue it elsewhere at once.

--- a/src/process/hosted/entry/callDurations.ts
+++ b/src/process/hosted/entry/callDurations.ts
@@ -1,32 +1,92 @@
 import type { Milliseconds } from "../../../util/clock.js";
 
-/** Number of the newest durations of a route that are kept. */
-const keptDurations = 32;
+/** Time for which a duration counts at least; it is forgotten after at most twice as long. */
+const retentionPeriod: Milliseconds = 300_000;
 
 /** Maximum number of routes; the one that was used least recently is forgotten first. */
 const maximumRoutes = 1_024;
 
-/** The kept durations that an expected duration covers, as a fraction. */
-const coveredFraction = 0.9;
+/** A call that is under way, from its first dispatch on. */
+export interface MeasuredCall {
+    readonly route: string;
+    readonly startedAt: Milliseconds;
+}
+
+/** Longest durations of a route in two successive retention periods. */
+interface RouteDurations {
+    readonly periodStart: Milliseconds;
+    readonly current: LongestDurations;
+    readonly previous: LongestDurations;
+}
+
+/** Longest durations of calls by how they ended; undefined if none did. */
+interface LongestDurations {
+    /** Of calls whose response was delivered whole. */
+    readonly delivered: Milliseconds | undefined;
+    /** Of calls that ended in another way, and might have taken longer. */
+    readonly unfinished: Milliseconds | undefined;
+}
+
+const noDurations: LongestDurations = { delivered: undefined, unfinished: undefined };
 
-/** How long the newest calls of each route took, from their dispatch to the end of their response. */
+/** How long calls of each route take, from their first dispatch to the end of their response. */
 export class CallDurations {
-    private readonly byRoute = new Map<string, readonly Milliseconds[]>();
+    private readonly byRoute = new Map<string, RouteDurations>();
+    private readonly runningCalls = new Set<MeasuredCall>();
+
+    begin(route: string, now: Milliseconds): MeasuredCall {
+        const call = { route, startedAt: now };
+        this.runningCalls.add(call);
+        return call;
+    }
 
-    /** Records the duration of a call with a complete response. */
-    record(route: string, duration: Milliseconds): void {
-        const durations = [...this.byRoute.get(route) ?? [], duration].slice(-keptDurations);
-        this.byRoute.delete(route);
-        this.byRoute.set(route, durations);
+    /** Records that a call has ended; `delivered`: its response was delivered whole. */
+    end(call: MeasuredCall, outcome: keyof LongestDurations, now: Milliseconds): void {
+        this.runningCalls.delete(call);
+        const { periodStart, current, previous } = this.durationsAt(call.route, now);
+        const longest = Math.max(current[outcome] ?? 0, now - call.startedAt);
+        this.byRoute.delete(call.route);
+        this.byRoute.set(call.route, { periodStart, current: { ...current, [outcome]: longest }, previous });
         const [oldestRoute] = this.byRoute.keys();
         if (this.byRoute.size > maximumRoutes && oldestRoute !== undefined) {
             this.byRoute.delete(oldestRoute);
         }
     }
 
-    /** The time that most calls of a route take; undefined if none has been recorded. */
-    expected(route: string): Milliseconds | undefined {
-        const durations = [...this.byRoute.get(route) ?? []].sort((a, b) => a - b);
-        return durations[Math.ceil(durations.length * coveredFraction) - 1];
+    /** Forgets a call that has not run. */
+    discard(call: MeasuredCall): void {
+        this.runningCalls.delete(call);
     }
+
+    /**
+     * The longest time that a delivered call of the route has taken recently; undefined if none was delivered, or if
+     * another call lasted longer or lasts longer already, so that the longest time is not known.
+     */
+    longest(route: string, now: Milliseconds): Milliseconds | undefined {
+        const { current, previous } = this.durationsAt(route, now);
+        const delivered = longerOf(current.delivered, previous.delivered);
+        const unfinished = longerOf(current.unfinished, previous.unfinished) ?? 0;
+        const runningTimes = [...this.runningCalls]
+            .filter(call => call.route === route)
+            .map(({ startedAt }) => now - startedAt);
+        return delivered !== undefined && Math.max(unfinished, ...runningTimes) <= delivered ? delivered : undefined;
+    }
+
+    private durationsAt(route: string, now: Milliseconds): RouteDurations {
+        const durations = this.byRoute.get(route);
+        if (durations === undefined || now - durations.periodStart >= 2 * retentionPeriod) {
+            return { periodStart: now, current: noDurations, previous: noDurations };
+        }
+        return now - durations.periodStart >= retentionPeriod
+            ? {
+                periodStart: durations.periodStart + retentionPeriod,
+                current: noDurations,
+                previous: durations.current,
+            }
+            : durations;
+    }
+}
+
+function longerOf(first: Milliseconds | undefined, second: Milliseconds | undefined): Milliseconds | undefined {
+    return first === undefined || second === undefined ? first ?? second : Math.max(first, second);
 }
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -42,7 +42,7 @@
 import { EndpointReachability } from "./endpointReachability.js";
 import { EntryCounters } from "./entryCounters.js";
 import type { CallCounts } from "./entryCounters.js";
-import { EntryShutdown } from "./entryShutdown.js";
+import { drainingAcceptTime, EntryShutdown } from "./entryShutdown.js";
 import { HostedRetryBudget } from "./hostedRetryBudget.js";
 import { RelayDirectory } from "./relayDirectory.js";
 import { StreamOrigins } from "./streamOrigins.js";
@@ -56,9 +56,6 @@
 /** Idle timeout of connections until the first configuration sets one. */
 const initialIdleTimeout: Milliseconds = 15_000;
 
-/** Time for which an entry that shuts down still accepts calls: callers may cache a resolution response that long. */
-const drainingAcceptTime: Milliseconds = 2_600;
-
 /** Fraction of the shutdown time after which the remaining calls are ended. */
 const shutdownFraction = 0.94;
 
@@ -313,7 +310,7 @@
         const startedAt = this.clock.now();
         const callTime = this.settings().bounds.shutdown * shutdownFraction;
         const endAt = startedAt + callTime;
-        this.shutdown.begin(callTime, startedAt);
+        this.shutdown.begin(callTime, this.suspensionDetector.now());
         const countsBefore = this.logShutdownBegin(callTime, startedAt);
         for (const response of this.runningCalls.keys()) {
             response.shouldKeepAlive = false;
--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -38,6 +38,10 @@
     readonly remainingTime: (call: AdmittedCall) => Milliseconds;
     /** Admits the call by the configuration in force, unless it may have run. */
     readonly readmit: (call: AdmittedCall) => Result<AdmittedCall, Refusal>;
+    /** Ends a call whose response would not be complete when this entry stops; returns whether it did. */
+    readonly endIfTooLate: (call: AdmittedCall) => boolean;
+    /** Called when the call is sent to another entry. */
+    readonly onSend: (call: AdmittedCall) => void;
 }
 
 /** Result of {@link CallDetour.run}. */
@@ -81,7 +85,7 @@
      * @param executions Number of attempts in which the call may have run already.
      */
     async run(admitted: AdmittedCall, executions: number): Promise<DetourResult> {
-        const { callerResponse, context, remainingTime, readmit } = this.input;
+        const { callerResponse, context, remainingTime, readmit, endIfTooLate, onSend } = this.input;
         let call = admitted;
         let refusal: RelayRefusal | undefined;
         while (this.mayAsk && remainingTime(call) > 0 && !callerResponse.hasEnded()) {
@@ -95,8 +99,12 @@
             if (relay === undefined) {
                 break;
             }
+            if (endIfTooLate(call)) {
+                return "ended";
+            }
             this.tried.add(relay.address);
             this.attemptCount++;
+            onSend(call);
             const outcome = await this.runAttempt(call, relay, executions);
             await waitForSocketPoll();
             if (outcome.kind === "delivered" || callerResponse.hasEnded()) {
@@ -130,7 +138,7 @@
 
     private async runAttempt(call: AdmittedCall, relay: Relay, executions: number): Promise<RelayOutcome> {
         const { request, traits, callerResponse, context, continuation, remainingTime } = this.input;
-        const { clock, counters, durations, eventLog, relays } = context;
+        const { clock, counters, eventLog, relays } = context;
         counters.count("relayed");
         eventLog.write("callRelayed", {
             requestId: traits.callId,
@@ -138,7 +146,7 @@
             entry: relay.entry,
             version: call.version,
             lastEventId: callerResponse.lastEventId ?? traits.lastEventId,
-            ...shutdownFieldsOf(call.route, context, clock.now()),
+            ...shutdownFieldsOf(call.route, context),
         });
         const sentAt = clock.now();
         this.attempt = new RelayAttempt({
@@ -155,9 +163,6 @@
         });
         const outcome = await relays.countWhile(relay, this.attempt.run());
         this.attempt = undefined;
-        if (outcome.kind === "delivered" || outcome.kind === "failedAnswer") {
-            durations.record(call.route.name, clock.now() - sentAt);
-        }
         if (outcome.kind !== "delivered" && !callerResponse.hasCallerDisconnected()) {
             eventLog.write("relayAttemptFailed", {
                 requestId: traits.callId,
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -19,6 +19,7 @@
 /** Writes the response to the caller of one call. */
 export class CallerResponse {
     private isChunkForwarded = false;
+    private isSuccessDelivered = false;
     private forwardedEventId: number | undefined;
     private timeToFirstEvent: Milliseconds | undefined;
     private longestEventGap: Milliseconds = 0;
@@ -57,6 +58,11 @@
         return this.isChunkForwarded;
     }
 
+    /** Whether a complete successful response of an endpoint has been sent. */
+    get hasDeliveredSuccess(): boolean {
+        return this.isSuccessDelivered;
+    }
+
     /** Whether a part of a response has been sent. */
     get hasBegun(): boolean {
         return this.response.headersSent;
@@ -125,7 +131,7 @@
 
     /** Responds with an error to a call that has not run. */
     refuse({ reason, call, retryAfter, feature }: Refusal): void {
-        const { view, suspensionDetector, eventLog, counters, clock } = this.context;
+        const { view, suspensionDetector, eventLog, counters } = this.context;
         const seconds = retryAfter === undefined ? undefined : (retryAfter / 1000).toFixed(3);
         counters.count("refused");
         eventLog.write("callRefused", {
@@ -138,7 +144,7 @@
             waited: this.elapsedTime(),
             retryAfter: seconds,
             feature,
-            ...shutdownFieldsOf(call?.route, this.context, clock.now()),
+            ...shutdownFieldsOf(call?.route, this.context),
         });
         this.relayedHeaders.set("entry");
         sendFailure(this.response, reason, seconds === undefined ? {} : { "retry-after": seconds });
@@ -200,6 +206,7 @@
     }
 
     private recordDelivery(status: number, attempts: number, endpoint: string): void {
+        this.isSuccessDelivered = status >= 200 && status < 300;
         this.context.counters.count("answered");
         this.context.counters.recordTime(this.elapsedTime());
         this.context.eventLog.write("callAnswered", {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -2,6 +2,8 @@
 import { readCallTraits } from "../../../platform/callHeaders.js";
 import { createCallerAbortSignal } from "../../connection/callerAbortSignal.js";
 import type { RelayedCall } from "../../connection/hosted/relayHeaders.js";
+import type { MeasuredCall } from "../../process/hosted/entry/callDurations.js";
+import type { ExpectedCall } from "../../process/hosted/entry/entryShutdown.js";
 import type { HostedEndpoint } from "../../process/hosted/entry/hostedEndpoint.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { ResultCode } from "../../resultCode/resultCode.js";
@@ -85,6 +87,8 @@
     /** Number of calls to endpoints with limited rates that were not granted. */
     private denials = 0;
     private lastFailure: FailedAttempt | undefined;
+    /** Undefined until the call is first sent. */
+    private measuredCall: MeasuredCall | undefined;
     /** Undefined until the call is admitted. */
     private route: DeployedRoute | undefined;
     private readonly crashGuard: CrashGuard;
@@ -126,6 +130,10 @@
             continuation: this.continuation,
             remainingTime: ({ route }) => this.remainingTime(route),
             readmit: call => this.readmit(call),
+            endIfTooLate: call => this.endIfTooLate(call),
+            onSend: call => {
+                this.measure(call);
+            },
         });
         abortSignal.addEventListener("abort", () => {
             this.attempt?.cancel("the caller disconnected");
@@ -167,7 +175,7 @@
             waited: this.callerResponse.elapsedTime(),
             attempts: this.triedEndpoints.size,
             sinceDispatch: this.timeSinceDispatch(now),
-            expectedDuration: shutdownFieldsOf(route, context, now).expectedDuration,
+            expectedDuration: shutdownFieldsOf(route, context).expectedDuration,
             remaining: route && Math.round(this.remainingTime(route)),
         });
     }
@@ -195,10 +203,33 @@
             });
             await this.serve(resolved.val).finally(() => {
                 listener[Symbol.dispose]();
+                this.recordDuration();
             });
         }
     }
 
+    /** Begins to measure how long the call takes, unless it was sent before. */
+    private measure({ route }: AdmittedCall): void {
+        const { durations, clock } = this.context;
+        this.measuredCall ??= durations.begin(route.name, clock.now());
+    }
+
+    private recordDuration(): void {
+        const { measuredCall, callerResponse, context: { durations, clock } } = this;
+        if (measuredCall === undefined) {
+            return;
+        }
+        if (callerResponse.hasDeliveredSuccess) {
+            durations.end(measuredCall, "delivered", clock.now());
+        }
+        else if (this.executions > 0) {
+            durations.end(measuredCall, "unfinished", clock.now());
+        }
+        else {
+            durations.discard(measuredCall);
+        }
+    }
+
     /** Aborts an attempt that may be repeated through another entry, because this one has been cut off from endpoints. */
     private abandonUnreachedEndpoint(call: AdmittedCall): void {
         const { attempt, relayed, callerResponse, context } = this;
@@ -236,15 +267,8 @@
 
     /** Ends a call whose response would not be complete when the entry stops; returns whether it did. */
     private endIfTooLate(call: AdmittedCall): boolean {
-        const { shutdown, clock, durations } = this.context;
-        const timeLeft = shutdown.timeLeft(clock.now());
-        // A stream that has begun goes on as long as it can: its caller can continue it elsewhere.
-        if (timeLeft === undefined || this.callerResponse.hasBegun) {
-            return false;
-        }
-        const { route } = call;
-        const duration = Math.min(durations.expected(route.name) ?? route.targetLatency, this.remainingTime(route));
-        if (duration <= timeLeft) {
+        const { shutdown, suspensionDetector } = this.context;
+        if (!shutdown.isUnderWay || shutdown.allows(this.expectedCall(call), suspensionDetector.now())) {
             return false;
         }
         if (this.executions > 0) {
@@ -256,6 +280,16 @@
         return true;
     }
 
+    private expectedCall({ route }: AdmittedCall): ExpectedCall {
+        const { durations, clock } = this.context;
+        return {
+            isStreaming: route.streaming,
+            hasBegun: this.callerResponse.hasBegun,
+            remainingTime: this.remainingTime(route),
+            longestDuration: durations.longest(route.name, clock.now()),
+        };
+    }
+
     /** `retry-after` time of a caller that should use another entry: there is nothing to wait for. */
     private stopRetryAfter(): Milliseconds {
         return stoppingRetryAfter * (1 + this.context.random.float());
@@ -296,6 +330,9 @@
                     continue;
                 }
             }
+            if (this.endIfTooLate(call)) {
+                return;
+            }
             const outcome = await this.runAttempt(call, placement);
             if (outcome.kind === "delivered") {
                 return;
@@ -480,6 +517,7 @@
         const sentAt = clock.now();
         const outstandingCall = { pendingPrefillTokens: uncachedTokens, urgency: call.urgency, sentAt };
         this.dispatchedAt = sentAt;
+        this.measure(call);
         this.crashGuard.beginAttempt();
         this.triedEndpoints.add(endpoint);
         endpoint.addCall(outstandingCall, sentAt);
@@ -508,9 +546,6 @@
         this.attempt = undefined;
         endpoint.removeCall(outstandingCall);
         this.executions += outcome.kind === "notRun" ? 0 : 1;
-        if (outcome.kind === "delivered" || outcome.kind === "failedAnswer") {
-            this.context.durations.record(route.name, clock.now() - sentAt);
-        }
         this.crashGuard.recordOutcome(call, endpoint, outcome, sentAt, clock.now());
         this.recordOutcome(endpoint, outcome, sentAt);
         return outcome;
@@ -657,7 +692,7 @@
             softwareVersion: endpoint.record.softwareVersion,
             resumedCallId: this.traits.resumedCallId,
             lastEventId: this.callerResponse.lastEventId ?? this.traits.lastEventId,
-            ...shutdownFieldsOf(call.route, this.context, clock.now()),
+            ...shutdownFieldsOf(call.route, this.context),
         });
     }
 }
--- a/src/request/hosted/shutdownFields.ts
+++ b/src/request/hosted/shutdownFields.ts
@@ -4,7 +4,7 @@
 
 /** What log events of a call state while its entry shuts down; undefined at other times. */
 export interface ShutdownFields {
-    /** How long calls of the route take; undefined if that is not known. */
+    /** Longest time that calls of the route have taken; undefined if that is not known. */
     readonly expectedDuration: Milliseconds | undefined;
     /** Time until the entry ends its remaining calls. */
     readonly shutdownLeft: Milliseconds | undefined;
@@ -13,14 +13,13 @@
 /** @param route Undefined if the call was not admitted. */
 export function shutdownFieldsOf(
     route: DeployedRoute | undefined,
-    { shutdown, durations }: CallContext,
-    now: Milliseconds,
+    { shutdown, durations, clock, suspensionDetector }: CallContext,
 ): ShutdownFields {
-    const timeLeft = shutdown.timeLeft(now);
+    const timeLeft = shutdown.timeLeft(suspensionDetector.now());
     if (timeLeft === undefined) {
         return { expectedDuration: undefined, shutdownLeft: undefined };
     }
-    const duration = route && durations.expected(route.name);
+    const duration = route && durations.longest(route.name, clock.now());
     return {
         expectedDuration: duration === undefined ? undefined : Math.round(duration),
         shutdownLeft: Math.round(timeLeft),
