fix(connection): end a stopping entry although callers keep unused connections

What was seen: an entry of the own installation that was told to stop never ended while a caller kept a connection that it had never used, or had sent only a part of a request. Callers whose request was already running when the stop began got a response with `Connection: keep-alive` and went on using the connection.

Cause: `close` of `node:http` stops the checks of `headersTimeout` and `requestTimeout`, and Node.js 20 counts a connection without a request as active until one of them ends it. `Connection: close` was decided when a request arrived, not when its response was sent.

Change: `HttpServerDrain` closes connections that are idle or were never used, keeps the checks of the timeouts while the server closes, and lets responses that are already running close their connections. It destroys no connection whose response is not flushed yet, as `closeIdleConnections` does.

--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -11,6 +11,7 @@
 import { listen } from "../../util/socketAddress.js";
 import { abortResponse } from "../abortResponse.js";
 import { createFailureBody, createRetryAfterHeader, sendFailure, sendJson } from "../httpResponse.js";
+import { HttpServerDrain } from "../httpServerDrain.js";
 import { RequestAdmission } from "./requestAdmission.js";
 
 /** Limits on the connections and requests of callers. */
@@ -45,6 +46,7 @@
 /** HTTP server for callers. */
 export class CallerServer implements AsyncDisposable {
     private readonly server;
+    private readonly drain: HttpServerDrain;
     private readonly admission: RequestAdmission;
 
     constructor(
@@ -59,6 +61,7 @@
             maxHeaderSize: limits.maximumHeaderBytes,
             keepAliveTimeout,
         });
+        this.drain = new HttpServerDrain(this.server);
         this.server.maxConnections = limits.maximumConnections;
         this.server.on("request", (request, response) => {
             void this.handleRequest(request, response);
@@ -78,23 +81,18 @@
         return listen(this.server, this.state.settings.callerAddress);
     }
 
+    /** Closes each connection after its next response from now on; still accepts connections. */
+    startDraining(): void {
+        this.drain.begin();
+    }
+
     /** Stops listening; resolves when all running requests have ended. */
     async [Symbol.asyncDispose](): Promise<void> {
-        const closed = new Promise<void>(resolve => {
-            this.server.close(() => {
-                resolve();
-            });
-        });
-        this.server.closeIdleConnections();
-        await closed;
+        await this.drain.close();
     }
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         response.on("error", () => undefined);
-        if (this.state.draining) {
-            // Callers keep connections open; a draining entry closes each of them after the current response.
-            response.setHeader("connection", "close");
-        }
         try {
             await this.serveRequest(request, response);
         }
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -30,6 +30,7 @@
     private readonly store = new DisposableStore();
     private readonly stopController = new AbortController();
     private readonly state: EntryProcessState;
+    private callerServer: CallerServer | undefined;
     private requestStop: (reason: string) => void = () => undefined;
     /** Resolves with the reason when an operator has requested that the entry drain and stop. */
     readonly stopRequested = new Promise<string>(resolve => {
@@ -51,13 +52,14 @@
             await Promise.all(tasks);
         });
         this.store.defer(() => this.awaitUsageConfirmation());
-        this.store.add(callerServer);
+        this.callerServer = this.store.add(callerServer);
         return { callerAddress, metricsAddress };
     }
 
     /** Leaves discovery, keeps serving until callers no longer cache its address, then stops gracefully. */
     async [Symbol.asyncDispose](): Promise<void> {
         this.state.draining = true;
+        this.callerServer?.startDraining();
         await this.clock.sleep(this.settings.discoverySeconds * 1000 + listingPropagationDelay);
         await this.store.dispose();
     }
