fix(control): end a stopping control process in order with its operators

What was seen: a control process of the own installation that was told to stop never ended while an operator kept an unused connection or a request whose rest did not arrive. A leader in this state had already closed its connections to entries and still led, so that entries were refused without end. A response that was larger than the buffers of the operating system was cut when the stop began. Responses left their connections open.

Cause: `close` of `node:http` waits for connections that were never used, and `closeIdleConnections` destroys those whose response has ended but is not flushed. The server for entries was closed before the one for operators.

Change: `OperatorServer` uses `HttpServerDrain` and waits for at most 5 s; the server for entries and the log are closed after it.

--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -1,9 +1,11 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { failure } from "../../resultCode/resultCode.js";
+import type { Milliseconds } from "../../util/clock.js";
 import { keyDigest } from "../../util/keyDigest.js";
 import { listen } from "../../util/socketAddress.js";
 import { sendFailure } from "../httpResponse.js";
+import { HttpServerDrain } from "../httpServerDrain.js";
 import { EntryHandlers } from "./entryHandlers.js";
 import { ExplainHandlers } from "./explainHandlers.js";
 import { KeyHandlers } from "./keyHandlers.js";
@@ -15,6 +17,9 @@
 import type { StatusHandlersOptions } from "./statusHandlers.js";
 import { UsageHandlers } from "./usageHandlers.js";
 
+/** Maximum time that a stopping process waits for requests to end; longer than any handler takes. */
+const drainTimeLimit: Milliseconds = 5_000;
+
 /** Dependencies of an {@link OperatorServer}. */
 export interface OperatorServerOptions extends ManifestHandlersOptions, StatusHandlersOptions {
     /** Address to listen on. */
@@ -27,6 +32,7 @@
     private readonly server = createServer((request, response) => {
         void this.handle(request, response);
     });
+    private readonly drain = new HttpServerDrain(this.server);
 
     constructor(private readonly options: OperatorServerOptions) {
         const handlers = [
@@ -47,13 +53,9 @@
         return listen(this.server, this.options.address);
     }
 
+    /** Stops listening; resolves when all running requests have ended, or have been aborted because they take too long. */
     async [Symbol.asyncDispose](): Promise<void> {
-        await new Promise<void>(resolve => {
-            this.server.close(() => {
-                resolve();
-            });
-            this.server.closeIdleConnections();
-        });
+        await this.drain.closeWithin(this.options.clock, drainTimeLimit);
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -63,7 +63,6 @@
         }
         const addresses = getOwnAddresses(settings);
         const proposer = new ControlProposer(commandLog.val);
-        await this.listenForOperators(commandLog.val, proposer, addresses.operatorAddress);
         await this.listenForEntries(addresses.entryAddress, {
             cluster: settings.cluster,
             clock,
@@ -81,6 +80,8 @@
             commandApplied: this.commandApplied,
             leaderEntryAddress: () => this.leaderEntryAddress(commandLog.val),
         });
+        // Closed before the server for entries, which go on being served until the operators' requests have ended.
+        await this.listenForOperators(commandLog.val, proposer, addresses.operatorAddress);
         const metricsAddress = await this.listenForMetrics(commandLog.val);
         this.runDuties({ state, commandLog: commandLog.val, proposer, entries, clock });
         return { ...addresses, metricsAddress };
