fix(callDurations): take calls that last a little longer than delivered ones into account

One stream that ran a little longer than all delivered ones made the duration of its route unknown; among few durations, a new longest one is common. It counts as the longest duration now, and makes it unknown only from one and a half times the longest delivered one on.

--- a/src/process/hosted/entry/callDurations.ts
+++ b/src/process/hosted/entry/callDurations.ts
@@ -3,6 +3,9 @@
 /** Time for which a duration counts at least; it is forgotten after at most twice as long. */
 const retentionPeriod: Milliseconds = 300_000;
 
+/** Multiple of the longest delivered call's duration from which on another call makes the longest duration unknown. */
+const outlierFactor = 1.5;
+
 /** Maximum number of routes; the one that was used least recently is forgotten first. */
 const maximumRoutes = 1_024;
 
@@ -59,8 +62,8 @@
     }
 
     /**
-     * The longest time that a delivered call of the route has taken recently; undefined if none was delivered, or if
-     * another call lasted longer or lasts longer already, so that the longest time is not known.
+     * The longest time that a call of the route has taken recently or takes already; undefined if none was delivered, or
+     * if another call lasts or lasted so much longer than those that its full duration cannot be told.
      */
     longest(route: string, now: Milliseconds): Milliseconds | undefined {
         const { current, previous } = this.durationsAt(route, now);
@@ -69,7 +72,10 @@
         const runningTimes = [...this.runningCalls]
             .filter(call => call.route === route)
             .map(({ startedAt }) => now - startedAt);
-        return delivered !== undefined && Math.max(unfinished, ...runningTimes) <= delivered ? delivered : undefined;
+        const longestOther = Math.max(unfinished, ...runningTimes);
+        return delivered !== undefined && longestOther < delivered * outlierFactor
+            ? Math.max(delivered, longestOther)
+            : undefined;
     }
 
     private durationsAt(route: string, now: Milliseconds): RouteDurations {
