fix(hosted): close connections of a stopping entry only once they are flushed

closeIdleConnections of node:http destroys a connection whose response has ended but is not flushed, and a stopping entry called it every 50 ms: a caller that reads slowly could lose the end of its response.

The hosted entry uses HttpServerDrain now.

--- a/src/connection/httpServerDrain.ts
+++ b/src/connection/httpServerDrain.ts
@@ -47,8 +47,12 @@
         }
     }
 
-    /** Stops listening; resolves when all requests have been answered or timed out, and their connections are closed. */
-    async close(): Promise<void> {
+    /**
+     * Stops listening; resolves when all requests have been answered or timed out, and their connections are closed.
+     *
+     * @param unused Whether connections without a request so far are closed, or serve one as long as they are open.
+     */
+    async close(unused: "closed" | "kept" = "closed"): Promise<void> {
         this.begin();
         // Reads the requests that have already arrived.
         await waitForSocketPoll();
@@ -58,7 +62,7 @@
                 resolve();
             });
         });
-        [...this.connections.keys()].forEach(socket => {
+        [...this.connections.keys()].filter(({ bytesRead }) => bytesRead > 0 || unused === "closed").forEach(socket => {
             this.closeIfIdle(socket);
         });
         await closed;
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -12,6 +12,7 @@
 import type { RelayedCall } from "../../../connection/hosted/relayHeaders.js";
 import { RelayServer } from "../../../connection/hosted/relayServer.js";
 import { sendFailure, sendJson } from "../../../connection/httpResponse.js";
+import { HttpServerDrain } from "../../../connection/httpServerDrain.js";
 import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
 import { probeListener } from "../../../connection/probeListener.js";
 import type { ListenerState } from "../../../connection/probeListener.js";
@@ -86,6 +87,7 @@
     private readonly callContext: CallContext;
     private readonly controlLinks: ControlLinks;
     private readonly server: Server;
+    private readonly drain: HttpServerDrain;
     private readonly relayServer: RelayServer;
     /** Undefined while no calls can be relayed. */
     private relayAddress: string | undefined;
@@ -226,6 +228,7 @@
             relays,
         };
         this.server = this.createServer();
+        this.drain = new HttpServerDrain(this.server);
     }
 
     async start(): Promise<void> {
@@ -317,8 +320,8 @@
         }
         this.controlLinks.sendHeartbeats(startedAt);
         await this.clock.sleep(drainingAcceptTime);
-        this.server.close();
-        this.server.closeIdleConnections();
+        // Callers that have opened connections are refused on them rather than cut off.
+        void this.drain.close("kept");
         await this.waitForCalls(endAt);
         this.controlLinks.sendHeartbeats(this.clock.now());
         const endedCalls = this.runningCalls.size;
@@ -364,7 +367,6 @@
     private async waitForCalls(endAt: Milliseconds): Promise<void> {
         while (this.runningCalls.size > 0 && this.clock.now() < endAt) {
             await this.clock.sleep(shutdownPollInterval);
-            this.server.closeIdleConnections();
         }
     }
 
