fix(connection): answer requests that arrived just before a server closes

What was seen: a request that had arrived on an open connection, but had not been read yet when a stopping server closed, got no response.

Cause: connections were closed by what had been read from them in an earlier turn of the event loop.

Change: `HttpServerDrain` polls all sockets before it closes idle connections.

Result: 'answers a request that it has not read yet on a connection that was used before' failed on the commit before (no byte received) and passes, with the other 4 tests of tests/connection/entry/callerServerStop.test.ts.

--- a/src/connection/httpServerDrain.ts
+++ b/src/connection/httpServerDrain.ts
@@ -2,6 +2,7 @@
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import type { Clock, Milliseconds } from "../util/clock.js";
+import { waitForSocketPoll } from "../util/waitForSocketPoll.js";
 import { withTimeout } from "../util/withTimeout.js";
 import { abortResponse } from "./abortResponse.js";
 
@@ -49,6 +50,8 @@
     /** Stops listening; resolves when all requests have been answered or timed out, and their connections are closed. */
     async close(): Promise<void> {
         this.begin();
+        // Reads the requests that have already arrived.
+        await waitForSocketPoll();
         this.isClosing = true;
         const closed = new Promise<void>(resolve => {
             NetServer.prototype.close.call(this.server, () => {
--- a/tests/connection/entry/callerServerStop.test.ts
+++ b/tests/connection/entry/callerServerStop.test.ts
@@ -72,4 +72,21 @@
         t.regex(await received, /^HTTP\/1\.1 200 .*\r\nconnection: close\r\n/is);
         await stopped;
     });
+
+    // Guards against requests that are dropped because they arrived just before the stop and have not been read yet.
+    it("answers a request that it has not read yet on a connection that was used before", async t => {
+        await using store = new DisposableStore();
+        const service = store.add(new PlainService({ name: "bookings-1" }, clock));
+        const entry = await TestEntry.start({ services: [await service.start()] }, { limits });
+        const socket = await openConnection(entry.address);
+        const request = formatRequest("POST", "/bookings/x", { host: "x", authorization: `Bearer ${entry.key}` }, "{}");
+        socket.write(request);
+        await once(socket, "data");
+        await clock.sleep(readTime);
+        const received = readToClose(socket);
+        socket.write(request);
+        const stopped = entry[Symbol.asyncDispose]();
+        t.regex(await received, /^HTTP\/1\.1 200 .*\r\nconnection: close\r\n/is);
+        await stopped;
+    });
 });
