fix(control): answer operators whose requests a stopping control process has read

What was seen: a control process of a hosted installation destroyed the connections of operators when it stopped. A configuration that was being committed, or a version that was being confirmed, ended without a response although it may have taken effect.

Cause: the servers for operators and for resolution were closed like the one for entries, without regard to running requests.

Change: both use `HttpServerDrain`, which waits for at most 2 s, longer than the timeouts of a commit and of two confirmations. The links of entries and the log are closed after them, as before.

--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -1,3 +1,4 @@
+import type { Server as HttpServer } from "node:http";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { inflateRawSync } from "node:zlib";
@@ -5,6 +6,7 @@
 import { EntryLink } from "../../../connection/hosted/entryLink.js";
 import { createHostedControlServer } from "../../../connection/hosted/hostedControlServer.js";
 import { controlLinkPortOffset } from "../../../connection/hosted/linkMessages.js";
+import { HttpServerDrain } from "../../../connection/httpServerDrain.js";
 import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import { formatFailure } from "../../../resultCode/resultCode.js";
@@ -63,6 +65,9 @@
 /** Maximum number of streams whose origin is kept. */
 const maximumStreamOrigins = 131_072;
 
+/** Maximum time that a stopping process waits for requests of operators to end; longer than any handler takes. */
+const operatorDrainTimeLimit: Milliseconds = 2_000;
+
 type HostedLog = ReplicatedLog<HostedCommand, HostedOutcome>;
 
 /**
@@ -146,7 +151,7 @@
         await this.listenForEntries(log, confirmation, endpointPoller, quarantine);
         for (const address of [operatorAddress, resolutionAddress]) {
             if (address !== undefined && address !== "") {
-                await this.serve(
+                await this.serveOperators(
                     createHostedControlServer({
                         documents,
                         registry,
@@ -356,6 +361,13 @@
         await listen(server, address);
     }
 
+    /** Serves requests until the process stops, and answers those that it has received then. */
+    private async serveOperators(server: HttpServer, address: string): Promise<void> {
+        const drain = new HttpServerDrain(server);
+        this.disposables.defer(() => drain.closeWithin(this.clock, operatorDrainTimeLimit));
+        await listen(server, address);
+    }
+
     /** Periodically drops old usage counts, on followers too: any may become leader, and counts must stay bounded. */
     private async pruneUsageCounts(): Promise<void> {
         const { clock, medianClock, registry, shutdownController: { signal } } = this;
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -362,7 +362,8 @@
         await entry.start();
     }
 
-    private operatorAddress(index: number): string {
+    /** Address at which a control process accepts requests of operators. */
+    operatorAddress(index: number): string {
         return `127.0.${this.network}.${index}:${this.operatorPort}`;
     }
 
