--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -323,6 +323,14 @@
         await entry?.[Symbol.asyncDispose]();
     }
 
+    /** Number of bytes that an entry keeps for callers because these do not read. */
+    unsentBytes(index: number): number {
+        const calls = Reflect.get(this.entries.get(index) ?? {}, "runningCalls") as
+            | ReadonlyMap<ServerResponse, unknown>
+            | undefined;
+        return [...calls?.keys() ?? []].reduce((sum, { socket }) => sum + (socket?.writableLength ?? 0), 0);
+    }
+
     /** Ends an entry as a kill does: nobody is told, and its connections are reset. */
     async killEntry(index: number): Promise<void> {
         const entry = this.entries.get(index);
