--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -325,6 +325,14 @@
         await entry?.[Symbol.asyncDispose]();
     }
 
+    /** Number of bytes that an entry keeps for callers because these do not read. */
+    unsentBytes(index: number): number {
+        const calls = Reflect.get(this.entries.get(index) ?? {}, "runningCalls") as
+            | ReadonlyMap<ServerResponse, unknown>
+            | undefined;
+        return [...calls?.keys() ?? []].reduce((sum, { socket }) => sum + (socket?.writableLength ?? 0), 0);
+    }
+
     /** Ends an entry as a kill does: nobody is told, and its connections are reset. */
     async killEntry(index: number): Promise<void> {
         const entry = this.entries.get(index);
@@ -364,7 +372,8 @@
         await entry.start();
     }
 
-    private operatorAddress(index: number): string {
+    /** Address at which a control process accepts requests of operators. */
+    operatorAddress(index: number): string {
         return `127.0.${this.network}.${index}:${this.operatorPort}`;
     }
 
