fix(bin): keep a stop going when further signals arrive

Seen by callers: a second SIGTERM 1.5 s after the first ended an entry at once and cut all of its streams.

Cause: the programs handled SIGTERM and SIGINT once, so that the next one had the default effect. Programs of the own installation had no handler of SIGHUP, and looked at a stop signal only after start() had resolved; hosted programs only after their settings were valid.

The first stop signal is remembered and stops the process in order, also while it reads its settings or starts, however long that takes; what start() does after that has no effect on the exit code. Further signals are logged as event 2003 `signalIgnored` and have no other effect; settings are not reloaded during a stop.

A process whose read of a file never returns logs 2002 but cannot exit: Node.js waits for the threads of its pool. It needs SIGKILL.

--- a/src/bin/gullhallControl.ts
+++ b/src/bin/gullhallControl.ts
@@ -13,7 +13,7 @@
 await runProgram({
     role: "control",
     version: commandLine.version,
-    settings: await readSettings(commandLine.settings, controlSettingsSchema),
+    settings: readSettings(commandLine.settings, controlSettingsSchema),
     checkOnly: commandLine.checkSettings,
     create: (settings, clock, eventLog) => new ControlProcess(settings, clock, eventLog),
 });
--- a/src/bin/gullhallEntry.ts
+++ b/src/bin/gullhallEntry.ts
@@ -13,7 +13,7 @@
 await runProgram({
     role: "entry",
     version: commandLine.version,
-    settings: await readSettings(commandLine.settings, entrySettingsSchema),
+    settings: readSettings(commandLine.settings, entrySettingsSchema),
     checkOnly: commandLine.checkSettings,
     create: (settings, clock, eventLog) => new EntryProcess(settings, clock, eventLog),
 });
--- a/src/logEvent/processEvents.ts
+++ b/src/logEvent/processEvents.ts
@@ -10,6 +10,12 @@
     },
     processStopping: { number: 2001, level: "info", text: "The process is stopping.", fields: ["reason"] },
     processStopped: { number: 2002, level: "info", text: "The process released all of its resources.", fields: [] },
+    signalIgnored: {
+        number: 2003,
+        level: "info",
+        text: "A further signal arrived; the shutdown that is under way goes on.",
+        fields: ["signal", "elapsed"],
+    },
     taskFailed: {
         number: 2010,
         level: "error",
--- a/src/process/hosted/settingsFile.ts
+++ b/src/process/hosted/settingsFile.ts
@@ -57,9 +57,10 @@
 
     /** Polls the file and reloads it whenever it changes, until the signal is aborted. */
     async watch(clock: Clock, eventLog: EventLog, onChange: () => void, signal: AbortSignal): Promise<void> {
+        await clock.sleep(pollInterval, signal);
         while (!signal.aborted) {
-            await clock.sleep(pollInterval, signal);
             await this.reload("the file has changed", eventLog, onChange);
+            await clock.sleep(pollInterval, signal);
         }
     }
 
