fix(bin): install signal handlers before the modules of a program load

Seen: a signal in the first part of a second of a process ended it at once (a trial: SIGTERM up to 170 ms after the start of the bundled entry, and up to 600 ms for the unbundled one, the longest tried).

Cause: the handlers were installed when all modules had been loaded. Static imports are all loaded before the first one is evaluated, and a single bundle is compiled as a whole.

Change: each server program imports only processSignals.ts, then its main module by `import()`. The bundles are split, so that the file that is started holds only the handlers.

--- a/scripts/bundleHosted.mjs
+++ b/scripts/bundleHosted.mjs
@@ -1,4 +1,8 @@
-/** Bundles each program of a hosted installation into a single file below target/, which reduces its startup time. */
+/**
+ * Bundles the programs of a hosted installation into a few files below target/, which reduces their startup time.
+ *
+ * The file of a program holds only its signal handlers, and loads its other modules from further files.
+ */
 import { build } from "esbuild";
 
 await build({
@@ -10,6 +14,7 @@
     outdir: "target/bundle/hosted",
     outExtension: { ".js": ".mjs" },
     bundle: true,
+    splitting: true,
     platform: "node",
     target: "node20",
     format: "esm",
--- a/src/bin/gullhallEntry.ts
+++ b/src/bin/gullhallEntry.ts
@@ -1,19 +1,5 @@
 #!/usr/bin/env node
 /** `gullhall-entry`: accepts requests from callers and forwards them to endpoints. */
-import { EntryProcess } from "../process/entry/entryProcess.js";
-import { entrySettingsSchema } from "../settings/entrySettings.js";
-import { readSettings } from "../settings/readSettings.js";
-import { runProgram } from "./runProgram.js";
-import { parseServerArguments } from "./serverArguments.js";
+import "./processSignals.js";
 
-const commandLine = await parseServerArguments(
-    "gullhall-entry",
-    "Accepts requests from callers and forwards them to endpoints.",
-);
-await runProgram({
-    role: "entry",
-    version: commandLine.version,
-    settings: readSettings(commandLine.settings, entrySettingsSchema),
-    checkOnly: commandLine.checkSettings,
-    create: (settings, clock, eventLog) => new EntryProcess(settings, clock, eventLog),
-});
+await import("./entryMain.js");
--- a/src/bin/processSignals.ts
+++ b/src/bin/processSignals.ts
@@ -1,7 +1,9 @@
 /**
  * Handlers of SIGTERM, SIGINT and SIGHUP that stay in place until the process exits.
  *
- * Without a handler each of these signals ends the process at once.
+ * Without a handler each of these signals ends the process at once. Programs therefore import this module first, and
+ * load their other modules with `import()`, since static imports are all loaded before the first module is evaluated.
+ * This module must not import others.
  */
 
 /** Signals that request a graceful stop. */
