fix(bin): let a stopping stand-in finish its responses when further signals arrive

Seen: SIGHUP, or a second SIGTERM or SIGINT, ended gullhall-stand-in at once and cut the responses that it was finishing.

Cause: the same as in the server programs, handlers that act once.

Change: gullhall-stand-in uses processSignals.ts, and loads its main module after it.

Measured: the test "finishes a running response though more signals arrive" failed before (the response was cut) and passes now.

--- a/src/bin/gullhallStandIn.ts
+++ b/src/bin/gullhallStandIn.ts
@@ -3,57 +3,9 @@
  * `gullhall-stand-in`: simulates one external system on a loopback address, for tests and the quickstart.
  *
  * Once it is listening, it prints one line of JSON to standard output: `{"role", "name", "address"}`. On SIGTERM or
- * SIGINT it lets running requests finish for a limited time, then exits. Exit codes: 0 after a signal, 1 if it could
- * not start, 2 if the command line is invalid.
+ * SIGINT it lets running requests finish for a limited time, then exits; further signals and SIGHUP have no effect. Exit
+ * codes: 0 after a signal, 1 if it could not start, 2 if the command line is invalid.
  */
-import process from "node:process";
-import yargs from "yargs";
-import type { Options } from "yargs";
-import { hideBin } from "yargs/helpers";
-import { ModelEngine } from "../standIn/modelEngine/modelEngine.js";
-import { PlainService } from "../standIn/plainService/plainService.js";
-import { engineKindsSchema, EngineKindStarter } from "../standIn/platform/engineKindStarter.js";
-import { Platform } from "../standIn/platform/platform.js";
-import { runStandIn } from "../standIn/runStandIn.js";
-import { SystemClock } from "../util/clock.js";
-import { packageVersion } from "../util/packageVersion.js";
-import { usageErrorHandler } from "./usageError.js";
+import "./processSignals.js";
 
-const clock = new SystemClock();
-
-const flagDefinitions = {
-    port: { type: "number", default: 0, describe: "Port on 127.0.0.1; 0 selects a free port" },
-    name: { type: "string", describe: "Name of this stand-in" },
-    options: { type: "string", default: "{}", describe: "Further options of the role, as a JSON object" },
-    "check-settings": { type: "boolean", default: false, describe: "Validate the options and exit" },
-} as const satisfies Readonly<Record<string, Options>>;
-
-const platformFlags = {
-    ...flagDefinitions,
-    engineKinds: {
-        type: "string",
-        default: "{\"stand-in\": {\"role\": \"engine\", \"options\": {}}}",
-        describe: "What an order starts for each engine kind: {KIND: {role: engine or service, options}}",
-    },
-} as const satisfies Readonly<Record<string, Options>>;
-
-const commandLine = yargs(hideBin(process.argv))
-    .scriptName("gullhall-stand-in")
-    .command("engine", "A model engine", flagDefinitions, async flags => {
-        await runStandIn("engine", flags, options => new ModelEngine(options, clock));
-    })
-    .command("service", "A plain service", flagDefinitions, async flags => {
-        await runStandIn("service", flags, options => new PlainService(options, clock));
-    })
-    .command("platform", "The platform's interfaces", platformFlags, async flags => {
-        await runStandIn("platform", flags, options => {
-            const kinds = engineKindsSchema.parse(JSON.parse(flags.engineKinds));
-            return new Platform(options, clock, new EngineKindStarter(clock, kinds));
-        });
-    })
-    .demandCommand(1, 1, "specify a role: engine, service or platform")
-    .strict()
-    .version(packageVersion())
-    .fail(usageErrorHandler("gullhall-stand-in"));
-
-await commandLine.parseAsync();
+await import("./standInMain.js");
--- a/src/standIn/runStandIn.ts
+++ b/src/standIn/runStandIn.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import process from "node:process";
 import { z } from "zod";
 import { failure, formatFailure } from "../resultCode/resultCode.js";
@@ -22,11 +21,16 @@
 export type StandInFactory = (options: Readonly<Record<string, unknown>>) => StandInServer;
 
 /**
- * Runs a stand-in until SIGTERM or SIGINT, then drains it.
+ * Runs a stand-in until a stop is requested, then drains it.
  *
  * Sets the exit code of the process when the options are invalid or the port cannot be bound.
  */
-export async function runStandIn(role: string, flags: StandInFlags, create: StandInFactory): Promise<void> {
+export async function runStandIn(
+    role: string,
+    flags: StandInFlags,
+    stopRequested: Promise<unknown>,
+    create: StandInFactory,
+): Promise<void> {
     const name = flags.name ?? role;
     const created = createStandIn(name, flags.options, create);
     if (created === undefined) {
@@ -38,7 +42,6 @@
         return;
     }
     await using standIn = created;
-    const stopped = Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
     try {
         const address = await standIn.start(flags.port);
         process.stdout.write(`${JSON.stringify({ role, name, address })}\n`);
@@ -48,7 +51,7 @@
         process.exitCode = exitFailure;
         return;
     }
-    await stopped;
+    await stopRequested;
     await standIn.drain(drainTimeoutMilliseconds);
 }
 
