test(soak): hold an entry to requests that arrive while it runs only

The check of unanswered requests took any connection that ended over a second after its request for one whose request had been read. The check now asks whether the entry still ran a second after the request was sent.

--- a/tests/soak/plannedStops.ts
+++ b/tests/soak/plannedStops.ts
@@ -80,8 +80,9 @@
             vm.vmNumber === entryVmNumber && sentAt < exitedAt && endedAt > signalledAt
         );
         if (executedAt === undefined) {
-            // The connection may be closed before the request has arrived.
-            const isUnanswered = outcome === "broken" && endedAt - sentAt > deliveryTime;
+            // The connection may be closed before the request has arrived, and a process that has exited refuses it.
+            const isRead = stop !== undefined && Math.min(endedAt, stop.exitedAt) - sentAt > deliveryTime;
+            const isUnanswered = outcome === "broken" && isRead;
             return isUnanswered ? "requests are answered during stops" : undefined;
         }
         if (outcome !== "broken" && (outcome !== "failed" || stop === undefined)) {
