fix(request): keep a silent attempt while an entry stops if the call cannot be sent again

Callers whose repeatable streams or safe calls were under way when their entry was told to stop got 502 (GH1632), or a cut stream, as soon as their endpoint had sent nothing for 1.2 s, although the endpoint would have gone on and the entry had seconds left.

Cause: the stall timer ends an attempt so that another endpoint gets the call; at a stopping entry the new check before each attempt then ends the call, because it does not certainly fit. The same holds for attempts that are given up when the entry finds itself cut off.

Both now end an attempt only if the call may be sent again.

Attempts that are given up at a cut-off entry: changed by reading, no test.

--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -63,8 +63,8 @@
     readonly placement: Placement;
     /** Time until the earlier of the caller's deadline and the route's timeout. */
     readonly remainingTime: Milliseconds;
-    /** Whether the call may fail over to another endpoint if this one stalls. */
-    readonly mayFailOver: boolean;
+    /** Whether the call may fail over to another endpoint if this one stalls; changes while the entry stops. */
+    readonly mayFailOver: () => boolean;
     /** Number of earlier attempts in which the call may have run. */
     readonly earlierExecutions: number;
     /** Called when the endpoint has begun to respond. */
@@ -336,9 +336,9 @@
     /** If the call may fail over, aborts the attempt once no data of any call has arrived from its endpoint in time. */
     private startStallTimer(stallTimeout: Milliseconds): NodeJS.Timeout | undefined {
         const { mayFailOver, placement: { endpoint } } = this.input;
-        return mayFailOver
+        return mayFailOver()
             ? setInterval(() => {
-                if (endpoint.silentTime(this.context.clock.now()) > stallTimeout) {
+                if (endpoint.silentTime(this.context.clock.now()) > stallTimeout && mayFailOver()) {
                     this.cancel("no data from the endpoint within the stall timeout");
                 }
             }, minimumStallTimeout / 4)
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -233,7 +233,8 @@
     /** Aborts an attempt that may be repeated through another entry, because this one has been cut off from endpoints. */
     private abandonUnreachedEndpoint(call: AdmittedCall): void {
         const { attempt, relayed, callerResponse, context } = this;
-        const mayRepeat = attempt?.isSent === false || call.route.repeatRule === "repeatable";
+        const isRepeatable = attempt?.isSent === false || call.route.repeatRule === "repeatable";
+        const mayRepeat = isRepeatable && !this.isTooLate(call);
         if (context.reachability.isCutOff && relayed === undefined && mayRepeat && !callerResponse.hasBegun) {
             attempt?.cancel("this entry is cut off from endpoints");
         }
@@ -265,10 +266,15 @@
         detour.cancel("the entry stops");
     }
 
+    /** Whether the response of an attempt that begins now would not be complete when the entry stops. */
+    private isTooLate(call: AdmittedCall): boolean {
+        const { shutdown, suspensionDetector } = this.context;
+        return shutdown.isUnderWay && !shutdown.allows(this.expectedCall(call), suspensionDetector.now());
+    }
+
     /** Ends a call whose response would not be complete when the entry stops; returns whether it did. */
     private endIfTooLate(call: AdmittedCall): boolean {
-        const { shutdown, suspensionDetector } = this.context;
-        if (!shutdown.isUnderWay || shutdown.allows(this.expectedCall(call), suspensionDetector.now())) {
+        if (!this.isTooLate(call)) {
             return false;
         }
         if (this.executions > 0) {
@@ -529,7 +535,10 @@
             callerResponse: this.callerResponse,
             placement,
             remainingTime: this.remainingTime(route),
-            mayFailOver: route.repeatRule === "repeatable" && this.executions + 1 < route.maximumAttempts,
+            mayFailOver: () => {
+                return route.repeatRule === "repeatable" && this.executions + 1 < route.maximumAttempts
+                    && !this.isTooLate(call);
+            },
             earlierExecutions: this.executions,
             onResponseStarted: () => {
                 outstandingCall.pendingPrefillTokens = 0;
