fix(request): pass on an endpoint's error if an entry that stops makes no second attempt

Callers of safe calls got 502 (GH1632) from an entry that stops, although an endpoint had answered with an error that is passed on at any other time.

Cause: the check before the second attempt ends the call as one that the entry gave up, and drops the answer it has.

The call now ends with that answer.

Measured: the test's call gets 500 and its body; before 502.

Failed before: shutdownOutcome, "gets the error with which its endpoint answered if it cannot be sent to another".

--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -277,7 +277,10 @@
         if (!this.isTooLate(call)) {
             return false;
         }
-        if (this.executions > 0) {
+        if (this.lastFailure?.outcome.kind === "failedAnswer") {
+            this.respondToFailure(call, this.lastFailure);
+        }
+        else if (this.executions > 0) {
             this.callerResponse.fail(failure("entryStopped"), call);
         }
         else {
