fix(request): do not count a call that the entry cut as left by its caller

Cause: the abort of the response closes the caller's connection, which looks as if the caller had closed it.

Measured: one cut call counts as failed 1, left 0; before failed 1, left 1.

Failed before: shutdownOutcome, "is counted once if the entry ends it after a part of its response".

--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -20,6 +20,7 @@
 export class CallerResponse {
     private isChunkForwarded = false;
     private isSuccessDelivered = false;
+    private isFailed = false;
     private forwardedEventId: number | undefined;
     private timeToFirstEvent: Milliseconds | undefined;
     private longestEventGap: Milliseconds = 0;
@@ -63,6 +64,11 @@
         return this.isSuccessDelivered;
     }
 
+    /** Whether this entry has failed the call, which ends the caller's connection if the response had begun. */
+    get hasFailed(): boolean {
+        return this.isFailed;
+    }
+
     /** Whether a part of a response has been sent. */
     get hasBegun(): boolean {
         return this.response.headersSent;
@@ -155,6 +161,7 @@
      * complete.
      */
     fail(reason: Failure, call?: AdmittedCall): void {
+        this.isFailed = true;
         this.context.counters.count("failed");
         this.context.eventLog.write("callFailed", {
             requestId: this.traits.callId,
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -155,7 +155,7 @@
             this.request.resume();
             this.callerResponse.refuse(call.val);
         }
-        if (this.callerResponse.hasCallerDisconnected()) {
+        if (this.callerResponse.hasCallerDisconnected() && !this.callerResponse.hasFailed) {
             this.context.counters.count("left");
             this.context.eventLog.write("callLeft", {
                 requestId: this.traits.callId,
