test(shutdown): calls that become slower than all before are still passed on and cut

Calls with one answer have the weaker rule of the two, and no time limit. lateRequest.test.ts asks for answers to calls of 2 s that are complete 4.8 s after the signal, so that the stricter rule of streams cannot be taken over without a decision on that test.

--- a/tests/process/hosted/stoppingEntry.ts
+++ b/tests/process/hosted/stoppingEntry.ts
@@ -28,20 +28,25 @@
 /** Time for the heads of calls whose bodies arrive late, in milliseconds. */
 const preparationTime = 300;
 
-const document = documentOf(3, {
-    routes: ["holding", "drafts"].map(name => ({
-        name,
-        "host": "calls.example",
-        "path-prefix": `/${name}/`,
-        "kind": "streaming",
-        "timeout-ms": routeTimeout,
-        "target-latency-ms": 400,
-        "attempts": 2,
-        "resumable": true,
-        "service": "writers",
-    })),
-    services: [{ "name": "writers", "health-check-path": "/health", "connection-limit": 300 }],
-});
+/** Kind of the route of the calls that are made. */
+export type RouteKind = "streaming" | "unsafe";
+
+function documentFor(kind: RouteKind): object {
+    return documentOf(3, {
+        routes: ["holding", "drafts"].map(name => ({
+            name,
+            "host": "calls.example",
+            "path-prefix": `/${name}/`,
+            "kind": name === "holding" ? "streaming" : kind,
+            "timeout-ms": routeTimeout,
+            "target-latency-ms": 400,
+            "attempts": 2,
+            "resumable": true,
+            "service": "writers",
+        })),
+        services: [{ "name": "writers", "health-check-path": "/health", "connection-limit": 300 }],
+    });
+}
 
 /** A call that is made while the entry shuts down. */
 export interface ShutdownCall {
@@ -79,7 +84,11 @@
      * @param network Third octet of the loopback addresses, unique among tests that run concurrently.
      * @param planOf How endpoints respond to the calls.
      */
-    static async start(network: number, planOf: (call: PlannedCall) => StreamPlan): Promise<StoppingEntry> {
+    static async start(
+        network: number,
+        planOf: (call: PlannedCall) => StreamPlan,
+        kind: RouteKind = "streaming",
+    ): Promise<StoppingEntry> {
         const store = new DisposableStore();
         const fleet = store.add(
             new PacedFleet(call => {
@@ -92,7 +101,7 @@
         );
         installation.shutdownTime = shutdownTime;
         installation.retryReserve = retryReserve;
-        await installation.submitUntilAccepted(document);
+        await installation.submitUntilAccepted(documentFor(kind));
         const address = await installation.startFurtherEntry(entryIndex);
         return new StoppingEntry(store, fleet, installation, address);
     }
