fix(request): do not take the rest of a continued stream for the duration of a whole one

An entry to which callers had turned with the rest of their streams, after another entry had stopped, passed on whole streams during its own stop that it could not finish.

Cause: a call that continues a stream behind an event counted as a delivered call of the route, with the time of the rest.

It now counts as one that might have taken longer.

Measured: after one continued call the longest duration is unknown; before, it was that of the rest (13 ms). The cut stream itself was not played.

Failed before: continuedDuration, "does not tell how long streams of its route take".

--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -215,14 +215,16 @@
     }
 
     private recordDuration(): void {
-        const { measuredCall, callerResponse, context: { durations, clock } } = this;
+        const { measuredCall, callerResponse, continuation, context: { durations, clock } } = this;
         if (measuredCall === undefined) {
             return;
         }
-        if (callerResponse.hasDeliveredSuccess) {
+        const { hasDeliveredSuccess } = callerResponse;
+        // The rest of a stream takes less time than the whole.
+        if (hasDeliveredSuccess && !continuation.isContinued) {
             durations.end(measuredCall, "delivered", clock.now());
         }
-        else if (this.executions > 0) {
+        else if (hasDeliveredSuccess || this.executions > 0) {
             durations.end(measuredCall, "unfinished", clock.now());
         }
         else {
