--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -155,7 +155,7 @@
             this.request.resume();
             this.callerResponse.refuse(call.val);
         }
-        if (this.callerResponse.hasCallerDisconnected()) {
+        if (this.callerResponse.hasCallerDisconnected() && !this.callerResponse.hasFailed) {
             this.context.counters.count("left");
             this.context.eventLog.write("callLeft", {
                 requestId: this.traits.callId,
@@ -215,14 +215,16 @@
     }
 
     private recordDuration(): void {
-        const { measuredCall, callerResponse, context: { durations, clock } } = this;
+        const { measuredCall, callerResponse, continuation, context: { durations, clock } } = this;
         if (measuredCall === undefined) {
             return;
         }
-        if (callerResponse.hasDeliveredSuccess) {
+        const { hasDeliveredSuccess } = callerResponse;
+        // The rest of a stream takes less time than the whole.
+        if (hasDeliveredSuccess && !continuation.isContinued) {
             durations.end(measuredCall, "delivered", clock.now());
         }
-        else if (this.executions > 0) {
+        else if (hasDeliveredSuccess || this.executions > 0) {
             durations.end(measuredCall, "unfinished", clock.now());
         }
         else {
@@ -233,7 +235,8 @@
     /** Aborts an attempt that may be repeated through another entry, because this one has been cut off from endpoints. */
     private abandonUnreachedEndpoint(call: AdmittedCall): void {
         const { attempt, relayed, callerResponse, context } = this;
-        const mayRepeat = attempt?.isSent === false || call.route.repeatRule === "repeatable";
+        const isRepeatable = attempt?.isSent === false || call.route.repeatRule === "repeatable";
+        const mayRepeat = isRepeatable && !this.isTooLate(call);
         if (context.reachability.isCutOff && relayed === undefined && mayRepeat && !callerResponse.hasBegun) {
             attempt?.cancel("this entry is cut off from endpoints");
         }
@@ -265,13 +268,21 @@
         detour.cancel("the entry stops");
     }
 
+    /** Whether the response of an attempt that begins now would not be complete when the entry stops. */
+    private isTooLate(call: AdmittedCall): boolean {
+        const { shutdown, suspensionDetector } = this.context;
+        return shutdown.isUnderWay && !shutdown.allows(this.expectedCall(call), suspensionDetector.now());
+    }
+
     /** Ends a call whose response would not be complete when the entry stops; returns whether it did. */
     private endIfTooLate(call: AdmittedCall): boolean {
-        const { shutdown, suspensionDetector } = this.context;
-        if (!shutdown.isUnderWay || shutdown.allows(this.expectedCall(call), suspensionDetector.now())) {
+        if (!this.isTooLate(call)) {
             return false;
         }
-        if (this.executions > 0) {
+        if (this.lastFailure?.outcome.kind === "failedAnswer") {
+            this.respondToFailure(call, this.lastFailure);
+        }
+        else if (this.executions > 0) {
             this.callerResponse.fail(failure("entryStopped"), call);
         }
         else {
@@ -529,7 +540,10 @@
             callerResponse: this.callerResponse,
             placement,
             remainingTime: this.remainingTime(route),
-            mayFailOver: route.repeatRule === "repeatable" && this.executions + 1 < route.maximumAttempts,
+            mayFailOver: () => {
+                return route.repeatRule === "repeatable" && this.executions + 1 < route.maximumAttempts
+                    && !this.isTooLate(call);
+            },
             earlierExecutions: this.executions,
             onResponseStarted: () => {
                 outstandingCall.pendingPrefillTokens = 0;
