fix(request): judge calls with one answer as strictly as streams while an entry stops

Now one rule holds for all calls: after the 2.6 s in which callers may not know of the stop, a call is sent only if its own deadline ends before the entry; before, if twice the longest known duration is left. A call that may have run cannot be refused any more, and is repeated or continued if the longest duration fits.

--- a/src/process/hosted/entry/entryShutdown.ts
+++ b/src/process/hosted/entry/entryShutdown.ts
@@ -1,19 +1,21 @@
 import type { Milliseconds } from "../../../util/clock.js";
 
-/** Time for which an entry that shuts down still accepts connections: callers may cache a resolution response that long. */
+/**
+ * Time after the signal within which callers may not know yet that the entry shuts down, as they cache a resolution
+ * response; it still accepts connections for so long.
+ */
 export const drainingAcceptTime: Milliseconds = 2_600;
 
-/** Multiple of the longest known duration of a stream that must be left; its length depends on what is generated. */
-const streamMargin = 2;
+/** Multiple of the longest known duration that must be left for such a caller's call. */
+const durationMargin = 2;
 
-/** Multiple of the longest known duration of another call, or of the rest of a stream, that must be left. */
-const callMargin = 1.1;
+/** Multiple of the longest known duration that must be left to repeat or continue a call that may have run. */
+const repetitionMargin = 1.1;
 
 /** What is known about how long a call may take. */
 export interface ExpectedCall {
-    readonly isStreaming: boolean;
-    /** Whether a part of the response has been sent, so that the call can only be continued. */
-    readonly hasBegun: boolean;
+    /** Whether an endpoint may have run the call, so that it can only be repeated or continued. */
+    readonly mayHaveRun: boolean;
     /** Time until the call's own deadline. */
     readonly remainingTime: Milliseconds;
     /** Longest time that calls of the route have taken; undefined if that is not known. */
@@ -41,10 +43,10 @@
     /**
      * Whether a call may be sent to an endpoint: its response is complete before the remaining calls are ended.
      *
-     * Only the call's own deadline makes that certain. Durations of earlier calls count where they leave ample time, for
-     * streams only while callers cannot know yet that the entry shuts down: later ones lose little by being refused.
+     * Only the call's own deadline makes that certain. Durations of earlier calls count if a refusal would come
+     * unexpectedly, and they leave ample time, or if the call cannot be refused any more.
      */
-    allows({ isStreaming, hasBegun, remainingTime, longestDuration }: ExpectedCall, now: Milliseconds): boolean {
+    allows({ mayHaveRun, remainingTime, longestDuration }: ExpectedCall, now: Milliseconds): boolean {
         const timeLeft = this.timeLeft(now);
         if (this.period === undefined || timeLeft === undefined || remainingTime <= timeLeft) {
             return true;
@@ -52,9 +54,9 @@
         if (longestDuration === undefined) {
             return false;
         }
-        if (!isStreaming || hasBegun) {
-            return longestDuration * callMargin <= timeLeft;
+        if (mayHaveRun) {
+            return longestDuration * repetitionMargin <= timeLeft;
         }
-        return now - this.period.beganAt <= drainingAcceptTime && longestDuration * streamMargin <= timeLeft;
+        return now - this.period.beganAt <= drainingAcceptTime && longestDuration * durationMargin <= timeLeft;
     }
 }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -294,8 +294,7 @@
     private expectedCall({ route }: AdmittedCall): ExpectedCall {
         const { durations, clock } = this.context;
         return {
-            isStreaming: route.streaming,
-            hasBegun: this.callerResponse.hasBegun,
+            mayHaveRun: this.callerResponse.hasBegun || this.executions > 0,
             remainingTime: this.remainingTime(route),
             longestDuration: durations.longest(route.name, clock.now()),
         };
