test(soak): report a process that exceeds the grace period before it has started

The check of planned stops took any end by a signal before the first log line for a signal that came before the program ran, also the SIGKILL of the soak after the grace period, which the earlier check reported.

--- a/tests/soak/soakVm.ts
+++ b/tests/soak/soakVm.ts
@@ -137,7 +137,7 @@
         const { exitCode, signalCode } = child;
         // A signal that arrives before the program runs ends the process at once.
         const hasBegun = (await readFile(this.logPath)).includes("processStarted", previousLogSize);
-        const isFault = exitCode !== 0 && (hasBegun || typeof exitCode === "number");
+        const isFault = exitCode !== 0 && (hasBegun || typeof exitCode === "number" || signalCode === "SIGKILL");
         return { signalledAt, exitedAt, fault: isFault ? `ended with ${signalCode ?? exitCode ?? ""}` : undefined };
     }
 
