fix(endpointAttempt): do not take the suspension of an entry for the silence of its endpoints

The check for stalled attempts is a timer, and timers run before the bytes are read that arrived meanwhile. A check that comes much later than it should now waits for the next one.

suspendedEntry failed before (2 requests at the endpoint instead of 1), and passes now, with the other tests of tests/request/hosted.

--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -13,6 +13,12 @@
 /** Minimum time without data after which a call that may be retried is moved to another endpoint. */
 const minimumStallTimeout: Milliseconds = 1_200;
 
+/** Interval at which an attempt is checked for a stall. */
+const stallCheckInterval = minimumStallTimeout / 4;
+
+/** Time between two such checks from which on this process counts as suspended. */
+const maximumStallCheckDelay = 2 * stallCheckInterval;
+
 /** Stall timeout of a stream as a multiple of its route's target for the gap between events. */
 const stallTimeoutInEventGaps = 4;
 
@@ -336,13 +342,19 @@
     /** If the call may fail over, aborts the attempt once no data of any call has arrived from its endpoint in time. */
     private startStallTimer(stallTimeout: Milliseconds): NodeJS.Timeout | undefined {
         const { mayFailOver, placement: { endpoint } } = this.input;
-        return mayFailOver()
-            ? setInterval(() => {
-                if (endpoint.silentTime(this.context.clock.now()) > stallTimeout && mayFailOver()) {
-                    this.cancel("no data from the endpoint within the stall timeout");
-                }
-            }, minimumStallTimeout / 4)
-            : undefined;
+        if (!mayFailOver()) {
+            return undefined;
+        }
+        let checkedAt = this.context.clock.now();
+        return setInterval(() => {
+            const now = this.context.clock.now();
+            // Bytes that arrived while this process was suspended are read only after its timers have run.
+            const wasSuspended = now - checkedAt > maximumStallCheckDelay;
+            checkedAt = now;
+            if (!wasSuspended && endpoint.silentTime(now) > stallTimeout && mayFailOver()) {
+                this.cancel("no data from the endpoint within the stall timeout");
+            }
+        }, stallCheckInterval);
     }
 
     /**
