--- a/src/process/hosted/entry/entryShutdown.ts
+++ b/src/process/hosted/entry/entryShutdown.ts
@@ -6,10 +6,10 @@
  */
 export const drainingAcceptTime: Milliseconds = 2_600;
 
-/** Multiple of the longest known duration that must be left for such a caller's call. */
+/** Time that must be left to send a call within {@link drainingAcceptTime}, as a multiple of its longest known duration. */
 const durationMargin = 2;
 
-/** Multiple of the longest known duration that must be left to repeat or continue a call that may have run. */
+/** Time that must be left to repeat or continue a call that may have run, as a multiple of its longest known duration. */
 const repetitionMargin = 1.1;
 
 /** What is known about how long a call may take. */
@@ -43,8 +43,8 @@
     /**
      * Whether a call may be sent to an endpoint: its response is complete before the remaining calls are ended.
      *
-     * Only the call's own deadline makes that certain. Durations of earlier calls count if a refusal would come
-     * unexpectedly, and they leave ample time, or if the call cannot be refused any more.
+     * Only the call's own deadline makes that certain. Durations of earlier calls count only for callers that may not know
+     * of the shutdown yet, and for calls that cannot be refused any more.
      */
     allows({ mayHaveRun, remainingTime, longestDuration }: ExpectedCall, now: Milliseconds): boolean {
         const timeLeft = this.timeLeft(now);
