feat(hosted): show how old the list of endpoints is, whose it is, and calls to endpoints known to leave

The hypotheses of the incident could not be told apart: 2433 named neither the control process nor the list, the age of a list counted from its last change, and nothing said that an entry called an endpoint that it had known to be leaving.

Control processes state in each answer to a heartbeat which list they have, how old it is, and whether they read the platform's list at present; entries of earlier builds ignore it. From that an entry knows bounds of the time at which its list was read. 2460 names the list's source, 2481 the first list that shows an endpoint as leaving, and 2482 each call that is sent there afterwards. Choices are unchanged.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -8,6 +8,7 @@
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
 import type { EndpointRateLimits } from "../../process/hosted/entry/endpointRateLimits.js";
 import type { HostedRetryBudget } from "../../process/hosted/entry/hostedRetryBudget.js";
+import type { ListReading } from "../../process/hosted/entry/listReading.js";
 import type { StreamOrigins } from "../../process/hosted/entry/streamOrigins.js";
 import type { UsageCounts } from "../../process/hosted/entry/usageCounts.js";
 import type { GrantDecision } from "../../process/hosted/grantDecision.js";
@@ -67,7 +68,8 @@
     readonly ownWork: (now: Milliseconds) => ServiceWork;
     /** Called with the engine time used by the calls of all entries. */
     readonly onTotalWork: (work: ServiceWork) => void;
-    readonly onEndpoints: (endpoints: readonly EndpointRecord[], age: Milliseconds) => void;
+    /** Called with each list, and again when it is known to be still current. */
+    readonly onEndpoints: (endpoints: readonly EndpointRecord[], reading: ListReading) => void;
     /** Called with the hosts of the control processes, and with the leader's host if one is known. */
     readonly onControlHosts: (hosts: readonly string[], leaderHost: string | undefined) => void;
     readonly onEntryCount: (entries: number) => void;
@@ -81,8 +83,11 @@
     readonly onRelays: (relays: readonly RelayOffer[]) => void;
 }
 
+let createdLinks = 0;
+
 /** Connection of this entry to one control process. */
 export class ControlLink implements ReopenableLink {
+    private readonly number = ++createdLinks;
     private readonly socket: Socket;
     private readonly connection: MessageConnection;
     /** When the heartbeats without a response so far were sent, by heartbeat number. */
@@ -104,6 +109,8 @@
     private endpoints: ReadonlyMap<string, EndpointRecord> = new Map();
     private endpointsRevision: number | undefined;
     private lastReceivedAt: Milliseconds;
+    /** What is received from now on was sent at this time or later, by the suspension detector's time. */
+    private sentAfter: Milliseconds;
     private hasSentHello = false;
     private hasResponded = false;
     private isRemoteLeader = false;
@@ -115,6 +122,7 @@
         });
         this.connection = new MessageConnection(this.socket);
         this.lastReceivedAt = context.clock.now();
+        this.sentAfter = context.suspensionDetector.now();
     }
 
     /** Whether the control process has responded and the connection is open. */
@@ -299,7 +307,7 @@
             .with({ kind: "endpoints" }, ({ endpoints, age, revision }) => {
                 this.endpoints = endpointsByIncarnation(endpoints);
                 this.endpointsRevision = revision;
-                this.context.onEndpoints(endpoints, age);
+                this.reportEndpoints(age);
             })
             .with({ kind: "endpointChanges" }, ({ age, revision, ...changes }) => {
                 if (this.endpointsRevision !== revision - 1) {
@@ -308,7 +316,7 @@
                 }
                 this.endpoints = applyEndpointChanges(this.endpoints, changes);
                 this.endpointsRevision = revision;
-                this.context.onEndpoints([...this.endpoints.values()], age);
+                this.reportEndpoints(age);
             })
             .with({ kind: "beatAnswer" }, response => {
                 this.handleHeartbeatResponse(response);
@@ -340,12 +348,28 @@
             .exhaustive();
     }
 
+    /** @param age Time since the list was read, when the newest message was sent. */
+    private reportEndpoints(age: Milliseconds): void {
+        this.context.onEndpoints([...this.endpoints.values()], {
+            control: this.address,
+            link: this.number,
+            revision: this.endpointsRevision,
+            age,
+            earliest: this.sentAfter - age,
+            latest: this.context.suspensionDetector.now() - age,
+        });
+    }
+
     private handleHeartbeatResponse(response: HeartbeatResponse): void {
         const { clock, medianClock, view, onControlHosts, onEntryCount } = this.context;
         const sentAt = this.unansweredSentAt.get(response.number);
         this.unansweredSentAt.delete(response.number);
         this.hasResponded = true;
         this.isRemoteLeader = response.isLeader;
+        this.sentAfter = Math.max(this.sentAfter, sentAt ?? -Infinity);
+        if (response.endpointList !== undefined && response.endpointList.revision === this.endpointsRevision) {
+            this.reportEndpoints(response.endpointList.age);
+        }
         medianClock.addReading(this.address, response.unixTime, clock.now());
         if (response.confirmedVersion !== undefined && sentAt !== undefined) {
             view.recordConfirmation(sentAt, response.confirmedVersion);
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -7,8 +7,9 @@
 import type { RateLimitLedger } from "../../process/hosted/control/rateLimitLedger.js";
 import type { RetryLedger } from "../../process/hosted/control/retryLedger.js";
 import type { StreamOriginStore } from "../../process/hosted/streamOriginStore.js";
-import type { Clock } from "../../util/clock.js";
+import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
+import type { SuspensionDetector } from "../../util/suspensionDetector.js";
 import { MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
@@ -23,11 +24,15 @@
 /** Dependencies that all entry links of a control process share. */
 export interface EntryLinkContext {
     readonly clock: Clock;
+    /** Its time is that of {@link EndpointListSnapshot.polledAt}. */
+    readonly suspensionDetector: SuspensionDetector;
     readonly eventLog: EventLog;
     readonly medianClock: MedianClock;
     readonly registry: EntryRegistry;
     readonly document: () => StoredDocument | undefined;
     readonly endpoints: () => EndpointListSnapshot | undefined;
+    /** Whether this process reads the list of endpoints from the platform at present. */
+    readonly readsEndpoints: () => boolean;
     /** Asks a quorum for the newest configuration version; undefined if no quorum responds. */
     readonly confirmVersion: () => Promise<number | undefined>;
     readonly isLeader: () => boolean;
@@ -95,7 +100,7 @@
             return;
         }
         const { endpoints, revision, changes } = snapshot;
-        const age = this.context.clock.now() - snapshot.polledAt;
+        const age = this.ageOf(snapshot);
         const hasPrevious = this.sentEndpointsRevision === revision - 1;
         this.send(
             hasPrevious && this.hello.understandsEndpointChanges === true
@@ -269,6 +274,7 @@
         const leaderHost = this.context.leaderHost();
         const confirmedVersion = heartbeat.wantsPermit ? await confirmVersion() : undefined;
         const isLeader = this.context.isLeader();
+        const endpointList = this.context.endpoints();
         this.pushDocument();
         this.pushHolds();
         this.pushSuspects();
@@ -285,10 +291,18 @@
             limits: isLeader ? rateLimits.enforcedLimits(clock.now()) : [],
             keepsStreamOrigins: true,
             grantsRetries: true,
+            ...endpointList === undefined
+                ? {}
+                : { endpointList: { revision: endpointList.revision, age: this.ageOf(endpointList) } },
+            readsEndpoints: this.context.readsEndpoints(),
             ...heartbeat.needsRelays === true ? { relays: registry.relaysFor(hello.entry, clock.now()) } : {},
         });
     }
 
+    private ageOf({ polledAt }: EndpointListSnapshot): Milliseconds {
+        return this.context.suspensionDetector.now() - polledAt;
+    }
+
     private send(message: ControlMessage): void {
         this.connection.send(message);
     }
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -187,6 +187,15 @@
         keepsStreamOrigins: z.boolean().optional(),
         /** Whether the sender answers requests for retries. */
         grantsRetries: z.boolean().optional(),
+        /** The newest list of endpoints that the sender has read; absent if it has none. */
+        endpointList: z.object({
+            /** Number of the list, as sent before on this link. */
+            revision: countSchema,
+            /** Time since the platform was asked for it, in milliseconds. */
+            age: z.number(),
+        }).readonly().optional(),
+        /** Whether the sender reads the list of endpoints from the platform at present. */
+        readsEndpoints: z.boolean().optional(),
     }),
     grantResponseSchema,
     retryResponseSchema,
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -108,7 +108,7 @@
         number: 2433,
         level: "info",
         text: "The entry applied a new list of endpoints.",
-        fields: ["endpoints", "added", "removed", "leaving", "age"],
+        fields: ["endpoints", "added", "removed", "leaving", "age", "control", "revision", "uncertainty"],
     },
     endpointsOrdered: {
         number: 2434,
@@ -176,6 +176,7 @@
             "outstanding",
             "predictedWait",
             "listAge",
+            "listSource",
             "permitAge",
             "remaining",
             "softwareVersion",
@@ -311,4 +312,16 @@
         text: "The entry ended its last calls.",
         fields: ["duration", "answered", "refused", "failed", "left", "ended"],
     },
+    endpointLeavingListed: {
+        number: 2481,
+        level: "info",
+        text: "The platform's list shows for the first time that an endpoint is about to stop; it gets no new calls.",
+        fields: ["endpoint", "control"],
+    },
+    leavingEndpointCalled: {
+        number: 2482,
+        level: "warn",
+        text: "A call was sent to an endpoint that this entry had known to be leaving.",
+        fields: ["requestId", "endpoint", "knownFor"],
+    },
 } as const satisfies Readonly<Record<string, LogEventDefinition>>;
--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -5,6 +5,7 @@
 import type { Clock, Milliseconds } from "../../../util/clock.js";
 import { Err, Ok } from "../../../util/result.js";
 import type { Result } from "../../../util/result.js";
+import type { SuspensionDetector } from "../../../util/suspensionDetector.js";
 import { compareEndpoints } from "../endpointChanges.js";
 import type { EndpointChanges } from "../endpointChanges.js";
 import type { EndpointRecord } from "../endpointRecord.js";
@@ -37,6 +38,7 @@
     /** Rate limit for list calls of all processes together, in calls per second. */
     readonly callsPerSecond: number;
     readonly clock: Clock;
+    readonly suspensionDetector: SuspensionDetector;
     readonly eventLog: EventLog;
     /** Whether this process currently polls the list; not all do, to stay within the platform's rate limit. */
     readonly shouldPoll: () => boolean;
@@ -47,7 +49,7 @@
 /** Snapshot of the platform's endpoint list. */
 export interface EndpointListSnapshot {
     readonly endpoints: readonly EndpointRecord[];
-    /** When the poll started, on the monotonic clock. */
+    /** When the poll started, by {@link SuspensionDetector.now}. */
     readonly polledAt: Milliseconds;
     /** Increases by 1 with each change that entries are told. */
     readonly revision: number;
@@ -76,6 +78,11 @@
         return this.latestSnapshot;
     }
 
+    /** Whether this process reads the list at present. */
+    get isReading(): boolean {
+        return this.options.shouldPoll();
+    }
+
     /** Polls until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, shouldPoll } = this.options;
@@ -94,7 +101,8 @@
     }
 
     private async poll(signal: AbortSignal): Promise<void> {
-        const polledAt = this.options.clock.now();
+        const { clock, suspensionDetector } = this.options;
+        const polledAt = suspensionDetector.now();
         const endpoints = await this.readPages(signal);
         if (endpoints.err) {
             this.reportFailure(endpoints.val);
@@ -104,7 +112,7 @@
             this.isFailing = false;
             this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.val.length });
         }
-        this.reportUnreadableRows(polledAt);
+        this.reportUnreadableRows(clock.now());
         const fingerprint = fingerprintOf(endpoints.val);
         const hasChanged = fingerprint !== this.fingerprint;
         if (hasChanged) {
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -203,12 +203,23 @@
         return undefined;
     }
 
+    /** Writes how long ago the list of endpoints was read; nothing before the first time. */
+    private writeListAge(writer: ExpositionWriter, endpointPoller: EndpointListPoller): void {
+        const { snapshot } = endpointPoller;
+        if (snapshot !== undefined) {
+            const family = "gullhall_endpoint_list_age_seconds";
+            writer.family(family, "gauge", "Time since the newest list of endpoints was read from the platform.");
+            writer.sample(family, {}, (this.suspensionDetector.now() - snapshot.polledAt) / 1_000);
+        }
+    }
+
     private startEndpointPoller(log: HostedLog): EndpointListPoller {
         const { clock, eventLog } = this;
         const endpointPoller = new EndpointListPoller({
             platformAddress: this.settings().platform.address,
             callsPerSecond: this.settings().platform.listCallsPerSecond,
             clock,
+            suspensionDetector: this.suspensionDetector,
             eventLog,
             shouldPoll: () => log.leadingTerm() !== undefined || log.leaderAddress() === undefined,
             onChange: () => {
@@ -240,7 +251,9 @@
             medianClock,
             registry,
             document: () => state.document,
+            suspensionDetector,
             endpoints: () => endpointPoller.snapshot,
+            readsEndpoints: () => endpointPoller.isReading,
             confirmVersion: () => confirmation.version(),
             isLeader: () => log.leadingTerm() !== undefined,
             controlHosts: memberHosts,
@@ -326,6 +339,7 @@
                         writer.sample(`gullhall_${name}`, {}, value);
                     }
                     writeMemberSilence(writer, log, clock.now());
+                    this.writeListAge(writer, endpointPoller);
                     this.rateLimits.write(writer);
                     this.retries.write(writer);
                     this.quarantine?.write(writer);
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -7,6 +7,8 @@
 import type { StreamOrigin } from "../streamOrigin.js";
 import type { ActiveEndpoints } from "./endpointReachability.js";
 import { HostedEndpoint } from "./hostedEndpoint.js";
+import { LeavingRecord } from "./leavingRecord.js";
+import type { ListReading } from "./listReading.js";
 
 /** Time for which connections to an endpoint that is no longer listed stay open for its running calls. */
 const connectionLingerTime: Milliseconds = 30_000;
@@ -16,7 +18,10 @@
     private readonly endpoints = new Map<string, HostedEndpoint>();
     private readonly closeTimers = new Set<NodeJS.Timeout>();
     private byService = new Map<string, readonly HostedEndpoint[]>();
-    private listReadAt: Milliseconds = -Infinity;
+    /** Which endpoints this entry knows to be leaving, and since when; for logs and metrics. */
+    readonly leavingRecord = new LeavingRecord();
+    /** The reading of the list in force; undefined before the first one. */
+    private reading: ListReading | undefined;
     /** When the first list was applied. */
     private listedSince: Milliseconds = Infinity;
     /** When each software version of a service was last listed, by service. */
@@ -26,21 +31,23 @@
 
     /** Whether an endpoint list was received. */
     get hasList(): boolean {
-        return this.listReadAt > -Infinity;
+        return this.reading !== undefined;
     }
 
     /**
      * Applies an endpoint list unless a newer one was applied before; leaves out endpoints that cannot be called, which
      * a control process of an earlier build may send.
-     *
-     * @param age Time since the list was read from the platform.
      */
-    applyList(listedRecords: readonly EndpointRecord[], age: Milliseconds, now: Milliseconds): void {
-        if (now - age < this.listReadAt) {
+    applyList(listedRecords: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
+        const { reading: previous } = this;
+        if (previous !== undefined && reading.latest < previous.latest) {
+            return;
+        }
+        this.reading = reading;
+        if (previous !== undefined && isSameList(previous, reading)) {
             return;
         }
         const records = listedRecords.filter(isCallable);
-        this.listReadAt = now - age;
         this.listedSince = Math.min(this.listedSince, now);
         this.recordVersions(now);
         const listed = new Set(records.map(incarnationKey));
@@ -52,14 +59,34 @@
         const added = records.filter(record => this.addOrUpdate(record)).length;
         this.byService = groupByService(this.endpoints.values());
         this.recordVersions(now);
-        const leaving = records.filter(record => record.isLeaving).length;
-        const fields = { endpoints: records.length, added, removed: removed.length, leaving, age: Math.round(age) };
-        this.eventLog.write("endpointListTaken", fields);
+        const leaving = records.filter(record => record.isLeaving);
+        leaving.filter(record => this.leavingRecord.add(record, now)).forEach(({ id }) => {
+            this.eventLog.write("endpointLeavingListed", { endpoint: id, control: reading.control });
+        });
+        this.eventLog.write("endpointListTaken", {
+            endpoints: records.length,
+            added,
+            removed: removed.length,
+            leaving: leaving.length,
+            age: Math.round(reading.age),
+            control: reading.control,
+            revision: reading.revision,
+            uncertainty: Math.round(reading.latest - reading.earliest),
+        });
     }
 
-    /** Whole milliseconds since the newest applied list was read from the platform. */
+    /**
+     * Time since the list in force was read from the platform, at the longest; infinite before the first one.
+     *
+     * @param now By the suspension detector's time.
+     */
     listAge(now: Milliseconds): Milliseconds {
-        return Math.round(now - this.listReadAt);
+        return now - (this.reading?.earliest ?? -Infinity);
+    }
+
+    /** Address of the control process that read the list in force; undefined before the first one. */
+    get listSource(): string | undefined {
+        return this.reading?.control;
     }
 
     /**
@@ -77,7 +104,18 @@
             : { service, softwareVersion };
     }
 
-    write(writer: ExpositionWriter): void {
+    /** @param now By the suspension detector's time. */
+    write(writer: ExpositionWriter, now: Milliseconds): void {
+        if (this.hasList) {
+            const ageFamily = "gullhall_endpoint_list_age_seconds";
+            writer.family(
+                ageFamily,
+                "gauge",
+                "Time since the list in force was read from the platform, at the longest.",
+            );
+            writer.sample(ageFamily, { control: this.listSource ?? "" }, this.listAge(now) / 1_000);
+        }
+        this.leavingRecord.write(writer);
         const endpointsFamily = "gullhall_endpoints_by_version";
         const callsFamily = "gullhall_endpoint_calls_by_version";
         writer.family(endpointsFamily, "gauge", "Listed endpoints, by service and software version.");
@@ -157,6 +195,11 @@
     }
 }
 
+/** Whether two readings found the same list, and came on the same link. */
+function isSameList(a: ListReading, b: ListReading): boolean {
+    return a.link === b.link && a.revision !== undefined && a.revision === b.revision;
+}
+
 function groupByService(endpoints: Iterable<HostedEndpoint>): Map<string, readonly HostedEndpoint[]> {
     const groups = new Map<string, HostedEndpoint[]>();
     for (const endpoint of endpoints) {
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -181,8 +181,8 @@
                 onTotalWork: work => {
                     this.callContext.chooser.recordTotalWork(work, clock.now());
                 },
-                onEndpoints: (endpoints, age) => {
-                    this.fleet.applyList(endpoints, age, clock.now());
+                onEndpoints: (endpoints, reading) => {
+                    this.fleet.applyList(endpoints, reading, clock.now());
                 },
                 onEntryCount: entries => {
                     this.entryCount = entries;
@@ -278,7 +278,7 @@
                 exposition: () => {
                     const writer = new ExpositionWriter();
                     counters.write(writer);
-                    this.fleet.write(writer);
+                    this.fleet.write(writer, this.suspensionDetector.now());
                     eventLoopDelay.write(writer);
                     rateLimits.write(writer);
                     retryBudget.write(writer);
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -217,6 +217,7 @@
         // A misdirected call was answered by another endpoint.
         if (traits.isLeaving && !traits.isMisdirected && !endpoint.isLeaving) {
             endpoint.recordLeaving();
+            this.context.fleet.leavingRecord.add(endpoint.record, now);
             this.context.eventLog.write("endpointLeavingStated", { endpoint: endpoint.id });
         }
         if (traits.load !== undefined) {
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -691,6 +691,12 @@
 
     private logDispatch(call: AdmittedCall, { endpoint, predictedWait }: Placement): void {
         const { fleet, view, clock, suspensionDetector, counters, eventLog } = this.context;
+        const leavingTime = fleet.leavingRecord.timeSince(endpoint.record, clock.now());
+        if (leavingTime !== undefined) {
+            fleet.leavingRecord.countCall();
+            const fields = { requestId: this.traits.callId, endpoint: endpoint.id, knownFor: Math.round(leavingTime) };
+            eventLog.write("leavingEndpointCalled", fields);
+        }
         counters.count("dispatched");
         eventLog.write("callDispatched", {
             requestId: this.traits.callId,
@@ -699,7 +705,8 @@
             version: call.version,
             outstanding: endpoint.outstandingCount,
             predictedWait: Math.round(predictedWait),
-            listAge: fleet.listAge(clock.now()),
+            listAge: Math.round(fleet.listAge(suspensionDetector.now())),
+            listSource: fleet.listSource,
             permitAge: view.loggedPermitAge(suspensionDetector.now()),
             remaining: Math.round(this.remainingTime(call.route)),
             softwareVersion: endpoint.record.softwareVersion,
--- a/tests/connection/hosted/entryLink.test.ts
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -17,6 +17,7 @@
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { MedianClock } from "../../../src/util/medianClock.js";
 import { listen, splitAddress } from "../../../src/util/socketAddress.js";
+import { SuspensionDetector } from "../../../src/util/suspensionDetector.js";
 import { describe, it } from "../../describe.js";
 import { createEndpointRecord } from "../../process/hosted/entry/testEndpoints.js";
 import { testBounds } from "../../process/hosted/hostedBounds.js";
@@ -24,6 +25,7 @@
 
 const service = "drafting";
 const clock = new SystemClock();
+const suspensionDetector = new SuspensionDetector(clock);
 const eventLog = new EventLog("test", "hidden");
 
 const hello: EntryMessage = {
@@ -62,7 +64,7 @@
     publishEndpoints(endpoints: readonly EndpointRecord[]): void {
         const changes = compareEndpoints(this.endpoints?.endpoints ?? [], endpoints);
         const revision = (this.endpoints?.revision ?? 0) + 1;
-        this.endpoints = { endpoints, polledAt: clock.now(), revision, changes };
+        this.endpoints = { endpoints, polledAt: suspensionDetector.now(), revision, changes };
         this.links.forEach(link => {
             link.pushEndpoints();
         });
@@ -96,11 +98,13 @@
         const server = createServer(socket => {
             const link = new EntryLink(socket, {
                 clock,
+                suspensionDetector,
                 eventLog,
                 medianClock: new MedianClock(),
                 registry: new EntryRegistry(),
                 document: () => undefined,
                 endpoints: () => control.endpoints,
+                readsEndpoints: () => true,
                 confirmVersion: () => Promise.resolve(undefined),
                 isLeader: () => control.isLeading,
                 controlHosts: () => [],
--- a/tests/process/hosted/entry/endpointFleet.test.ts
+++ b/tests/process/hosted/entry/endpointFleet.test.ts
@@ -2,6 +2,7 @@
 import type { EndpointRecord } from "../../../../src/process/hosted/endpointRecord.js";
 import { EndpointFleet } from "../../../../src/process/hosted/entry/endpointFleet.js";
 import { describe, it } from "../../../describe.js";
+import { readAt } from "./listReadings.js";
 import { createEndpointRecord } from "./testEndpoints.js";
 
 const duration = 1_000;
@@ -48,7 +49,7 @@
             it(`with ${title}`, t => {
                 const fleet = new EndpointFleet(new EventLog("test", "hidden"));
                 for (const [at, records] of lists) {
-                    fleet.applyList(records, 0, at);
+                    fleet.applyList(records, readAt(at), at);
                 }
                 t.deepEqual(fleet.onlyOrigin("engines", duration, 5_000), expected);
             });
@@ -58,9 +59,9 @@
     // Guards against an endpoint that is taken for the same one although its software was replaced under its id.
     it("takes an endpoint whose version has changed for another one", t => {
         const fleet = new EndpointFleet(new EventLog("test", "hidden"));
-        fleet.applyList(listOf("v1"), 0, 0);
+        fleet.applyList(listOf("v1"), readAt(0), 0);
         const [before] = fleet.serving("engines");
-        fleet.applyList(listOf("v2"), 0, 1);
+        fleet.applyList(listOf("v2"), readAt(1), 1);
         const [after] = fleet.serving("engines");
         t.not(after, before);
         t.is(before?.record.softwareVersion, "v1");
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -28,6 +28,7 @@
 import { RandomSource } from "../../../src/util/randomSource.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { SuspensionDetector } from "../../../src/util/suspensionDetector.js";
+import { readAt } from "../../process/hosted/entry/listReadings.js";
 import { NoLeader } from "../../process/hosted/entry/noLeader.js";
 
 /** Time within which a listening endpoint accepts a connection, in milliseconds. */
@@ -117,7 +118,7 @@
         const callServer = new CallServer(new EventLog("test", "hidden"), grantSource);
         const { clock, context: { fleet, view }, store } = callServer;
         view.applyConfiguration(version, deflateRawSync(JSON.stringify(document)));
-        fleet.applyList(endpoints, 0, clock.now());
+        fleet.applyList(endpoints, readAt(clock.now()), clock.now());
         const server = createServer((request, response) => {
             const isRelayed = request.headers[relayHeaderNames.token] !== undefined;
             const relayed = isRelayed ? readRelayedCall(request.headers) : undefined;
--- a/tests/request/hosted/leavingEndpoint.test.ts
+++ b/tests/request/hosted/leavingEndpoint.test.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { describe, it } from "../../describe.js";
+import { readAt } from "../../process/hosted/entry/listReadings.js";
 import { createEndpointRecord } from "../../process/hosted/entry/testEndpoints.js";
 import { StatedEndpoints } from "./statedEndpoints.js";
 
@@ -50,9 +51,9 @@
         await endpoints.call();
         t.is((await endpoints.call()).status, 503);
         const listed = createEndpointRecord("e0", { ...endpoint?.record });
-        fleet.applyList([listed], 0, clock.now());
+        fleet.applyList([listed], readAt(clock.now()), clock.now());
         t.is((await endpoints.call()).status, 503, "listed as the same run");
-        fleet.applyList([{ ...listed, startedAt: 2 }], 0, clock.now());
+        fleet.applyList([{ ...listed, startedAt: 2 }], readAt(clock.now()), clock.now());
         t.is((await endpoints.call()).status, 200);
     });
 });
--- a/tests/request/hosted/limitedCall.test.ts
+++ b/tests/request/hosted/limitedCall.test.ts
@@ -8,6 +8,7 @@
 import { formatRequest, openConnection } from "../../connection/leavingCaller.js";
 import { describe, it } from "../../describe.js";
 import { documentOf } from "../../platform/testDocument.js";
+import { readAt } from "../../process/hosted/entry/listReadings.js";
 import { createEndpointRecord } from "../../process/hosted/entry/testEndpoints.js";
 import { CallServer } from "./callServer.js";
 
@@ -191,7 +192,7 @@
     it("is not sent to an endpoint that begins to leave while it waits for a grant", async t => {
         const grants = new ScriptedGrants(() => {
             const { context, clock } = entry.callServer;
-            context.fleet.applyList([], 0, clock.now());
+            context.fleet.applyList([], readAt(clock.now()), clock.now());
             return { isGranted: true, delay: 100 };
         });
         await using entry = await LimitedEntry.start([200], ["e0"], grants);
