--- /dev/null
+++ b/tests/process/hosted/control/endpointListPoller.test.ts
@@ -0,0 +1,116 @@
+import { createServer } from "node:http";
+import { EventLog } from "../../../../src/logEvent/eventLog.js";
+import { EndpointListPoller } from "../../../../src/process/hosted/control/endpointListPoller.js";
+import type { EndpointListSnapshot } from "../../../../src/process/hosted/control/endpointListPoller.js";
+import { SystemClock } from "../../../../src/util/clock.js";
+import { DisposableStore } from "../../../../src/util/disposableStore.js";
+import { listen } from "../../../../src/util/socketAddress.js";
+import { SuspensionDetector } from "../../../../src/util/suspensionDetector.js";
+import { describe, it } from "../../../describe.js";
+
+/** Number of rows of one page. */
+const pageSize = 3;
+
+type Row = Readonly<Record<string, unknown>>;
+
+function rowOf(id: string, state = "ready"): Row {
+    return { identifier: id, service: "engines", address: "127.0.0.1:9", zone: "north", slots: 4, state };
+}
+
+/** The content of one page of the list; the page's number is counted from 0. */
+type PageSource = (reading: number, page: number) => { readonly rows: readonly Row[]; readonly isLast: boolean; };
+
+/** Divides a list of rows, which may change between two pages of one reading, into pages. */
+function paged(rowsAt: (reading: number, page: number) => readonly Row[]): PageSource {
+    return (reading, page) => {
+        const rows = rowsAt(reading, page);
+        const end = (page + 1) * pageSize;
+        return { rows: rows.slice(page * pageSize, end), isLast: end >= rows.length };
+    };
+}
+
+/** Reads the list a number of times; returns the snapshots of those readings that changed it. */
+async function readList(pages: PageSource, readings: number): Promise<readonly EndpointListSnapshot[]> {
+    await using store = new DisposableStore();
+    let reading = -1;
+    let finish = (): void => undefined;
+    const finished = new Promise<void>(resolve => {
+        finish = resolve;
+    });
+    const server = createServer((request, response) => {
+        const page = Number(new URL(request.url ?? "", "http://platform").searchParams.get("page-token") ?? "0");
+        reading += page === 0 ? 1 : 0;
+        if (reading === readings) {
+            finish();
+        }
+        const { rows, isLast } = pages(reading, page);
+        response.end(JSON.stringify({ instances: rows, ...isLast ? {} : { next: String(page + 1) } }));
+    });
+    store.defer(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    const clock = new SystemClock();
+    const snapshots: EndpointListSnapshot[] = [];
+    const poller = new EndpointListPoller({
+        platformAddress: await listen(server, "127.0.0.1:0"),
+        callsPerSecond: 1_000,
+        clock,
+        suspensionDetector: new SuspensionDetector(clock),
+        eventLog: new EventLog("test", "hidden"),
+        shouldPoll: () => true,
+        onChange: () => {
+            if (poller.snapshot !== undefined) {
+                snapshots.push(poller.snapshot);
+            }
+        },
+    });
+    const stop = new AbortController();
+    const running = poller.run(stop.signal);
+    await finished;
+    stop.abort();
+    await running;
+    return snapshots;
+}
+
+function idsOf({ endpoints }: EndpointListSnapshot): readonly string[] {
+    return endpoints.map(({ id }) => id).sort();
+}
+
+describe("EndpointListPoller", () => {
+    const rows = ["a", "b", "c", "d", "e"].map(id => rowOf(id));
+
+    // Guards against endpoints that are lost because a row before them went away between two pages of a reading (DRAIN).
+    it("keeps a row that moves over the boundary of two pages while they are read", async t => {
+        const snapshots = await readList(
+            paged((reading, page) => reading === 0 || (reading === 1 && page === 0) ? rows : rows.slice(1)),
+            3,
+        );
+        snapshots.forEach(snapshot => {
+            t.true(idsOf(snapshot).includes("d"), idsOf(snapshot).join());
+        });
+        t.deepEqual(snapshots.slice(-1).map(idsOf), [["b", "c", "d", "e"]]);
+    });
+
+    it("drops a row that two readings in succession lack", async t => {
+        const snapshots = await readList(paged(reading => reading === 0 ? rows : rows.slice(0, 4)), 3);
+        t.deepEqual(snapshots.map(idsOf), [["a", "b", "c", "d", "e"], ["a", "b", "c", "d"]]);
+    });
+
+    it("drops a row at once if the list has a single page", async t => {
+        const short = rows.slice(0, 3);
+        const snapshots = await readList(paged(reading => reading === 0 ? short : short.slice(1)), 2);
+        t.deepEqual(snapshots.map(idsOf), [["a", "b", "c"], ["b", "c"]]);
+    });
+
+    // Guards against a leaving endpoint that gets calls because the same reading also has an older state of its row.
+    it("takes an endpoint for leaving if one of two rows of the same reading says so", async t => {
+        for (const states of [["ready", "draining"], ["draining", "ready"]]) {
+            const [first, second] = states;
+            const twice = [rowOf("b"), rowOf("c"), rowOf("a", first), rowOf("a", second)];
+            const snapshots = await readList(paged(() => twice), 1);
+            const listed = snapshots[0]?.endpoints.filter(({ id }) => id === "a");
+            t.deepEqual(listed?.map(({ isLeaving }) => isLeaving), [true]);
+        }
+    });
+});
--- a/tests/process/hosted/entry/endpointFleet.test.ts
+++ b/tests/process/hosted/entry/endpointFleet.test.ts
@@ -1,6 +1,7 @@
 import { EventLog } from "../../../../src/logEvent/eventLog.js";
 import type { EndpointRecord } from "../../../../src/process/hosted/endpointRecord.js";
 import { EndpointFleet } from "../../../../src/process/hosted/entry/endpointFleet.js";
+import type { ListReading } from "../../../../src/process/hosted/entry/listReading.js";
 import { describe, it } from "../../../describe.js";
 import { readAt } from "./listReadings.js";
 import { createEndpointRecord } from "./testEndpoints.js";
@@ -56,6 +57,100 @@
         }
     });
 
+    describe("an endpoint that has stated that it leaves", () => {
+        const endpoint = createEndpointRecord("e0", { startedAt: 5 });
+        const returning: Readonly<Record<string, readonly (readonly EndpointRecord[])[]>> = {
+            "one list lacks its row": [[], [endpoint]],
+            "several lists lack its row": [[], [], [endpoint], [], [endpoint]],
+            "lists no longer state its start time": [[{ ...endpoint, startedAt: undefined }], [endpoint]],
+            "a list lacks its row, and the next one states less about it": [[], [
+                { ...endpoint, startedAt: undefined, softwareVersion: undefined },
+            ]],
+        };
+        for (const [title, lists] of Object.entries(returning)) {
+            // Guards against calls to an endpoint whose own statement was forgotten because a list lacked its row (DRAIN).
+            it(`gets no calls although ${title}`, t => {
+                using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+                fleet.applyList([endpoint], readAt(0), 0);
+                fleet.serving("engines")[0]?.recordLeaving();
+                lists.forEach((records, index) => {
+                    fleet.applyList(records, readAt(400 * (index + 1)), 400 * (index + 1));
+                    t.deepEqual(fleet.serving("engines"), []);
+                });
+            });
+        }
+
+        it("gets calls again as another run of its software", t => {
+            for (const another of [{ startedAt: 6 }, { softwareVersion: "v2" }]) {
+                using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+                fleet.applyList([endpoint], readAt(0), 0);
+                fleet.serving("engines")[0]?.recordLeaving();
+                fleet.applyList([], readAt(400), 400);
+                fleet.applyList([{ ...endpoint, ...another }], readAt(800), 800);
+                t.is(fleet.serving("engines").length, 1);
+            }
+        });
+    });
+
+    // Guards against connections, rests and load that are lost each time that one list lacks an endpoint's row.
+    it("knows an endpoint again whose row was missing from some lists", t => {
+        using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+        const records = [createEndpointRecord("e0"), createEndpointRecord("e1")];
+        fleet.applyList(records, readAt(0), 0);
+        const before = fleet.serving("engines");
+        fleet.applyList(records.slice(1), readAt(400), 400);
+        t.deepEqual(fleet.serving("engines"), before.slice(1));
+        fleet.applyList(records, readAt(800), 800);
+        t.deepEqual(new Set(fleet.serving("engines")), new Set(before));
+    });
+
+    describe("a list from another control process", () => {
+        const ready = createEndpointRecord("e0");
+        const inForce: ListReading = {
+            control: "control-1:1",
+            link: 1,
+            revision: 4,
+            age: 100,
+            earliest: 10_000,
+            latest: 10_200,
+        };
+        /** Was read before the list in force, and spent two seconds on the way. */
+        const delayed: ListReading = {
+            control: "control-2:1",
+            link: 2,
+            revision: 9,
+            age: 50,
+            earliest: 9_400,
+            latest: 11_400,
+        };
+
+        // Guards against calls to a leaving endpoint after an older list, delayed on its way, has replaced a newer one (DRAIN).
+        it("does not replace a list that may be newer", t => {
+            using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+            fleet.applyList([{ ...ready, isLeaving: true }], inForce, 10_300);
+            fleet.applyList([ready], delayed, 11_450);
+            t.deepEqual(fleet.serving("engines"), []);
+        });
+
+        it("replaces the list in force once it is certainly newer", t => {
+            using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+            fleet.applyList([{ ...ready, isLeaving: true }], inForce, 10_300);
+            fleet.applyList([ready], delayed, 11_450);
+            fleet.applyList([ready], { ...delayed, earliest: 11_500, latest: 11_800 }, 11_850);
+            t.is(fleet.serving("engines").length, 1);
+        });
+
+        // Guards against an entry that keeps an old list because it cannot tell when the next one was read.
+        it("shows at once that an endpoint leaves, unless it is certainly older", t => {
+            using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+            fleet.applyList([ready], inForce, 10_300);
+            fleet.applyList([{ ...ready, isLeaving: true }], delayed, 11_450);
+            t.deepEqual(fleet.serving("engines"), []);
+            fleet.applyList([ready], { ...inForce, earliest: 11_600, latest: 11_700 }, 11_750);
+            t.is(fleet.serving("engines").length, 1, "the list in force was read again later");
+        });
+    });
+
     // Guards against an endpoint that is taken for the same one although its software was replaced under its id.
     it("takes an endpoint whose version has changed for another one", t => {
         const fleet = new EndpointFleet(new EventLog("test", "hidden"));
--- a/tests/request/hosted/leavingEndpoint.test.ts
+++ b/tests/request/hosted/leavingEndpoint.test.ts
@@ -57,3 +57,29 @@
         t.is((await endpoints.call()).status, 200);
     });
 });
+
+describe("endpoint whose response came by another entry", () => {
+    // Guards against calls to an endpoint that an entry sends itself after it has passed on that the endpoint leaves (DRAIN).
+    it("gets no calls of the entry that asked, once it states that it leaves", async t => {
+        await using endpoints = await StatedEndpoints.start(3, (response, id) => {
+            if (id === "e0") {
+                response.setHeader("server-leaving", "1");
+            }
+            response.end("answer");
+        });
+        await using asker = await endpoints.startEntry();
+        await asker.setCutOff(true);
+        const relay = { entry: "relay", address: endpoints.entry.callerAddress, token: "token" };
+        asker.context.relays.applyOffers([relay], asker.clock.now());
+        while (!endpoints.received.includes("e0")) {
+            t.is((await endpoints.call(asker)).status, 200);
+        }
+        t.is(asker.calls.length, endpoints.received.length, "all calls were relayed");
+        await asker.setCutOff(false);
+        const before = endpoints.received.length;
+        for (let call = 0; call < 20; call++) {
+            t.is((await endpoints.call(asker)).status, 200);
+        }
+        t.false(endpoints.received.slice(before).includes("e0"));
+    });
+});
--- a/tests/request/hosted/statedEndpoints.ts
+++ b/tests/request/hosted/statedEndpoints.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { httpCall } from "../../../src/connection/httpCall.js";
 import type { HttpCallResponse } from "../../../src/connection/httpCall.js";
+import type { EndpointRecord } from "../../../src/process/hosted/endpointRecord.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
 import { documentOf } from "../../platform/testDocument.js";
@@ -24,6 +25,7 @@
     readonly received: string[] = [];
     private readonly store = new DisposableStore();
     private server: CallServer | undefined;
+    private records: readonly EndpointRecord[] = [];
 
     /** @param respond Responds to a call at an endpoint; the headers of a proper response are set. */
     static async start(
@@ -46,15 +48,21 @@
             endpointServer.closeAllConnections();
         });
         const address = await listen(endpointServer, "127.0.0.1:0");
-        const records = Array.from(
+        endpoints.records = Array.from(
             Array(count).keys(),
             index => createEndpointRecord(`e${index}`, { service: "desk", address }),
         );
-        endpoints.server = endpoints.store.add(await CallServer.start(documentOf(3, { routes: [route] }), records));
-        endpoints.server.givePermit();
+        endpoints.server = endpoints.store.add(await endpoints.startEntry());
         return endpoints;
     }
 
+    /** Starts a further entry with the same endpoints. */
+    async startEntry(): Promise<CallServer> {
+        const entry = await CallServer.start(documentOf(3, { routes: [route] }), this.records);
+        entry.givePermit();
+        return entry;
+    }
+
     /** The entry. */
     get entry(): CallServer {
         if (this.server === undefined) {
@@ -63,9 +71,9 @@
         return this.server;
     }
 
-    async call(): Promise<HttpCallResponse> {
+    async call(entry = this.entry): Promise<HttpCallResponse> {
         const result = await httpCall({
-            address: this.entry.callerAddress,
+            address: entry.callerAddress,
             method: "POST",
             path: "/look-ups/a",
             headers: { "host": "calls.example", "api-key": "key-1", "gullhall-attempt-id": "call-1" },
