fix(endpointFleet): know an endpoint again after lists that lacked its row

Callers' requests reached endpoints that had said in an answer that they were leaving: after a single list without its row, the endpoint was a new one to the entry, and its statement was forgotten, with its connections, rests, brittleness and load. The cause: the state of an endpoint lived exactly as long as each list had its row under the same key, though a list can lack a row that exists (rows move between pages while these are read) or state less about it.

An endpoint that is not listed is kept for 30 s, as its connections were, and a row that may be the same run (same id and address, nothing that both state differs) finds it again. Event 2433 counts these as returned.

--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -108,7 +108,7 @@
         number: 2433,
         level: "info",
         text: "The entry applied a new list of endpoints.",
-        fields: ["endpoints", "added", "removed", "leaving", "age", "control", "revision", "uncertainty"],
+        fields: ["endpoints", "added", "removed", "returned", "leaving", "age", "control", "revision", "uncertainty"],
     },
     endpointsOrdered: {
         number: 2434,
--- a/src/process/hosted/endpointRecord.ts
+++ b/src/process/hosted/endpointRecord.ts
@@ -41,3 +41,17 @@
 export function incarnationKey({ id, address, startedAt, softwareVersion }: EndpointRecord): string {
     return JSON.stringify([id, address, startedAt, softwareVersion]);
 }
+
+/**
+ * Whether two records may be of the same run of an endpoint: nothing that both state differs.
+ *
+ * A row that states less than another one does not show that the endpoint was restarted.
+ */
+export function isSameRun(a: EndpointRecord, b: EndpointRecord): boolean {
+    return a.id === b.id && a.address === b.address
+        && mayBeEqual(a.startedAt, b.startedAt) && mayBeEqual(a.softwareVersion, b.softwareVersion);
+}
+
+function mayBeEqual<T>(a: T | undefined, b: T | undefined): boolean {
+    return a === undefined || b === undefined || a === b;
+}
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
-import { incarnationKey, isCallable } from "../endpointRecord.js";
+import { incarnationKey, isCallable, isSameRun } from "../endpointRecord.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 import type { StreamOrigin } from "../streamOrigin.js";
 import type { ActiveEndpoints } from "./endpointReachability.js";
@@ -10,13 +10,24 @@
 import { LeavingRecord } from "./leavingRecord.js";
 import type { ListReading } from "./listReading.js";
 
-/** Time for which connections to an endpoint that is no longer listed stay open for its running calls. */
-const connectionLingerTime: Milliseconds = 30_000;
+/**
+ * Time for which an endpoint that is no longer listed is kept: its running calls may end, and a row that some lists
+ * lacked finds it again, with its connections and all that it has stated.
+ */
+const unlistedRetentionTime: Milliseconds = 30_000;
+
+/** An endpoint that the list in force lacks. */
+interface UnlistedEndpoint {
+    readonly endpoint: HostedEndpoint;
+    /** Forgets the endpoint after a time. */
+    readonly timer: NodeJS.Timeout;
+}
 
 /** All endpoints listed by the platform. */
 export class EndpointFleet implements Disposable {
-    private readonly endpoints = new Map<string, HostedEndpoint>();
-    private readonly closeTimers = new Set<NodeJS.Timeout>();
+    /** The endpoints of the list in force, by incarnation. */
+    private endpoints: ReadonlyMap<string, HostedEndpoint> = new Map();
+    private readonly unlisted = new Set<UnlistedEndpoint>();
     private byService = new Map<string, readonly HostedEndpoint[]>();
     /** Which endpoints this entry knows to be leaving, and since when; for logs and metrics. */
     readonly leavingRecord = new LeavingRecord();
@@ -50,13 +61,7 @@
         const records = listedRecords.filter(isCallable);
         this.listedSince = Math.min(this.listedSince, now);
         this.recordVersions(now);
-        const listed = new Set(records.map(incarnationKey));
-        const removed = [...this.endpoints].filter(([key]) => !listed.has(key));
-        removed.forEach(([key, endpoint]) => {
-            this.endpoints.delete(key);
-            this.closeLater(endpoint);
-        });
-        const added = records.filter(record => this.addOrUpdate(record)).length;
+        const { added, removed, returned } = this.replaceEndpoints(records);
         this.byService = groupByService(this.endpoints.values());
         this.recordVersions(now);
         const leaving = records.filter(record => record.isLeaving);
@@ -66,7 +71,8 @@
         this.eventLog.write("endpointListTaken", {
             endpoints: records.length,
             added,
-            removed: removed.length,
+            removed,
+            returned,
             leaving: leaving.length,
             age: Math.round(reading.age),
             control: reading.control,
@@ -158,7 +164,10 @@
     }
 
     [Symbol.dispose](): void {
-        this.closeTimers.forEach(clearTimeout);
+        this.unlisted.forEach(({ endpoint, timer }) => {
+            clearTimeout(timer);
+            endpoint[Symbol.dispose]();
+        });
         this.endpoints.forEach(endpoint => {
             endpoint[Symbol.dispose]();
         });
@@ -175,24 +184,69 @@
         }
     }
 
-    /** @returns Whether the endpoint is new. */
-    private addOrUpdate(record: EndpointRecord): boolean {
-        const known = this.endpoints.get(incarnationKey(record));
-        known?.updateRecord(record);
-        if (known === undefined) {
-            this.endpoints.set(incarnationKey(record), new HostedEndpoint(record, this.openConnection));
+    /**
+     * Replaces the listed endpoints; those that are the same run as a known one keep its state.
+     *
+     * @returns Numbers of endpoints that are new, that are no longer listed, and that are listed again.
+     */
+    private replaceEndpoints(
+        records: readonly EndpointRecord[],
+    ): { readonly added: number; readonly removed: number; readonly returned: number; } {
+        const unused = new Set(this.endpoints.values());
+        const unlisted = new Set(this.unlisted);
+        const next = new Map<string, HostedEndpoint>();
+        let added = 0;
+        let returned = 0;
+        const byCertainty = [...records].sort((a, b) => Number(this.isKnown(b)) - Number(this.isKnown(a)));
+        for (const record of byCertainty) {
+            const key = incarnationKey(record);
+            const listed = next.get(key) ?? this.endpoints.get(key) ?? findSameRun(unused, record);
+            const missed = listed === undefined
+                ? [...unlisted].find(({ endpoint }) => isSameRun(endpoint.record, record))
+                : undefined;
+            const endpoint = listed ?? missed?.endpoint ?? new HostedEndpoint(record, this.openConnection);
+            if (missed !== undefined) {
+                clearTimeout(missed.timer);
+                this.unlisted.delete(missed);
+                unlisted.delete(missed);
+                returned++;
+            }
+            else if (listed === undefined) {
+                added++;
+            }
+            unused.delete(endpoint);
+            endpoint.updateRecord(record);
+            next.set(key, endpoint);
         }
-        return known === undefined;
+        unused.forEach(endpoint => {
+            this.keepUnlisted(endpoint);
+        });
+        this.endpoints = next;
+        return { added, removed: unused.size, returned };
     }
 
-    private closeLater(endpoint: HostedEndpoint): void {
+    private isKnown(record: EndpointRecord): boolean {
+        return this.endpoints.has(incarnationKey(record));
+    }
+
+    private keepUnlisted(endpoint: HostedEndpoint): void {
         const timer = setTimeout(() => {
-            this.closeTimers.delete(timer);
+            this.unlisted.delete(kept);
             endpoint[Symbol.dispose]();
-        }, connectionLingerTime);
+        }, unlistedRetentionTime);
         timer.unref();
-        this.closeTimers.add(timer);
+        const kept = { endpoint, timer };
+        this.unlisted.add(kept);
+    }
+}
+
+function findSameRun(endpoints: Iterable<HostedEndpoint>, record: EndpointRecord): HostedEndpoint | undefined {
+    for (const endpoint of endpoints) {
+        if (isSameRun(endpoint.record, record)) {
+            return endpoint;
+        }
     }
+    return undefined;
 }
 
 /** Whether two readings found the same list, and came on the same link. */
