fix(endpointListPoller): keep rows that one reading of several pages lacks

While the list was read in pages, a row before the boundary went away, the rows behind it moved up, and the first one of the second page was in neither. All entries took its endpoint for gone for one reading, orders were placed by a count that was one short, and a row that was in both pages had the state of whichever came last.

A list of several pages keeps what one reading lacks until the next reading lacks it as well; of several rows of an endpoint, one that leaves decides. The order of rows no longer counts as a change. A list of one page is as before.

--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -9,6 +9,7 @@
 import { compareEndpoints } from "../endpointChanges.js";
 import type { EndpointChanges } from "../endpointChanges.js";
 import type { EndpointRecord } from "../endpointRecord.js";
+import { PagedReadings } from "./pagedReadings.js";
 
 /** Minimum poll interval; a fraction of the time within which entries must stop using an endpoint that is leaving. */
 const minimumPollInterval: Milliseconds = 350;
@@ -67,6 +68,7 @@
     private changes: EndpointChanges = { changed: [], removed: [] };
     private isFailing = false;
     private pageCount = 1;
+    private readonly readings = new PagedReadings();
     private unreadableRows: readonly string[] = [];
     private reportedUnreadableRows = "";
     private unreadableReportDueAt: Milliseconds = -Infinity;
@@ -103,29 +105,30 @@
     private async poll(signal: AbortSignal): Promise<void> {
         const { clock, suspensionDetector } = this.options;
         const polledAt = suspensionDetector.now();
-        const endpoints = await this.readPages(signal);
-        if (endpoints.err) {
-            this.reportFailure(endpoints.val);
+        const rows = await this.readPages(signal);
+        if (rows.err) {
+            this.reportFailure(rows.val);
             return;
         }
+        const endpoints = this.readings.add(rows.val, this.pageCount);
         if (this.isFailing) {
             this.isFailing = false;
-            this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.val.length });
+            this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.length });
         }
         this.reportUnreadableRows(clock.now());
-        const fingerprint = fingerprintOf(endpoints.val);
+        const fingerprint = fingerprintOf(endpoints);
         const hasChanged = fingerprint !== this.fingerprint;
         if (hasChanged) {
             this.fingerprint = fingerprint;
             this.revision++;
-            this.changes = compareEndpoints(this.publishedEndpoints, endpoints.val);
-            this.publishedEndpoints = endpoints.val;
+            this.changes = compareEndpoints(this.publishedEndpoints, endpoints);
+            this.publishedEndpoints = endpoints;
         }
         const { revision, changes } = this;
-        this.latestSnapshot = { endpoints: endpoints.val, polledAt, revision, changes };
+        this.latestSnapshot = { endpoints, polledAt, revision, changes };
         if (hasChanged) {
-            const leaving = endpoints.val.filter(endpoint => endpoint.isLeaving).length;
-            const fields = { endpoints: endpoints.val.length, leaving, unreadableRows: this.unreadableRows.length };
+            const leaving = endpoints.filter(endpoint => endpoint.isLeaving).length;
+            const fields = { endpoints: endpoints.length, leaving, unreadableRows: this.unreadableRows.length };
             this.options.eventLog.write("endpointListChanged", fields);
             this.options.onChange();
         }
@@ -182,9 +185,9 @@
     }
 }
 
-/** Changes when the list must be pushed to entries; a change of the remaining warm-up time alone is ignored. */
+/** Changes when the list must be pushed to entries; changes of the order or the remaining warm-up time are ignored. */
 function fingerprintOf(endpoints: readonly EndpointRecord[]): string {
-    return JSON.stringify(endpoints.map(endpoint => ({ ...endpoint, warmUpTime: 0 })));
+    return endpoints.map(endpoint => JSON.stringify({ ...endpoint, warmUpTime: 0 })).sort().join();
 }
 
 function parseJson(body: Buffer): unknown {
--- /dev/null
+++ b/src/process/hosted/control/pagedReadings.ts
@@ -0,0 +1,38 @@
+import { incarnationKey } from "../endpointRecord.js";
+import type { EndpointRecord } from "../endpointRecord.js";
+
+/**
+ * Makes lists out of readings in pages.
+ *
+ * The pages of one reading are of several moments. When a row before it comes or goes, a row may move over the boundary
+ * of two pages, and is in none of them, or in both with different states.
+ */
+export class PagedReadings {
+    private previous: ReadonlyMap<string, EndpointRecord> = new Map();
+    /** Keys of the endpoints that only the newest reading lacked. */
+    private missingOnce: ReadonlySet<string> = new Set();
+
+    /**
+     * Adds a reading; returns its endpoints and, if it had several pages, those that only this reading lacks.
+     *
+     * @param rows The rows of all pages, in the order of reading.
+     */
+    add(rows: readonly EndpointRecord[], pageCount: number): readonly EndpointRecord[] {
+        const read = mergeRows(rows);
+        const missing = pageCount === 1 ? [] : [...this.previous].filter(([key]) => !read.has(key));
+        const kept = missing.filter(([key]) => !this.missingOnce.has(key));
+        this.missingOnce = new Set(kept.map(([key]) => key));
+        this.previous = new Map([...read, ...kept]);
+        return [...this.previous.values()];
+    }
+}
+
+/** The endpoints of a reading, by incarnation; one leaves if any of its rows says so. */
+function mergeRows(rows: readonly EndpointRecord[]): ReadonlyMap<string, EndpointRecord> {
+    const merged = new Map<string, EndpointRecord>();
+    for (const row of rows) {
+        const key = incarnationKey(row);
+        merged.set(key, { ...row, isLeaving: row.isLeaving || merged.get(key)?.isLeaving === true });
+    }
+    return merged;
+}
--- a/tests/process/hosted/control/endpointListPoller.test.ts
+++ b/tests/process/hosted/control/endpointListPoller.test.ts
@@ -84,12 +84,12 @@
     it("keeps a row that moves over the boundary of two pages while they are read", async t => {
         const snapshots = await readList(
             paged((reading, page) => reading === 0 || (reading === 1 && page === 0) ? rows : rows.slice(1)),
-            3,
+            4,
         );
         snapshots.forEach(snapshot => {
             t.true(idsOf(snapshot).includes("d"), idsOf(snapshot).join());
         });
-        t.deepEqual(snapshots.slice(-1).map(idsOf), [["b", "c", "d", "e"]]);
+        t.deepEqual(snapshots.map(idsOf), [["a", "b", "c", "d", "e"], ["b", "c", "d", "e"]]);
     });
 
     it("drops a row that two readings in succession lack", async t => {
