fix(endpointFleet): let no list replace one that may be newer, and no run be taken for another one

Callers' requests could reach an endpoint that leaves after a list from another control process, which had spent time in buffers or on its way, was taken for the newest: the age of a list was that of its sending, so that the later message won, and its content stayed in force until the platform's next change.

An entry now knows bounds of the time at which each list was read: not before the heartbeat that was last answered on its link (less its age), not after it was received (less its age). A list from another link replaces the one in force only if it was certainly read later; answers to heartbeats confirm lists, so that this takes one heartbeat after a change of the reader. What may be newer is used for the safe side at once: an endpoint that such a list shows as leaving gets no new calls until a list that was certainly read later says otherwise.

An endpoint now remembers what its rows have stated: a row may be the same run if it states nothing that was not known.

--- a/src/process/hosted/endpointRecord.ts
+++ b/src/process/hosted/endpointRecord.ts
@@ -42,16 +42,15 @@
     return JSON.stringify([id, address, startedAt, softwareVersion]);
 }
 
+/** What is known of an endpoint's run, from all rows that listed it. */
+export type KnownRun = Pick<EndpointRecord, "id" | "address" | "startedAt" | "softwareVersion">;
+
 /**
- * Whether two records may be of the same run of an endpoint: nothing that both state differs.
- *
- * A row that states less than another one does not show that the endpoint was restarted.
+ * Whether a row may be of a known run: it states nothing that was not known of it. A row that states less than another
+ * one does not show that the endpoint was restarted.
  */
-export function isSameRun(a: EndpointRecord, b: EndpointRecord): boolean {
-    return a.id === b.id && a.address === b.address
-        && mayBeEqual(a.startedAt, b.startedAt) && mayBeEqual(a.softwareVersion, b.softwareVersion);
-}
-
-function mayBeEqual<T>(a: T | undefined, b: T | undefined): boolean {
-    return a === undefined || b === undefined || a === b;
+export function mayBeRun(known: KnownRun, { id, address, startedAt, softwareVersion }: KnownRun): boolean {
+    return known.id === id && known.address === address
+        && (startedAt === undefined || startedAt === known.startedAt)
+        && (softwareVersion === undefined || softwareVersion === known.softwareVersion);
 }
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -1,8 +1,9 @@
+import { isDeepStrictEqual } from "node:util";
 import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
-import { incarnationKey, isCallable, isSameRun } from "../endpointRecord.js";
+import { incarnationKey, isCallable } from "../endpointRecord.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 import type { StreamOrigin } from "../streamOrigin.js";
 import type { ActiveEndpoints } from "./endpointReachability.js";
@@ -46,34 +47,42 @@
     }
 
     /**
-     * Applies an endpoint list unless a newer one was applied before; leaves out endpoints that cannot be called, which
-     * a control process of an earlier build may send.
+     * Applies an endpoint list unless the one in force may be newer; what such a list says of leaving endpoints is taken
+     * into account all the same. Leaves out endpoints that cannot be called, which a control process of an earlier build
+     * may send.
      */
     applyList(listedRecords: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
+        const records = listedRecords.filter(isCallable);
         const { reading: previous } = this;
-        if (previous !== undefined && reading.latest < previous.latest) {
+        if (previous !== undefined && previous.link !== reading.link && reading.earliest <= previous.latest) {
+            if (reading.latest >= previous.earliest) {
+                this.recordLeavingRows(records, reading, now);
+            }
             return;
         }
         this.reading = reading;
-        if (previous !== undefined && isSameList(previous, reading)) {
+        if (previous !== undefined && (isSameList(previous, reading) || this.isListInForce(records))) {
+            this.endpoints.forEach(endpoint => {
+                endpoint.updateRecord(endpoint.record, reading);
+            });
             return;
         }
-        const records = listedRecords.filter(isCallable);
+        this.replaceList(records, reading, now);
+    }
+
+    private replaceList(records: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
         this.listedSince = Math.min(this.listedSince, now);
         this.recordVersions(now);
-        const { added, removed, returned } = this.replaceEndpoints(records);
+        const { added, removed, returned } = this.replaceEndpoints(records, reading);
         this.byService = groupByService(this.endpoints.values());
         this.recordVersions(now);
-        const leaving = records.filter(record => record.isLeaving);
-        leaving.filter(record => this.leavingRecord.add(record, now)).forEach(({ id }) => {
-            this.eventLog.write("endpointLeavingListed", { endpoint: id, control: reading.control });
-        });
+        this.recordLeavingRows(records, reading, now);
         this.eventLog.write("endpointListTaken", {
             endpoints: records.length,
             added,
             removed,
             returned,
-            leaving: leaving.length,
+            leaving: records.filter(({ isLeaving }) => isLeaving).length,
             age: Math.round(reading.age),
             control: reading.control,
             revision: reading.revision,
@@ -191,6 +200,7 @@
      */
     private replaceEndpoints(
         records: readonly EndpointRecord[],
+        reading: ListReading,
     ): { readonly added: number; readonly removed: number; readonly returned: number; } {
         const unused = new Set(this.endpoints.values());
         const unlisted = new Set(this.unlisted);
@@ -202,7 +212,7 @@
             const key = incarnationKey(record);
             const listed = next.get(key) ?? this.endpoints.get(key) ?? findSameRun(unused, record);
             const missed = listed === undefined
-                ? [...unlisted].find(({ endpoint }) => isSameRun(endpoint.record, record))
+                ? [...unlisted].find(({ endpoint }) => endpoint.mayBe(record))
                 : undefined;
             const endpoint = listed ?? missed?.endpoint ?? new HostedEndpoint(record, this.openConnection);
             if (missed !== undefined) {
@@ -215,7 +225,7 @@
                 added++;
             }
             unused.delete(endpoint);
-            endpoint.updateRecord(record);
+            endpoint.updateRecord(record, reading);
             next.set(key, endpoint);
         }
         unused.forEach(endpoint => {
@@ -225,6 +235,26 @@
         return { added, removed: unused.size, returned };
     }
 
+    /** Takes the endpoints that a list shows as leaving out of new choices. */
+    private recordLeavingRows(records: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
+        for (const record of records.filter(({ isLeaving }) => isLeaving)) {
+            const endpoint = this.endpoints.get(incarnationKey(record)) ?? findSameRun(this.endpoints.values(), record);
+            endpoint?.recordListedLeaving(reading);
+            if (this.leavingRecord.add(record, now)) {
+                this.eventLog.write("endpointLeavingListed", { endpoint: record.id, control: reading.control });
+            }
+        }
+    }
+
+    /** Whether a list does not differ from the one in force, warm-up times apart. */
+    private isListInForce(records: readonly EndpointRecord[]): boolean {
+        return records.length === this.endpoints.size && records.every(record => {
+            const known = this.endpoints.get(incarnationKey(record))?.record;
+            return known !== undefined
+                && isDeepStrictEqual({ ...known, warmUpTime: 0 }, { ...record, warmUpTime: 0 });
+        });
+    }
+
     private isKnown(record: EndpointRecord): boolean {
         return this.endpoints.has(incarnationKey(record));
     }
@@ -242,7 +272,7 @@
 
 function findSameRun(endpoints: Iterable<HostedEndpoint>, record: EndpointRecord): HostedEndpoint | undefined {
     for (const endpoint of endpoints) {
-        if (isSameRun(endpoint.record, record)) {
+        if (endpoint.mayBe(record)) {
             return endpoint;
         }
     }
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -4,7 +4,9 @@
 import type { ReportedLoad } from "../../../request/hosted/callTraits.js";
 import { hashText } from "../../../request/routing/hashText.js";
 import type { Milliseconds } from "../../../util/clock.js";
-import type { EndpointRecord } from "../endpointRecord.js";
+import { mayBeRun } from "../endpointRecord.js";
+import type { EndpointRecord, KnownRun } from "../endpointRecord.js";
+import type { ListReading } from "./listReading.js";
 
 /** Time constant with which measured waits and the load of other entries decay; about the duration of a call. */
 const loadDecayTime: Milliseconds = 2_000;
@@ -57,6 +59,7 @@
     /** 32-bit hash of the id, the same at all entries. */
     readonly idHash: number;
     private currentRecord: EndpointRecord;
+    private run: KnownRun;
     private readonly queueWaits = new Map<number, MeasuredWait>();
     private readonly outstandingCalls = new Set<OutstandingCall>();
     private otherEntriesCalls = 0;
@@ -68,6 +71,8 @@
     private ejectedUntil: Milliseconds = -Infinity;
     private weightedFailureRate = 0;
     private hasStatedLeaving = false;
+    /** A list that was read at this time at the latest shows the endpoint as leaving; the newest one of such lists. */
+    private listedLeavingUntil: Milliseconds = -Infinity;
     private restsUntil: Milliseconds = -Infinity;
     /** Undefined unless the endpoint is brittle. */
     private toleratedRejections: number | undefined;
@@ -77,6 +82,7 @@
     constructor(record: EndpointRecord, openConnection?: OpenConnection) {
         this.agent = new EndpointAgent(openConnection);
         this.currentRecord = record;
+        this.run = record;
         this.idHash = hashText(record.id);
     }
 
@@ -86,7 +92,7 @@
 
     /** Whether the endpoint is about to stop, by the platform's list or by its own statement. */
     get isLeaving(): boolean {
-        return this.currentRecord.isLeaving || this.hasStatedLeaving;
+        return this.currentRecord.isLeaving || this.listedLeavingUntil > -Infinity || this.hasStatedLeaving;
     }
 
     get id(): string {
@@ -134,9 +140,30 @@
         return measured === undefined ? 0 : measured.wait * Math.exp((measured.measuredAt - now) / loadDecayTime);
     }
 
-    /** Replaces the record by a newer listing. */
-    updateRecord(record: EndpointRecord): void {
+    /** Whether a row of a list may be of this run of the endpoint. */
+    mayBe(record: EndpointRecord): boolean {
+        return mayBeRun(this.run, record);
+    }
+
+    /** Replaces the record by a newer listing; one that was certainly read later ends what earlier lists show. */
+    updateRecord(record: EndpointRecord, reading: Pick<ListReading, "earliest" | "latest">): void {
         this.currentRecord = record;
+        this.run = {
+            ...record,
+            startedAt: record.startedAt ?? this.run.startedAt,
+            softwareVersion: record.softwareVersion ?? this.run.softwareVersion,
+        };
+        if (record.isLeaving) {
+            this.recordListedLeaving(reading);
+        }
+        else if (reading.earliest > this.listedLeavingUntil) {
+            this.listedLeavingUntil = -Infinity;
+        }
+    }
+
+    /** Records that a list shows the endpoint as leaving, whether that list is in force or not. */
+    recordListedLeaving({ latest }: Pick<ListReading, "latest">): void {
+        this.listedLeavingUntil = Math.max(this.listedLeavingUntil, latest);
     }
 
     addCall(call: OutstandingCall, now: Milliseconds): void {
