fix(hosted): report linked entries to other control processes at most every 100 ms

One cause: each link that began or ended made a control process report all its entries to each other one, encoded anew each time. The cost grows with the square of the number of entries that link at once.

--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -10,6 +10,7 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import type { MedianClock } from "../../util/medianClock.js";
 import type { SuspensionDetector } from "../../util/suspensionDetector.js";
+import { encodeFrame } from "../frameCodec.js";
 import { MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
@@ -133,10 +134,14 @@
         }
     }
 
-    /** Sends the entries that are linked to this control process, if the other side is an observing control process. */
-    pushPresence(): void {
+    /**
+     * Sends the entries that are linked to this control process, if the other side is an observing control process.
+     *
+     * @param frame The message, which is the same for all observers; see {@link encodePresence}.
+     */
+    pushPresence(frame: Buffer): void {
         if (this.isObserver) {
-            this.send({ kind: "presence", entries: this.context.registry.linkedEntries(this.context.clock.now()) });
+            this.connection.sendFrame(frame);
         }
     }
 
@@ -151,7 +156,7 @@
                 return this.handleHello(message);
             case "observe":
                 this.isObserver = this.hello === undefined && message.protocol === linkProtocolVersion;
-                this.pushPresence();
+                this.pushPresence(encodePresence(this.context.registry, this.context.clock.now()));
                 return this.isObserver;
             case "grantRequest":
                 if (this.hello === undefined) {
@@ -311,3 +316,8 @@
         this.context.eventLog.write("connectionRejected", { address: this.connection.remoteAddress, code });
     }
 }
+
+/** Encodes which entries are linked to this control process, for all its observers. */
+export function encodePresence(registry: EntryRegistry, now: Milliseconds): Buffer {
+    return encodeFrame({ kind: "presence", entries: registry.linkedEntries(now) } satisfies ControlMessage);
+}
--- a/src/connection/messageConnection.ts
+++ b/src/connection/messageConnection.ts
@@ -37,10 +37,17 @@
 
     /** Sends a message; drops it if the connection is closed. */
     send(message: unknown): void {
+        if (!this.closed) {
+            this.sendFrame(encodeFrame(message));
+        }
+    }
+
+    /** Sends a message that is encoded already; drops it if the connection is closed. */
+    sendFrame(frame: Buffer): void {
         if (this.closed) {
             return;
         }
-        this.socket.write(encodeFrame(message));
+        this.socket.write(frame);
         if (this.socket.writableLength > maximumUnsentBytes) {
             this.socket.destroy();
         }
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -3,7 +3,7 @@
 import type { Server, Socket } from "node:net";
 import { inflateRawSync } from "node:zlib";
 import { readDesiredState } from "../../../../platform/desiredState.js";
-import { EntryLink } from "../../../connection/hosted/entryLink.js";
+import { encodePresence, EntryLink } from "../../../connection/hosted/entryLink.js";
 import { createHostedControlServer } from "../../../connection/hosted/hostedControlServer.js";
 import { controlLinkPortOffset } from "../../../connection/hosted/linkMessages.js";
 import { HttpServerDrain } from "../../../connection/httpServerDrain.js";
@@ -11,6 +11,7 @@
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import { formatFailure } from "../../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
+import { CoalescedTask } from "../../../util/coalescedTask.js";
 import { DisposableStore } from "../../../util/disposableStore.js";
 import { MedianClock } from "../../../util/medianClock.js";
 import { listen, splitAddress } from "../../../util/socketAddress.js";
@@ -56,6 +57,15 @@
 /** Number of past usage windows whose counts are kept; a window is sealed long before its counts are dropped. */
 const retainedWindows = 14;
 
+/**
+ * Minimum time between two reports of the linked entries to other control processes: when many entries link at once, the
+ * reports would otherwise grow with the square of their number.
+ */
+const minimumPresencePushInterval: Milliseconds = 100;
+
+/** The same time for each link; the longer one applies. */
+const presencePushTimePerLink: Milliseconds = 1;
+
 /** Minimum time between two messages with suspects to the same entry. */
 const minimumSuspectsPushInterval: Milliseconds = 50;
 
@@ -80,7 +90,7 @@
     private readonly shutdownController = new AbortController();
     private readonly links = new Set<EntryLink>();
     private readonly registry = new EntryRegistry(() => {
-        this.schedulePresencePush();
+        this.presencePush.request();
     });
     private readonly medianClock = new MedianClock();
     private readonly streamOrigins = new StreamOriginStore(maximumStreamOrigins);
@@ -90,10 +100,9 @@
     private parsedServices: readonly DeployedService[] = [];
     private parsedVersion = 0;
     private pendingDocumentPush: NodeJS.Immediate | undefined;
-    private pendingPresencePush: NodeJS.Immediate | undefined;
     private pendingHoldsPush: NodeJS.Immediate | undefined;
-    private isSuspectsPushPending = false;
-    private nextSuspectsPushAt: Milliseconds = 0;
+    private readonly presencePush: CoalescedTask;
+    private readonly suspectsPush: CoalescedTask;
     private quarantine: QuarantineDuty | undefined;
     private readonly state = new HostedState(() => {
         // Coalesces changes applied in the same turn: entries need only the newest version.
@@ -118,6 +127,27 @@
         private readonly eventLog: EventLog,
         private readonly openStorage: OpenStorage = (folder, diskSpace) => FileLogStorage.open(folder, diskSpace),
     ) {
+        const { signal } = this.shutdownController;
+        const intervalFor = (minimum: Milliseconds, perLink: Milliseconds) => (): Milliseconds =>
+            Math.max(minimum, this.links.size * perLink);
+        this.presencePush = new CoalescedTask(
+            clock,
+            intervalFor(minimumPresencePushInterval, presencePushTimePerLink),
+            () => {
+                this.pushPresence();
+            },
+            signal,
+        );
+        this.suspectsPush = new CoalescedTask(
+            clock,
+            intervalFor(minimumSuspectsPushInterval, suspectsPushTimePerEntry),
+            () => {
+                this.links.forEach(link => {
+                    link.pushSuspects();
+                });
+            },
+            signal,
+        );
         this.diskSpace = new DiskSpace(clock, eventLog);
         this.suspensionDetector = new SuspensionDetector(clock);
         this.rateLimits = new RateLimitLedger(eventLog);
@@ -144,7 +174,7 @@
             endpointCount: service =>
                 endpointPoller.snapshot?.endpoints.filter(endpoint => endpoint.service === service).length ?? 0,
             onSuspectsChange: () => {
-                this.scheduleSuspectsPush();
+                this.suspectsPush.request();
             },
         });
         this.quarantine = quarantine;
@@ -283,34 +313,15 @@
         await this.serve(server, `${host}:${port}`);
         const presenceLinks = new PresenceLinks({ control: name, host, port, clock, eventLog, registry, memberHosts });
         void presenceLinks.run(this.shutdownController.signal, () => {
-            this.schedulePresencePush();
-        });
-    }
-
-    /** Reports the entries linked to this process to the other control processes; coalesces changes of one turn. */
-    private schedulePresencePush(): void {
-        this.pendingPresencePush ??= setImmediate(() => {
-            this.pendingPresencePush = undefined;
-            this.links.forEach(link => {
-                link.pushPresence();
-            });
+            this.presencePush.request();
         });
     }
 
-    /** Tells entries the suspects; less often the more entries there are, so that the leader's link bears it. */
-    private scheduleSuspectsPush(): void {
-        if (this.isSuspectsPushPending) {
-            return;
-        }
-        this.isSuspectsPushPending = true;
-        const delay = Math.max(0, this.nextSuspectsPushAt - this.clock.now());
-        void this.clock.sleep(delay, this.shutdownController.signal).then(() => {
-            this.isSuspectsPushPending = false;
-            const interval = Math.max(minimumSuspectsPushInterval, this.links.size * suspectsPushTimePerEntry);
-            this.nextSuspectsPushAt = this.clock.now() + interval;
-            this.links.forEach(link => {
-                link.pushSuspects();
-            });
+    /** Reports the entries linked to this process to the other control processes. */
+    private pushPresence(): void {
+        const frame = encodePresence(this.registry, this.clock.now());
+        this.links.forEach(link => {
+            link.pushPresence(frame);
         });
     }
 
