fix(controlLink): wait longer on each new link to a control process that accepts links but does not respond

A new link costs the leader more than an answer (the configuration, all endpoints, calls held back, a confirmation by a quorum), and its work for the old one was lost, so that the overload kept itself up: 248 links in 5 s were given up by some 110 entries, for 17 s.

Each further link that is established and gets no response is given twice the time, up to four times; links are reopened after 0.2 to 1 s. Links that were answered, and connections that are not established, are given up as before.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -41,6 +41,9 @@
 /** The same time as a multiple of the heartbeat interval; the longer one applies. */
 const silenceTimeoutInHeartbeats = 3;
 
+/** Maximum factor of that time, for links to a control process that has left several of them without a response. */
+const maximumPatience = 4;
+
 /** Time within which the leader must respond to a request for a grant; several times the round-trip time. */
 const grantTimeout: Milliseconds = 150;
 
@@ -112,11 +115,16 @@
     /** What is received from now on was sent at this time or later, by the suspension detector's time. */
     private sentAfter: Milliseconds;
     private hasSentHello = false;
-    private hasResponded = false;
+    private isAnswered = false;
     private isRemoteLeader = false;
     private closeReason = "the control process closed the connection";
 
-    constructor(readonly address: string, private readonly context: ControlLinkContext) {
+    /** @param failures Number of links to the address that ended without a response, in succession. */
+    constructor(
+        readonly address: string,
+        private readonly failures: number,
+        private readonly context: ControlLinkContext,
+    ) {
         this.socket = connect(splitAddress(address), () => {
             this.sendHello();
         });
@@ -127,7 +135,11 @@
 
     /** Whether the control process has responded and the connection is open. */
     get isUp(): boolean {
-        return this.hasResponded && !this.connection.closed;
+        return this.isAnswered && !this.connection.closed;
+    }
+
+    get hasResponded(): boolean {
+        return this.isAnswered;
     }
 
     /** Whether the link is up and its control process is the leader. */
@@ -163,7 +175,8 @@
      * @param interval Current interval between heartbeats.
      */
     sendHeartbeat(wantsPermit: boolean, interval: Milliseconds, now: Milliseconds): void {
-        if (now - this.lastReceivedAt > Math.max(silenceTimeout, interval * silenceTimeoutInHeartbeats)) {
+        const timeout = Math.max(silenceTimeout, interval * silenceTimeoutInHeartbeats);
+        if (now - this.lastReceivedAt > timeout * this.patience) {
             this.close("no message received within the timeout");
             return;
         }
@@ -277,6 +290,16 @@
         this.connection[Symbol.dispose]();
     }
 
+    /**
+     * Factor of the time without a message after which the link is given up.
+     *
+     * A control process that accepts connections but does not respond in time may be overloaded; to give the link up
+     * early would only make it start over.
+     */
+    private get patience(): number {
+        return this.hasSentHello && !this.isAnswered ? Math.min(2 ** this.failures, maximumPatience) : 1;
+    }
+
     private sendHello(): void {
         const { entry, incarnation, failureDomain, callerAddress, view, eventLog } = this.context;
         this.hasSentHello = true;
@@ -364,7 +387,7 @@
         const { clock, medianClock, view, onControlHosts, onEntryCount } = this.context;
         const sentAt = this.unansweredSentAt.get(response.number);
         this.unansweredSentAt.delete(response.number);
-        this.hasResponded = true;
+        this.isAnswered = true;
         this.isRemoteLeader = response.isLeader;
         this.sentAfter = Math.max(this.sentAfter, sentAt ?? -Infinity);
         if (response.endpointList !== undefined && response.endpointList.revision === this.endpointsRevision) {
--- a/src/connection/hosted/linkSet.ts
+++ b/src/connection/hosted/linkSet.ts
@@ -1,12 +1,16 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 
-/** Delay before a closed link is reopened. */
-const reopenDelay: Milliseconds = 200;
+/** Delay before a link is reopened that has ended; doubles with each further one that ended without a response. */
+const minimumReopenDelay: Milliseconds = 200;
+
+const maximumReopenDelay: Milliseconds = 1_000;
 
 /** A connection that a {@link LinkSet} reopens after it has ended. */
 export interface ReopenableLink {
     /** Whether the other side has responded and the connection is open. */
     readonly isUp: boolean;
+    /** Whether the other side has ever responded. */
+    readonly hasResponded: boolean;
     /** Resolves when the link has ended. */
     run(): Promise<void>;
     close(reason: string): void;
@@ -15,14 +19,15 @@
 /** Maintains links to a changing set of addresses, and reopens those that end. */
 export class LinkSet<Link extends ReopenableLink> {
     private readonly linksByAddress = new Map<string, Link>();
+    private readonly failuresByAddress = new Map<string, number>();
 
     /**
-     * @param createLink Opens a link to an address.
+     * @param createLink Opens a link to an address, after a number of links in succession that got no response.
      * @param onEnded Called when a link has ended.
      */
     constructor(
         private readonly clock: Clock,
-        private readonly createLink: (address: string) => Link,
+        private readonly createLink: (address: string, failures: number) => Link,
         private readonly onEnded: (address: string) => void = () => undefined,
     ) {}
 
@@ -55,11 +60,14 @@
     }
 
     private async runLink(address: string): Promise<void> {
-        const link = this.createLink(address);
+        const failuresBefore = this.failuresByAddress.get(address) ?? 0;
+        const link = this.createLink(address, failuresBefore);
         this.linksByAddress.set(address, link);
         await link.run();
+        const failures = link.hasResponded ? 0 : failuresBefore + 1;
+        this.failuresByAddress.set(address, failures);
         this.onEnded(address);
-        await this.clock.sleep(reopenDelay);
+        await this.clock.sleep(Math.min(minimumReopenDelay * 2 ** Math.max(0, failures - 1), maximumReopenDelay));
         this.linksByAddress.delete(address);
     }
 }
--- a/src/connection/hosted/presenceLink.ts
+++ b/src/connection/hosted/presenceLink.ts
@@ -13,7 +13,7 @@
 /** Connection to another control process, which reports the entries that are linked to it. */
 export class PresenceLink implements ReopenableLink {
     private readonly connection: MessageConnection;
-    private hasResponded = false;
+    private isAnswered = false;
     private closeReason = "the other control process closed the connection";
 
     /**
@@ -34,7 +34,11 @@
     }
 
     get isUp(): boolean {
-        return this.hasResponded && !this.connection.closed;
+        return this.isAnswered && !this.connection.closed;
+    }
+
+    get hasResponded(): boolean {
+        return this.isAnswered;
     }
 
     /** Handles messages until the connection is closed. */
@@ -56,7 +60,7 @@
         }
         clearInterval(silenceTimer);
         this.connection[Symbol.dispose]();
-        if (this.hasResponded) {
+        if (this.isAnswered) {
             this.eventLog.write("presenceLinkEnded", { address: this.address, reason: this.closeReason });
         }
     }
@@ -67,8 +71,8 @@
     }
 
     private handlePresence(entries: readonly PresentEntry[]): void {
-        if (!this.hasResponded) {
-            this.hasResponded = true;
+        if (!this.isAnswered) {
+            this.isAnswered = true;
             this.eventLog.write("presenceLinkBegan", { address: this.address, entries: entries.length });
         }
         this.onPresence(entries);
--- a/src/process/hosted/entry/controlLinks.ts
+++ b/src/process/hosted/entry/controlLinks.ts
@@ -43,7 +43,7 @@
         private readonly entryCount: () => number,
     ) {
         super();
-        this.links = new LinkSet(context.clock, address => this.open(address), address => {
+        this.links = new LinkSet(context.clock, (address, failures) => this.open(address, failures), address => {
             this.endedAt.set(splitAddress(address).host, context.clock.now());
         });
         this.addHosts(seedHosts);
@@ -150,8 +150,8 @@
         });
     }
 
-    private open(address: string): ControlLink {
-        return new ControlLink(address, {
+    private open(address: string, failures: number): ControlLink {
+        return new ControlLink(address, failures, {
             ...this.context,
             onControlHosts: (hosts, leaderHost) => {
                 this.addHosts(hosts);
