--- a/tests/process/hosted/slowControl.test.ts
+++ b/tests/process/hosted/slowControl.test.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:net";
+import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMessage } from "../../../src/connection/hosted/linkMessages.js";
 import { MessageConnection } from "../../../src/connection/messageConnection.js";
@@ -43,31 +44,34 @@
     }
 
     private async serve(connection: MessageConnection): Promise<void> {
-        let hasResponded = false;
+        let respondsFrom: number | undefined;
         for await (const received of connection.messages()) {
             const message = received as EntryMessage;
             if (message.kind !== "beat") {
                 continue;
             }
-            this.isUsed ||= hasResponded;
-            if (!hasResponded) {
-                await sleep(responseDelay);
-                hasResponded = !connection.closed;
-            }
-            connection.send({
-                kind: "beatAnswer",
-                number: message.number,
-                unixTime: 0,
-                isLeader: true,
-                controlHosts: [host],
-                leaderHost: host,
-                entryCount: 1,
-                work: {},
-            });
+            respondsFrom ??= performance.now() + responseDelay;
+            this.isUsed ||= performance.now() > respondsFrom;
+            setTimeout(() => {
+                respondTo(message.number, connection);
+            }, respondsFrom - performance.now());
         }
     }
 }
 
+function respondTo(number: number, connection: MessageConnection): void {
+    connection.send({
+        kind: "beatAnswer",
+        number,
+        unixTime: 0,
+        isLeader: true,
+        controlHosts: [host],
+        leaderHost: host,
+        entryCount: 1,
+        work: {},
+    });
+}
+
 describe("entry whose control process is overloaded", () => {
     // Guards against entries that give up links to an overloaded control process over and over, which overloads it (DRAIN).
     itSerially("waits longer on each new link until it gets a response", async t => {
