fix(hosted): let any control process tell its entries the newest list of endpoints

An entry that had no link to it served by its old list, however old, since its permit was renewed by the control processes that it did hear.

Control processes tell each other what they read, with bounds of the time of reading as for entries, and each one tells its entries the newest list. Every entry thus has three sources from six control processes on, and the leader may be slow or out of reach. Entries and control processes of earlier builds get what they know: lists go only to control processes that number their messages, and the new fields are left out when they are read by others. Orders and holds are decided by the newest list too, not by the last own reading.

--- a/src/connection/hosted/controlLink.ts
+++ b/src/connection/hosted/controlLink.ts
@@ -2,7 +2,6 @@
 import type { Socket } from "node:net";
 import { match } from "ts-pattern";
 import type { EventLog } from "../../logEvent/eventLog.js";
-import { applyEndpointChanges, endpointsByIncarnation } from "../../process/hosted/endpointChanges.js";
 import type { EndpointRecord } from "../../process/hosted/endpointRecord.js";
 import type { CallQuarantine } from "../../process/hosted/entry/callQuarantine.js";
 import type { DeploymentView } from "../../process/hosted/entry/deploymentView.js";
@@ -24,6 +23,7 @@
     EntryHeartbeat,
     EntryMessage,
     HeartbeatResponse,
+    ListState,
     RelayOffer,
     ServiceWork,
     StreamOriginResponse,
@@ -31,6 +31,7 @@
 import type { ReopenableLink } from "./linkSet.js";
 import { PendingResponses } from "./pendingResponses.js";
 import type { LimitStatement } from "./rateLimitMessages.js";
+import { ReceivedEndpoints } from "./receivedEndpoints.js";
 
 /**
  * Time without a message after which a link is reopened: in a network partition the connection may never fail by
@@ -108,9 +109,7 @@
     private sentStream = 0;
     private understandsEvidence = false;
     private sentEvidenceVersion = 0;
-    /** The newest list of endpoints from this control process. */
-    private endpoints: ReadonlyMap<string, EndpointRecord> = new Map();
-    private endpointsRevision: number | undefined;
+    private readonly receivedEndpoints = new ReceivedEndpoints();
     private lastReceivedAt: Milliseconds;
     /** What is received from now on was sent at this time or later, by the suspension detector's time. */
     private sentAfter: Milliseconds;
@@ -327,19 +326,12 @@
             .with({ kind: "configuration" }, ({ version, body }) => {
                 this.context.view.applyConfiguration(version, body);
             })
-            .with({ kind: "endpoints" }, ({ endpoints, age, revision }) => {
-                this.endpoints = endpointsByIncarnation(endpoints);
-                this.endpointsRevision = revision;
-                this.reportEndpoints(age);
-            })
-            .with({ kind: "endpointChanges" }, ({ age, revision, ...changes }) => {
-                if (this.endpointsRevision !== revision - 1) {
+            .with({ kind: "endpoints" }, { kind: "endpointChanges" }, endpoints => {
+                if (!this.receivedEndpoints.apply(endpoints)) {
                     this.close("missed a change of the list of endpoints");
                     return;
                 }
-                this.endpoints = applyEndpointChanges(this.endpoints, changes);
-                this.endpointsRevision = revision;
-                this.reportEndpoints(age);
+                this.reportEndpoints(endpoints);
             })
             .with({ kind: "beatAnswer" }, response => {
                 this.handleHeartbeatResponse(response);
@@ -365,21 +357,21 @@
             .with({ kind: "streamOrigin" }, response => {
                 this.pendingStreamRequests.resolve(response.number, response);
             })
-            .with({ kind: "presence" }, () => {
+            .with({ kind: "presence" }, { kind: "listState" }, () => {
                 this.close("received a message that only control processes may receive");
             })
             .exhaustive();
     }
 
-    /** @param age Time since the list was read, when the newest message was sent. */
-    private reportEndpoints(age: Milliseconds): void {
-        this.context.onEndpoints([...this.endpoints.values()], {
+    /** @param state State of the received list when the newest message was sent. */
+    private reportEndpoints({ age, uncertainty = 0 }: Pick<ListState, "age" | "uncertainty">): void {
+        this.context.onEndpoints(this.receivedEndpoints.records, {
             control: this.address,
             link: this.number,
-            revision: this.endpointsRevision,
+            revision: this.receivedEndpoints.revision,
             age,
             earliest: this.sentAfter - age,
-            latest: this.context.suspensionDetector.now() - age,
+            latest: this.context.suspensionDetector.now() - age + uncertainty,
         });
     }
 
@@ -390,8 +382,9 @@
         this.isAnswered = true;
         this.isRemoteLeader = response.isLeader;
         this.sentAfter = Math.max(this.sentAfter, sentAt ?? -Infinity);
-        if (response.endpointList !== undefined && response.endpointList.revision === this.endpointsRevision) {
-            this.reportEndpoints(response.endpointList.age);
+        const { endpointList } = response;
+        if (endpointList !== undefined && endpointList.revision === this.receivedEndpoints.revision) {
+            this.reportEndpoints(endpointList);
         }
         medianClock.addReading(this.address, response.unixTime, clock.now());
         if (response.confirmedVersion !== undefined && sentAt !== undefined) {
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import type { EventLog } from "../../logEvent/eventLog.js";
-import type { EndpointListSnapshot } from "../../process/hosted/control/endpointListPoller.js";
+import type { EndpointListSnapshot } from "../../process/hosted/control/endpointLists.js";
 import type { EntryRegistry } from "../../process/hosted/control/entryRegistry.js";
 import type { StoredDocument } from "../../process/hosted/control/hostedState.js";
 import type { QuarantineDuty } from "../../process/hosted/control/quarantineDuty.js";
@@ -13,7 +13,7 @@
 import { encodeFrame } from "../frameCodec.js";
 import { MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
-import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage } from "./linkMessages.js";
+import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage, ListState } from "./linkMessages.js";
 import type { TrialRequest } from "./quarantineMessages.js";
 import type { GrantRequest } from "./rateLimitMessages.js";
 import type { RetryRequest } from "./retryMessages.js";
@@ -31,9 +31,10 @@
     readonly medianClock: MedianClock;
     readonly registry: EntryRegistry;
     readonly document: () => StoredDocument | undefined;
+    /** The newest list of endpoints, whichever control process has read it. */
     readonly endpoints: () => EndpointListSnapshot | undefined;
-    /** Whether this process reads the list of endpoints from the platform at present. */
-    readonly readsEndpoints: () => boolean;
+    /** The newest list of endpoints that this process has read itself. */
+    readonly ownEndpoints: () => EndpointListSnapshot | undefined;
     /** Asks a quorum for the newest configuration version; undefined if no quorum responds. */
     readonly confirmVersion: () => Promise<number | undefined>;
     readonly isLeader: () => boolean;
@@ -60,6 +61,8 @@
     /** Undefined if the entry may know the list of another leader. */
     private sentSuspectsVersion: number | undefined;
     private isObserver = false;
+    /** Whether the other side is an observing control process that understands lists of endpoints. */
+    private observesEndpoints = false;
 
     constructor(socket: Socket, private readonly context: EntryLinkContext) {
         this.connection = new MessageConnection(socket, maximumEntryFrameBytes);
@@ -94,19 +97,30 @@
         }
     }
 
-    /** Sends the endpoint list of all services, or only its changes if the entry has the list of the revision before. */
+    /** Sends an entry the newest list of endpoints, or only its changes if the entry has the list before. */
     pushEndpoints(): void {
-        const snapshot = this.context.endpoints();
-        if (this.hello === undefined || snapshot === undefined) {
+        if (this.hello !== undefined) {
+            this.sendEndpoints(this.context.endpoints(), this.hello.understandsEndpointChanges === true);
+        }
+    }
+
+    /** Sends another control process the list of endpoints that this one has read itself, or only its changes. */
+    pushOwnEndpoints(): void {
+        if (this.observesEndpoints) {
+            this.sendEndpoints(this.context.ownEndpoints(), true);
+        }
+    }
+
+    private sendEndpoints(snapshot: EndpointListSnapshot | undefined, understandsChanges: boolean): void {
+        if (snapshot === undefined || snapshot.revision === this.sentEndpointsRevision) {
             return;
         }
         const { endpoints, revision, changes } = snapshot;
-        const age = this.ageOf(snapshot);
-        const hasPrevious = this.sentEndpointsRevision === revision - 1;
+        const state = this.listStateOf(snapshot);
         this.send(
-            hasPrevious && this.hello.understandsEndpointChanges === true
-                ? { kind: "endpointChanges", age, revision, ...changes }
-                : { kind: "endpoints", age, endpoints, revision },
+            understandsChanges && this.sentEndpointsRevision === revision - 1
+                ? { kind: "endpointChanges", ...state, ...changes }
+                : { kind: "endpoints", ...state, endpoints },
         );
         this.sentEndpointsRevision = revision;
     }
@@ -155,9 +169,7 @@
             case "hello":
                 return this.handleHello(message);
             case "observe":
-                this.isObserver = this.hello === undefined && message.protocol === linkProtocolVersion;
-                this.pushPresence(encodePresence(this.context.registry, this.context.clock.now()));
-                return this.isObserver;
+                return this.handleObserver(message);
             case "grantRequest":
                 if (this.hello === undefined) {
                     return false;
@@ -203,6 +215,24 @@
         }
     }
 
+    private handleObserver({ protocol, number }: Extract<EntryMessage, { kind: "observe"; }>): boolean {
+        if (this.hello !== undefined || protocol !== linkProtocolVersion) {
+            return false;
+        }
+        if (!this.isObserver) {
+            this.isObserver = true;
+            this.pushPresence(encodePresence(this.context.registry, this.context.clock.now()));
+        }
+        if (number !== undefined) {
+            this.observesEndpoints = true;
+            this.pushOwnEndpoints();
+            const snapshot = this.context.ownEndpoints();
+            const state = snapshot === undefined ? {} : { endpointList: this.listStateOf(snapshot) };
+            this.send({ kind: "listState", number, ...state });
+        }
+        return true;
+    }
+
     private handleHello(hello: EntryHello): boolean {
         if (this.hello !== undefined || hello.protocol !== linkProtocolVersion) {
             return false;
@@ -296,16 +326,13 @@
             limits: isLeader ? rateLimits.enforcedLimits(clock.now()) : [],
             keepsStreamOrigins: true,
             grantsRetries: true,
-            ...endpointList === undefined
-                ? {}
-                : { endpointList: { revision: endpointList.revision, age: this.ageOf(endpointList) } },
-            readsEndpoints: this.context.readsEndpoints(),
+            ...endpointList === undefined ? {} : { endpointList: this.listStateOf(endpointList) },
             ...heartbeat.needsRelays === true ? { relays: registry.relaysFor(hello.entry, clock.now()) } : {},
         });
     }
 
-    private ageOf({ polledAt }: EndpointListSnapshot): Milliseconds {
-        return this.context.suspensionDetector.now() - polledAt;
+    private listStateOf({ revision, polledAt, uncertainty }: EndpointListSnapshot): ListState {
+        return { revision, age: this.context.suspensionDetector.now() - polledAt, uncertainty };
     }
 
     private send(message: ControlMessage): void {
--- a/src/connection/hosted/linkMessages.ts
+++ b/src/connection/hosted/linkMessages.ts
@@ -55,6 +55,19 @@
 /** An entry that sends calls to endpoints for others. */
 export type RelayOffer = z.output<typeof relayOfferSchema>;
 
+/** The newest list of endpoints of a control process. */
+const listStateSchema = z.object({
+    /** Number of the list, as sent before on this link. */
+    revision: countSchema,
+    /** Time since the platform was asked for the list at the longest, in milliseconds. */
+    age: z.number(),
+    /** How much less the age may be, in milliseconds. */
+    uncertainty: z.number().min(0).optional(),
+}).readonly();
+
+/** The newest list of endpoints of a control process. */
+export type ListState = z.output<typeof listStateSchema>;
+
 /** Messages to a control process from entries, and from other control processes that observe its entries. */
 export const entryMessageSchema = z.discriminatedUnion("kind", [
     z.object({
@@ -106,10 +119,15 @@
     streamsStartedSchema,
     streamOriginRequestSchema,
     z.object({
-        /** Subscribes a control process to the entries that are linked to the receiver. */
+        /**
+         * Subscribes a control process to the entries that are linked to the receiver; sent again to ask for the state of
+         * the receiver's list of endpoints.
+         */
         kind: z.literal("observe"),
         protocol: z.int(),
         control: shortTextSchema,
+        /** Number of the message; absent if the sender does not understand lists of endpoints. */
+        number: countSchema.optional(),
     }),
 ]);
 
@@ -188,14 +206,7 @@
         /** Whether the sender answers requests for retries. */
         grantsRetries: z.boolean().optional(),
         /** The newest list of endpoints that the sender has read; absent if it has none. */
-        endpointList: z.object({
-            /** Number of the list, as sent before on this link. */
-            revision: countSchema,
-            /** Time since the platform was asked for it, in milliseconds. */
-            age: z.number(),
-        }).readonly().optional(),
-        /** Whether the sender reads the list of endpoints from the platform at present. */
-        readsEndpoints: z.boolean().optional(),
+        endpointList: listStateSchema.optional(),
     }),
     grantResponseSchema,
     retryResponseSchema,
@@ -207,6 +218,8 @@
         kind: z.literal("endpoints"),
         /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
         age: z.number(),
+        /** How much less the age may be, in milliseconds. */
+        uncertainty: z.number().min(0).optional(),
         endpoints: z.array(endpointSchema).readonly(),
         /** Number of the list, to which further changes refer; absent if none follow. */
         revision: countSchema.optional(),
@@ -215,6 +228,8 @@
         kind: z.literal("endpointChanges"),
         /** Time since the list was read from the platform, in milliseconds; the list may be stale. */
         age: z.number(),
+        /** How much less the age may be, in milliseconds. */
+        uncertainty: z.number().min(0).optional(),
         /** Number of the list after the changes; they refer to the list with the number before. */
         revision: countSchema,
         changed: z.array(endpointSchema).readonly(),
@@ -226,6 +241,14 @@
         kind: z.literal("presence"),
         entries: z.array(presentEntrySchema).readonly(),
     }),
+    z.object({
+        /** Answers a numbered message of another control process; sent only to these. */
+        kind: z.literal("listState"),
+        /** Number of the message. */
+        number: countSchema,
+        /** The newest list that the sender has read itself; absent if it has none. */
+        endpointList: listStateSchema.optional(),
+    }),
 ]);
 
 /** A message from a control process to an entry. */
--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -6,9 +6,9 @@
 import { Err, Ok } from "../../../util/result.js";
 import type { Result } from "../../../util/result.js";
 import type { SuspensionDetector } from "../../../util/suspensionDetector.js";
-import { compareEndpoints } from "../endpointChanges.js";
-import type { EndpointChanges } from "../endpointChanges.js";
 import type { EndpointRecord } from "../endpointRecord.js";
+import { EndpointLists } from "./endpointLists.js";
+import type { EndpointListSnapshot } from "./endpointLists.js";
 import { PagedReadings } from "./pagedReadings.js";
 
 /** Minimum poll interval; a fraction of the time within which entries must stop using an endpoint that is leaving. */
@@ -45,27 +45,15 @@
     readonly shouldPoll: () => boolean;
     /** Called after the list has changed. */
     readonly onChange: () => void;
-}
-
-/** Snapshot of the platform's endpoint list. */
-export interface EndpointListSnapshot {
-    readonly endpoints: readonly EndpointRecord[];
-    /** When the poll started, by {@link SuspensionDetector.now}. */
-    readonly polledAt: Milliseconds;
-    /** Increases by 1 with each change that entries are told. */
-    readonly revision: number;
-    /** How the list differs from that of the revision before. */
-    readonly changes: EndpointChanges;
+    /** Called after each reading. */
+    readonly onReading: (snapshot: EndpointListSnapshot) => void;
 }
 
 /** Polls the platform's endpoint list while this process is responsible for it. */
 export class EndpointListPoller {
-    private latestSnapshot: EndpointListSnapshot | undefined;
-    private fingerprint = "";
-    /** The list of the newest revision. */
-    private publishedEndpoints: readonly EndpointRecord[] = [];
-    private revision = 0;
-    private changes: EndpointChanges = { changed: [], removed: [] };
+    private readonly lists = new EndpointLists(() => {
+        this.reportChange();
+    });
     private isFailing = false;
     private pageCount = 1;
     private readonly readings = new PagedReadings();
@@ -77,12 +65,7 @@
 
     /** The newest complete snapshot. */
     get snapshot(): EndpointListSnapshot | undefined {
-        return this.latestSnapshot;
-    }
-
-    /** Whether this process reads the list at present. */
-    get isReading(): boolean {
-        return this.options.shouldPoll();
+        return this.lists.snapshot;
     }
 
     /** Polls until the signal is aborted. */
@@ -116,24 +99,20 @@
             this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.length });
         }
         this.reportUnreadableRows(clock.now());
-        const fingerprint = fingerprintOf(endpoints);
-        const hasChanged = fingerprint !== this.fingerprint;
-        if (hasChanged) {
-            this.fingerprint = fingerprint;
-            this.revision++;
-            this.changes = compareEndpoints(this.publishedEndpoints, endpoints);
-            this.publishedEndpoints = endpoints;
-        }
-        const { revision, changes } = this;
-        this.latestSnapshot = { endpoints, polledAt, revision, changes };
-        if (hasChanged) {
-            const leaving = endpoints.filter(endpoint => endpoint.isLeaving).length;
-            const fields = { endpoints: endpoints.length, leaving, unreadableRows: this.unreadableRows.length };
-            this.options.eventLog.write("endpointListChanged", fields);
-            this.options.onChange();
+        this.lists.add({ endpoints, polledAt, uncertainty: 0 });
+        if (this.lists.snapshot !== undefined) {
+            this.options.onReading(this.lists.snapshot);
         }
     }
 
+    private reportChange(): void {
+        const endpoints = this.lists.snapshot?.endpoints ?? [];
+        const leaving = endpoints.filter(endpoint => endpoint.isLeaving).length;
+        const fields = { endpoints: endpoints.length, leaving, unreadableRows: this.unreadableRows.length };
+        this.options.eventLog.write("endpointListChanged", fields);
+        this.options.onChange();
+    }
+
     private async readPages(signal: AbortSignal): Promise<Result<readonly EndpointRecord[], string>> {
         const endpoints: EndpointRecord[] = [];
         const unreadableRows: string[] = [];
@@ -185,11 +164,6 @@
     }
 }
 
-/** Changes when the list must be pushed to entries; changes of the order or the remaining warm-up time are ignored. */
-function fingerprintOf(endpoints: readonly EndpointRecord[]): string {
-    return endpoints.map(endpoint => JSON.stringify({ ...endpoint, warmUpTime: 0 })).sort().join();
-}
-
 function parseJson(body: Buffer): unknown {
     try {
         return JSON.parse(body.toString("utf8")) as unknown;
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -32,6 +32,7 @@
 import { DocumentService } from "./documentService.js";
 import { DutyLease } from "./dutyLease.js";
 import { EndpointListPoller } from "./endpointListPoller.js";
+import { EndpointLists } from "./endpointLists.js";
 import { EntryRegistry } from "./entryRegistry.js";
 import { openHostedLog } from "./hostedLog.js";
 import type { OpenStorage } from "./hostedLog.js";
@@ -93,6 +94,12 @@
         this.presencePush.request();
     });
     private readonly medianClock = new MedianClock();
+    /** Lists that this control process or another one has read; all entries are told, whoever leads. */
+    private readonly endpointLists = new EndpointLists(() => {
+        this.links.forEach(link => {
+            link.pushEndpoints();
+        });
+    });
     private readonly streamOrigins = new StreamOriginStore(maximumStreamOrigins);
     private readonly rateLimits: RateLimitLedger;
     private readonly retries: RetryLedger;
@@ -172,7 +179,7 @@
             unixNow: () => this.medianClock.medianUnixTime(clock),
             eventLog,
             endpointCount: service =>
-                endpointPoller.snapshot?.endpoints.filter(endpoint => endpoint.service === service).length ?? 0,
+                this.endpointLists.snapshot?.endpoints.filter(endpoint => endpoint.service === service).length ?? 0,
             onSuspectsChange: () => {
                 this.suspectsPush.request();
             },
@@ -198,8 +205,8 @@
                 );
             }
         }
-        await this.serveMetrics(log, endpointPoller);
-        this.runDuties(log, endpointPoller, quarantine);
+        await this.serveMetrics(log);
+        this.runDuties(log, quarantine);
         void this.pruneUsageCounts();
     }
 
@@ -234,8 +241,8 @@
     }
 
     /** Writes how long ago the list of endpoints was read; nothing before the first time. */
-    private writeListAge(writer: ExpositionWriter, endpointPoller: EndpointListPoller): void {
-        const { snapshot } = endpointPoller;
+    private writeListAge(writer: ExpositionWriter): void {
+        const { snapshot } = this.endpointLists;
         if (snapshot !== undefined) {
             const family = "gullhall_endpoint_list_age_seconds";
             writer.family(family, "gauge", "Time since the newest list of endpoints was read from the platform.");
@@ -254,9 +261,12 @@
             shouldPoll: () => log.leadingTerm() !== undefined || log.leaderAddress() === undefined,
             onChange: () => {
                 this.links.forEach(link => {
-                    link.pushEndpoints();
+                    link.pushOwnEndpoints();
                 });
             },
+            onReading: snapshot => {
+                this.endpointLists.add(snapshot);
+            },
         });
         void endpointPoller.run(this.shutdownController.signal);
         return endpointPoller;
@@ -282,8 +292,8 @@
             registry,
             document: () => state.document,
             suspensionDetector,
-            endpoints: () => endpointPoller.snapshot,
-            readsEndpoints: () => endpointPoller.isReading,
+            endpoints: () => this.endpointLists.snapshot,
+            ownEndpoints: () => endpointPoller.snapshot,
             confirmVersion: () => confirmation.version(),
             isLeader: () => log.leadingTerm() !== undefined,
             controlHosts: memberHosts,
@@ -311,7 +321,21 @@
         const { name, host, firstInternalPort } = this.settings();
         const port = firstInternalPort + controlLinkPortOffset;
         await this.serve(server, `${host}:${port}`);
-        const presenceLinks = new PresenceLinks({ control: name, host, port, clock, eventLog, registry, memberHosts });
+        const presenceLinks = new PresenceLinks({
+            control: name,
+            host,
+            port,
+            clock,
+            suspensionDetector,
+            eventLog,
+            memberHosts,
+            onPresence: (address, entries) => {
+                registry.replaceRelayed(address, entries, clock.now());
+            },
+            onEndpoints: reading => {
+                this.endpointLists.add(reading);
+            },
+        });
         void presenceLinks.run(this.shutdownController.signal, () => {
             this.presencePush.request();
         });
@@ -325,7 +349,7 @@
         });
     }
 
-    private async serveMetrics(log: HostedLog, endpointPoller: EndpointListPoller): Promise<void> {
+    private async serveMetrics(log: HostedLog): Promise<void> {
         const { state, registry, clock } = this;
         const gauges = (): Readonly<Record<string, number>> => {
             const { term, role, commitPosition, membership } = log.status();
@@ -337,7 +361,7 @@
                 voters: votersOf(membership).length,
                 version: state.version,
                 entries: registry.count(clock.now()),
-                endpoints: endpointPoller.snapshot?.endpoints.length ?? 0,
+                endpoints: this.endpointLists.snapshot?.endpoints.length ?? 0,
                 disk_full: this.diskSpace.isFull ? 1 : 0,
             };
         };
@@ -350,7 +374,7 @@
                         writer.sample(`gullhall_${name}`, {}, value);
                     }
                     writeMemberSilence(writer, log, clock.now());
-                    this.writeListAge(writer, endpointPoller);
+                    this.writeListAge(writer);
                     this.rateLimits.write(writer);
                     this.retries.write(writer);
                     this.quarantine?.write(writer);
@@ -408,7 +432,7 @@
     }
 
     /** Runs the leader's tasks towards the platform in each term in which this process leads. */
-    private runDuties(log: HostedLog, endpointPoller: EndpointListPoller, quarantine: QuarantineDuty): void {
+    private runDuties(log: HostedLog, quarantine: QuarantineDuty): void {
         const { state, registry, clock, eventLog, medianClock, suspensionDetector } = this;
         const { name, bounds, platform } = this.settings();
         const dutyLease = new DutyLease(
@@ -438,7 +462,7 @@
                 holder: name,
                 platformAddress: platform.address,
                 services: () => this.services(),
-                endpoints: () => endpointPoller.snapshot?.endpoints,
+                endpoints: () => this.endpointLists.snapshot?.endpoints,
                 engineTimeOf: service => {
                     const { long, other } = registry.work(clock.now())[service] ?? { long: 0, other: 0 };
                     return long + other;
--- a/src/process/hosted/control/presenceLinks.ts
+++ b/src/process/hosted/control/presenceLinks.ts
@@ -1,29 +1,24 @@
 import { LinkSet } from "../../../connection/hosted/linkSet.js";
 import { PresenceLink } from "../../../connection/hosted/presenceLink.js";
-import type { EventLog } from "../../../logEvent/eventLog.js";
-import type { Clock, Milliseconds } from "../../../util/clock.js";
-import type { EntryRegistry } from "./entryRegistry.js";
+import type { PresenceLinkContext } from "../../../connection/hosted/presenceLink.js";
+import type { Milliseconds } from "../../../util/clock.js";
 
 /** Interval at which control processes report their entries to each other; changes are reported immediately. */
 const reportInterval: Milliseconds = 400;
 
 /** Dependencies of {@link PresenceLinks}. */
-export interface PresenceLinksOptions {
-    /** Name of this control process. */
-    readonly control: string;
+export interface PresenceLinksOptions extends PresenceLinkContext {
     /** Host of this control process. */
     readonly host: string;
     /** Port on which all control processes accept links. */
     readonly port: number;
-    readonly clock: Clock;
-    readonly eventLog: EventLog;
-    readonly registry: EntryRegistry;
     /** Hosts of all control processes, including this one. */
     readonly memberHosts: () => readonly string[];
 }
 
 /**
- * Links from this control process to all others, over which they report the entries linked to them.
+ * Links from this control process to all others, over which they report the entries linked to them, and the endpoints
+ * that they read.
  *
  * Each entry links to only a few control processes, but callers may ask any of them which entries to use.
  */
@@ -31,11 +26,7 @@
     private readonly links: LinkSet<PresenceLink>;
 
     constructor(private readonly options: PresenceLinksOptions) {
-        const { clock, control, eventLog, registry } = options;
-        this.links = new LinkSet(clock, address =>
-            new PresenceLink(address, control, clock, eventLog, entries => {
-                registry.replaceRelayed(address, entries, clock.now());
-            }));
+        this.links = new LinkSet(options.clock, address => new PresenceLink(address, options));
     }
 
     /**
@@ -49,6 +40,9 @@
             const others = memberHosts().filter(other => other !== host);
             this.links.setAddresses(others.map(other => `${other}:${port}`));
             report();
+            this.links.links.forEach(link => {
+                link.observe();
+            });
             await clock.sleep(reportInterval, signal);
         }
         this.links.close("the process is stopping");
--- a/tests/connection/hosted/entryLink.test.ts
+++ b/tests/connection/hosted/entryLink.test.ts
@@ -4,7 +4,7 @@
 import type { ControlMessage, EntryMessage } from "../../../src/connection/hosted/linkMessages.js";
 import { MessageConnection } from "../../../src/connection/messageConnection.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
-import type { EndpointListSnapshot } from "../../../src/process/hosted/control/endpointListPoller.js";
+import type { EndpointListSnapshot } from "../../../src/process/hosted/control/endpointLists.js";
 import { EntryRegistry } from "../../../src/process/hosted/control/entryRegistry.js";
 import { HostedState } from "../../../src/process/hosted/control/hostedState.js";
 import { QuarantineDuty } from "../../../src/process/hosted/control/quarantineDuty.js";
@@ -64,7 +64,7 @@
     publishEndpoints(endpoints: readonly EndpointRecord[]): void {
         const changes = compareEndpoints(this.endpoints?.endpoints ?? [], endpoints);
         const revision = (this.endpoints?.revision ?? 0) + 1;
-        this.endpoints = { endpoints, polledAt: suspensionDetector.now(), revision, changes };
+        this.endpoints = { endpoints, polledAt: suspensionDetector.now(), uncertainty: 0, revision, changes };
         this.links.forEach(link => {
             link.pushEndpoints();
         });
@@ -104,7 +104,7 @@
                 registry: new EntryRegistry(),
                 document: () => undefined,
                 endpoints: () => control.endpoints,
-                readsEndpoints: () => true,
+                ownEndpoints: () => control.endpoints,
                 confirmVersion: () => Promise.resolve(undefined),
                 isLeader: () => control.isLeading,
                 controlHosts: () => [],
--- a/tests/process/hosted/control/endpointListPoller.test.ts
+++ b/tests/process/hosted/control/endpointListPoller.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from "node:http";
 import { EventLog } from "../../../../src/logEvent/eventLog.js";
 import { EndpointListPoller } from "../../../../src/process/hosted/control/endpointListPoller.js";
-import type { EndpointListSnapshot } from "../../../../src/process/hosted/control/endpointListPoller.js";
+import type { EndpointListSnapshot } from "../../../../src/process/hosted/control/endpointLists.js";
 import { SystemClock } from "../../../../src/util/clock.js";
 import { DisposableStore } from "../../../../src/util/disposableStore.js";
 import { listen } from "../../../../src/util/socketAddress.js";
@@ -59,6 +59,7 @@
         suspensionDetector: new SuspensionDetector(clock),
         eventLog: new EventLog("test", "hidden"),
         shouldPoll: () => true,
+        onReading: () => undefined,
         onChange: () => {
             if (poller.snapshot !== undefined) {
                 snapshots.push(poller.snapshot);
