fix(relayAttempt): record what an endpoint states in a response that came by another entry

An entry that reached no endpoint passed on to its caller that an endpoint leaves (Server-Leaving), and sent calls to that endpoint itself as soon as it reached it again: nothing told it which endpoint the response was of, and it read no statements from it.

The entry that relays names the run of the endpoint in the response if the asking entry understands it, which says so in its request; entries of earlier builds neither get nor pass on the new header. Leaving, rests, load, brittleness and limits are recorded by one function, whichever way a response came.

--- a/src/connection/hosted/relayHeaders.ts
+++ b/src/connection/hosted/relayHeaders.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { z } from "zod";
+import type { KnownRun } from "../../process/hosted/endpointRecord.js";
 import type { StreamOrigin } from "../../process/hosted/streamOrigin.js";
 
 /** Names of the headers between entries, in lower case; no entry forwards them to an endpoint or a caller. */
@@ -17,6 +18,11 @@
     version: "gullhall-relay-version",
     /** What began the stream that a request continues, or that a response begins: percent-encoded JSON. */
     origin: "gullhall-relay-origin",
+    /**
+     * In a request: the asking entry understands this header. In an endpoint's response: the run of that endpoint, as
+     * percent-encoded JSON.
+     */
+    endpoint: "gullhall-relay-endpoint",
     /** In a response: whether it is one of the entry itself or of an endpoint, see {@link ResponseSource}. */
     source: "gullhall-relay-source",
 } as const;
@@ -27,6 +33,13 @@
 /** Header by which a sender lists further hop-by-hop headers (RFC 9110, section 7.6.1). */
 const connectionHeader = "connection";
 
+const runSchema = z.object({
+    id: z.string(),
+    address: z.string(),
+    startedAt: z.number().optional(),
+    softwareVersion: z.string().optional(),
+});
+
 const originSchema = z.object({ service: z.string(), softwareVersion: z.string() });
 
 /** A call that another entry has admitted, and that this entry sends to an endpoint for it. */
@@ -39,10 +52,12 @@
     readonly version: number | undefined;
     /** What began the stream that the call continues; undefined if it begins one, or if that is not known. */
     readonly origin: StreamOrigin | undefined;
+    /** Whether the asking entry understands which endpoint a response is of. */
+    readonly understandsEndpoint: boolean;
 }
 
 /** Alternating names and values of the headers for a relayed call. */
-export function relayHeadersOf(call: RelayedCall, token: string): readonly string[] {
+export function relayHeadersOf(call: Omit<RelayedCall, "understandsEndpoint">, token: string): readonly string[] {
     const { team, executions, version, origin } = call;
     const headers = [relayHeaderNames.token, token, relayHeaderNames.executions, String(executions)];
     if (team !== undefined) {
@@ -54,8 +69,10 @@
     if (origin !== undefined) {
         headers.push(relayHeaderNames.origin, formatOrigin(origin));
     }
-    // Entries of earlier builds do not know these two by themselves, and would forward them to the endpoint.
-    headers.push(connectionHeader, `keep-alive, ${relayHeaderNames.version}, ${relayHeaderNames.origin}`);
+    headers.push(relayHeaderNames.endpoint, "1");
+    // Entries of earlier builds do not know these by themselves, and would forward them to the endpoint.
+    const { version: versionName, origin: originName, endpoint } = relayHeaderNames;
+    headers.push(connectionHeader, `keep-alive, ${versionName}, ${originName}, ${endpoint}`);
     return headers;
 }
 
@@ -72,6 +89,7 @@
             executions,
             version: readRelayVersion(headers),
             origin: readRelayOrigin(headers),
+            understandsEndpoint: headers[relayHeaderNames.endpoint] !== undefined,
         };
     }
     catch {
@@ -92,10 +110,23 @@
 
 /** What began a stream, as the other entry states it; undefined if it states nothing that can be read. */
 export function readRelayOrigin(headers: IncomingHttpHeaders): StreamOrigin | undefined {
+    return readEncoded(headers[relayHeaderNames.origin], originSchema);
+}
+
+/** The header value for the run of an endpoint. */
+export function formatRun({ id, address, startedAt, softwareVersion }: KnownRun): string {
+    return encodeURIComponent(JSON.stringify({ id, address, startedAt, softwareVersion }));
+}
+
+/** The run of the endpoint that sent a response; undefined if the other entry states none that can be read. */
+export function readRelayedRun(headers: IncomingHttpHeaders): KnownRun | undefined {
+    return readEncoded(headers[relayHeaderNames.endpoint], runSchema);
+}
+
+function readEncoded<T>(value: string | readonly string[] | undefined, schema: z.ZodType<T>): T | undefined {
     try {
-        const text = decodeURIComponent(String(headers[relayHeaderNames.origin] ?? ""));
-        const { success, data } = originSchema.safeParse(JSON.parse(text));
-        return success ? data : undefined;
+        const text = decodeURIComponent(String(value ?? ""));
+        return schema.safeParse(JSON.parse(text)).data;
     }
     catch {
         return undefined;
--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from "../../../util/clock.js";
 import type { ExpositionWriter } from "../../metrics/expositionWriter.js";
 import { incarnationKey, isCallable } from "../endpointRecord.js";
-import type { EndpointRecord } from "../endpointRecord.js";
+import type { EndpointRecord, KnownRun } from "../endpointRecord.js";
 import type { StreamOrigin } from "../streamOrigin.js";
 import type { ActiveEndpoints } from "./endpointReachability.js";
 import { HostedEndpoint } from "./hostedEndpoint.js";
@@ -167,6 +167,12 @@
         });
     }
 
+    /** The endpoint of a run, listed or not; undefined if this entry does not know it. */
+    find(run: KnownRun): HostedEndpoint | undefined {
+        return findSameRun(this.endpoints.values(), run)
+            ?? findSameRun([...this.unlisted].map(({ endpoint }) => endpoint), run);
+    }
+
     /** The endpoints of a service that accept new calls. */
     serving(service: string): readonly HostedEndpoint[] {
         return this.byService.get(service)?.filter(endpoint => !endpoint.isLeaving) ?? [];
@@ -270,9 +276,9 @@
     }
 }
 
-function findSameRun(endpoints: Iterable<HostedEndpoint>, record: EndpointRecord): HostedEndpoint | undefined {
+function findSameRun(endpoints: Iterable<HostedEndpoint>, run: KnownRun): HostedEndpoint | undefined {
     for (const endpoint of endpoints) {
-        if (endpoint.mayBe(record)) {
+        if (endpoint.mayBe(run)) {
             return endpoint;
         }
     }
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -140,9 +140,9 @@
         return measured === undefined ? 0 : measured.wait * Math.exp((measured.measuredAt - now) / loadDecayTime);
     }
 
-    /** Whether a row of a list may be of this run of the endpoint. */
-    mayBe(record: EndpointRecord): boolean {
-        return mayBeRun(this.run, record);
+    /** Whether a row of a list, or another entry, may mean this run of the endpoint. */
+    mayBe(run: KnownRun): boolean {
+        return mayBeRun(this.run, run);
     }
 
     /** Replaces the record by a newer listing; one that was certainly read later ends what earlier lists show. */
--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -10,6 +10,7 @@
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
 import type { CallerResponse } from "./callerResponse.js";
 import type { CallTraits } from "./callTraits.js";
+import { recordStatements } from "./endpointStatements.js";
 import { RelayAttempt } from "./relayAttempt.js";
 import type { RelayOutcome, RelayRefusal } from "./relayAttempt.js";
 import { shutdownFieldsOf } from "./shutdownFields.js";
@@ -157,6 +158,12 @@
             remainingTime: remainingTime(call),
             executions,
             origin: continuation.statedOrigin,
+            onEndpointHead: (run, responseTraits) => {
+                const endpoint = context.fleet.find(run);
+                if (endpoint !== undefined) {
+                    recordStatements(endpoint, responseTraits, true, context);
+                }
+            },
             onFirstEvent: origin => {
                 continuation.recordRelayedEvent(call, origin);
             },
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -8,6 +8,7 @@
 import type { CallerResponse } from "./callerResponse.js";
 import type { CallTraits, ResponseTraits } from "./callTraits.js";
 import type { Placement } from "./endpointChooser.js";
+import { recordStatements } from "./endpointStatements.js";
 import { EventSplitter } from "./eventSplitter.js";
 
 /** Minimum time without data after which a call that may be retried is moved to another endpoint. */
@@ -31,9 +32,6 @@
 /** Maximum number of responses to earlier calls that are skipped. */
 const maximumSkippedResponses = 2;
 
-/** Status code 503 (Service Unavailable): the endpoint rejects the call, and may state when it takes the next one. */
-const unavailableStatus = 503;
-
 /** Why a call did not run: the endpoint could not be reached, was at capacity, or was not the intended one. */
 export type NotRunCause = "unreached" | "full" | "misdirected";
 
@@ -206,34 +204,7 @@
         if (traits.closesConnection) {
             endpoint.recordConnectionClose(now);
         }
-        if (isOwn && traits.status === unavailableStatus && traits.retryAfter !== undefined) {
-            const { retryAfter } = traits;
-            const rest = retryAfter.kind === "delay"
-                ? retryAfter.duration
-                : Math.max(0, retryAfter.unixTime - this.context.clock.unixNow());
-            endpoint.recordRest(rest, now);
-            this.context.eventLog.write("endpointRests", { endpoint: endpoint.id, duration: Math.round(rest) });
-        }
-        // A misdirected call was answered by another endpoint.
-        if (traits.isLeaving && !traits.isMisdirected && !endpoint.isLeaving) {
-            endpoint.recordLeaving();
-            this.context.fleet.leavingRecord.add(endpoint.record, now);
-            this.context.eventLog.write("endpointLeavingStated", { endpoint: endpoint.id });
-        }
-        if (traits.load !== undefined) {
-            endpoint.recordLoad(traits.load, now);
-        }
-        this.recordBrittleness(traits);
-        this.context.rateLimits.recordStatement(endpoint.id, traits.rateLimit, now);
-    }
-
-    private recordBrittleness({ toleratedRejections }: ResponseTraits): void {
-        const { endpoint } = this.input.placement;
-        if (endpoint.isBrittle !== (toleratedRejections !== undefined)) {
-            const fields = { endpoint: endpoint.id, toleratedRejections };
-            this.context.eventLog.write("endpointBrittlenessStated", fields);
-        }
-        endpoint.recordBrittleness(toleratedRejections);
+        recordStatements(endpoint, traits, isOwn, this.context);
     }
 
     /** Forwards a body that is not a stream of events: a short one at once, a long success as it arrives. */
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -113,6 +113,7 @@
             relayed,
             () => context.view.version,
             () => this.continuation.statedOrigin,
+            () => [...this.triedEndpoints].at(-1)?.record,
         );
         this.callerResponse = new CallerResponse(
             response,
--- a/src/request/hosted/relayAttempt.ts
+++ b/src/request/hosted/relayAttempt.ts
@@ -2,7 +2,13 @@
 import { readResponseTraits, requestHeadersForRelay } from "../../../platform/callHeaders.js";
 import { EndpointExchange } from "../../connection/hosted/endpointExchange.js";
 import { readEntryFailure } from "../../connection/hosted/relayedResponse.js";
-import { readRelayOrigin, readRelayVersion, relayHeadersOf } from "../../connection/hosted/relayHeaders.js";
+import {
+    readRelayedRun,
+    readRelayOrigin,
+    readRelayVersion,
+    relayHeadersOf,
+} from "../../connection/hosted/relayHeaders.js";
+import type { KnownRun } from "../../process/hosted/endpointRecord.js";
 import type { Relay } from "../../process/hosted/entry/relayDirectory.js";
 import type { StreamOrigin } from "../../process/hosted/streamOrigin.js";
 import { definitionOf } from "../../resultCode/resultCode.js";
@@ -10,6 +16,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall } from "./callContext.js";
 import type { CallerResponse } from "./callerResponse.js";
+import type { ResponseTraits } from "./callTraits.js";
 import { EventSplitter } from "./eventSplitter.js";
 
 /** Maximum size of a failure of the other entry, in bytes. */
@@ -54,6 +61,8 @@
     readonly executions: number;
     /** What began the stream that the attempt continues; undefined if it begins one, or if that is not known. */
     readonly origin: StreamOrigin | undefined;
+    /** Called with the head of an endpoint's response. */
+    readonly onEndpointHead: (endpoint: KnownRun, traits: ResponseTraits) => void;
     /** Called when the first event has arrived, with what began the stream; undefined if that is not stated. */
     readonly onFirstEvent: (origin: StreamOrigin | undefined) => void;
 }
@@ -103,6 +112,10 @@
                 return head.kind === "notSent" ? { kind: "unreached" } : { kind: "lost" };
             }
             const { status } = head.traits;
+            const endpoint = readRelayedRun(head.message.headers);
+            if (endpoint !== undefined) {
+                this.input.onEndpointHead(endpoint, head.traits);
+            }
             if (status < 200 || status >= 300) {
                 return await this.readFailure(head.message);
             }
--- a/tests/connection/hosted/relayHeaders.test.ts
+++ b/tests/connection/hosted/relayHeaders.test.ts
@@ -1,6 +1,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { requestHeadersForEndpoint } from "../../../platform/callHeaders.js";
-import { readRelayedCall, relayHeaderNames, relayHeadersOf } from "../../../src/connection/hosted/relayHeaders.js";
+import {
+    formatRun,
+    readRelayedCall,
+    readRelayedRun,
+    relayHeaderNames,
+    relayHeadersOf,
+} from "../../../src/connection/hosted/relayHeaders.js";
 import { describe, it } from "../../describe.js";
 
 const call = {
@@ -18,7 +24,7 @@
 
 describe("headers of a relayed call", () => {
     it("are read as they were written", t => {
-        t.deepEqual(readRelayedCall(parse(relayHeadersOf(call, "token"))), call);
+        t.deepEqual(readRelayedCall(parse(relayHeadersOf(call, "token"))), { ...call, understandsEndpoint: true });
     });
 
     // Guards against headers of this build that an entry of the build before, which does not know them, passes on.
@@ -34,7 +40,16 @@
         const forwarded = requestHeadersForEndpoint(rawHeaders, routed).map(text => text.toLowerCase());
         t.deepEqual(Object.values(relayHeaderNames).filter(name => forwarded.includes(name)), []);
         const listed = parse(rawHeaders).connection?.split(", ") ?? [];
-        t.true(listed.includes(relayHeaderNames.version) && listed.includes(relayHeaderNames.origin));
+        for (const name of [relayHeaderNames.version, relayHeaderNames.origin, relayHeaderNames.endpoint]) {
+            t.true(listed.includes(name), name);
+        }
+    });
+
+    it("name the endpoint of a response as it was written", t => {
+        const run = { id: "i, ü", address: "127.0.0.1:9", startedAt: 5, softwareVersion: "v1" };
+        t.deepEqual(readRelayedRun({ [relayHeaderNames.endpoint]: formatRun(run) }), run);
+        t.is(readRelayedRun({ [relayHeaderNames.endpoint]: "%7B" }), undefined);
+        t.is(readRelayedRun({}), undefined);
     });
 
     for (
@@ -60,6 +75,7 @@
             executions: 0,
             version: undefined,
             origin: undefined,
+            understandsEndpoint: false,
         });
     });
 });
