fix(endpointListPoller): give up a list whose pages never end before memory runs out

Found while looking for the cause of a further report (bytes without end from an endpoint): a page of the platform's list is bounded by 4 MB and their number by 400, but not the sum, so that a list without end could take 1.6 GB of a control process.

All pages of a list may take 16 MB together.

--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -26,6 +26,9 @@
 /** Maximum number of pages per list; guards against a list whose pages never end. */
 const maximumPages = 400;
 
+/** Maximum size of all pages of one list together, in bytes: several times that of the largest installation. */
+const maximumListBytes = 16 * 1024 * 1024;
+
 /** Minimum time between two log lines about rows that cannot be read. */
 const unreadableReportInterval: Milliseconds = 10_000;
 
@@ -118,6 +121,7 @@
         const unreadableRows: string[] = [];
         this.unreadableRows = unreadableRows;
         let page: string | undefined;
+        let listBytes = 0;
         for (let pages = 0; pages < maximumPages; pages++) {
             const response = await httpCall({
                 address: this.options.platformAddress,
@@ -130,6 +134,10 @@
             if (response.err) {
                 return response;
             }
+            listBytes += response.val.body.length;
+            if (listBytes > maximumListBytes) {
+                return Err("the endpoint list exceeds the maximum size");
+            }
             const read = response.val.status === 200 ? readEndpointPage(parseJson(response.val.body)) : undefined;
             if (read === undefined) {
                 return Err(`the response with status ${response.val.status} is not an endpoint list`);
--- a/tests/process/hosted/control/endpointListPoller.test.ts
+++ b/tests/process/hosted/control/endpointListPoller.test.ts
@@ -29,22 +29,40 @@
     };
 }
 
+/** Answers the calls for pages of a list, and counts them. */
+class PagedPlatform {
+    /** Number of readings that were begun. */
+    readings = 0;
+    pageCalls = 0;
+
+    constructor(private readonly pages: PageSource) {}
+
+    /** Body of the response to the call for a page. */
+    respond(page: number): string {
+        this.pageCalls++;
+        this.readings += page === 0 ? 1 : 0;
+        const { rows, isLast } = this.pages(this.readings - 1, page);
+        return JSON.stringify({ instances: rows, ...isLast ? {} : { next: String(page + 1) } });
+    }
+}
+
 /** Reads the list a number of times; returns the snapshots of those readings that changed it. */
 async function readList(pages: PageSource, readings: number): Promise<readonly EndpointListSnapshot[]> {
+    return readFrom(new PagedPlatform(pages), readings);
+}
+
+async function readFrom(platform: PagedPlatform, readings: number): Promise<readonly EndpointListSnapshot[]> {
     await using store = new DisposableStore();
-    let reading = -1;
     let finish = (): void => undefined;
     const finished = new Promise<void>(resolve => {
         finish = resolve;
     });
     const server = createServer((request, response) => {
         const page = Number(new URL(request.url ?? "", "http://platform").searchParams.get("page-token") ?? "0");
-        reading += page === 0 ? 1 : 0;
-        if (reading === readings) {
+        if (page === 0 && platform.readings === readings) {
             finish();
         }
-        const { rows, isLast } = pages(reading, page);
-        response.end(JSON.stringify({ instances: rows, ...isLast ? {} : { next: String(page + 1) } }));
+        response.end(platform.respond(page));
     });
     store.defer(() => {
         server.close();
@@ -114,4 +132,15 @@
             t.deepEqual(listed?.map(({ isLeaving }) => isLeaving), [true]);
         }
     });
+
+    // Guards against a control process that runs out of memory because the list has no end.
+    it("gives up a list that is too large, and reads the next one", async t => {
+        const large = Array.from(Array(4_000).keys(), index => rowOf(`${"x".repeat(200)}${index}`));
+        const platform = new PagedPlatform((reading, page) =>
+            reading === 0 ? { rows: large, isLast: false } : { rows: page === 0 ? rows : [], isLast: true }
+        );
+        const snapshots = await readFrom(platform, 2);
+        t.deepEqual(snapshots.map(idsOf), [["a", "b", "c", "d", "e"]]);
+        t.true(platform.pageCalls < 40, `${platform.pageCalls} pages of over 1 MB were read`);
+    });
 });
