--- a/tests/connection/endlessEndpoint.ts
+++ b/tests/connection/endlessEndpoint.ts
@@ -15,6 +15,8 @@
 
 /** An endpoint that responds to each request with bytes without end, as fast as they are read. */
 export class EndlessEndpoint {
+    /** Number of connections that received a request. */
+    requests = 0;
     private openSockets = 0;
 
     private constructor(readonly address: string, private readonly closeEvents: AbortSignal) {}
@@ -31,6 +33,7 @@
             sockets.add(socket);
             socket.on("error", () => undefined);
             socket.once("data", () => {
+                endpoint.requests++;
                 endpoint.openSockets++;
                 socket.once("close", () => {
                     endpoint.openSockets--;
