--- a/src/process/hosted/control/endpointListPoller.ts
+++ b/src/process/hosted/control/endpointListPoller.ts
@@ -96,7 +96,7 @@
             this.reportFailure(rows.val);
             return;
         }
-        const endpoints = this.readings.add(rows.val, this.pageCount);
+        const endpoints = this.readings.add(rows.val, this.pageCount, polledAt);
         if (this.isFailing) {
             this.isFailing = false;
             this.options.eventLog.write("endpointListRegained", { endpoints: endpoints.length });
--- a/src/process/hosted/control/pagedReadings.ts
+++ b/src/process/hosted/control/pagedReadings.ts
@@ -1,6 +1,13 @@
+import type { Milliseconds } from "../../../util/clock.js";
 import { incarnationKey } from "../endpointRecord.js";
 import type { EndpointRecord } from "../endpointRecord.js";
 
+/**
+ * Maximum time between two readings of which the earlier one tells what the later one lacks by chance: after a longer
+ * time, in which other processes may have read the list, it only tells what is gone.
+ */
+const maximumInterval: Milliseconds = 2_000;
+
 /**
  * Makes lists out of readings in pages.
  *
@@ -9,6 +16,7 @@
  */
 export class PagedReadings {
     private previous: ReadonlyMap<string, EndpointRecord> = new Map();
+    private previousReadAt: Milliseconds = -Infinity;
     /** Keys of the endpoints that only the newest reading lacked. */
     private missingOnce: ReadonlySet<string> = new Set();
 
@@ -16,13 +24,16 @@
      * Adds a reading; returns its endpoints and, if it had several pages, those that only this reading lacks.
      *
      * @param rows The rows of all pages, in the order of reading.
+     * @param readAt When the reading began, by the suspension detector's time.
      */
-    add(rows: readonly EndpointRecord[], pageCount: number): readonly EndpointRecord[] {
+    add(rows: readonly EndpointRecord[], pageCount: number, readAt: Milliseconds): readonly EndpointRecord[] {
         const read = mergeRows(rows);
-        const missing = pageCount === 1 ? [] : [...this.previous].filter(([key]) => !read.has(key));
+        const isSuccessive = readAt - this.previousReadAt <= maximumInterval;
+        const missing = pageCount > 1 && isSuccessive ? [...this.previous].filter(([key]) => !read.has(key)) : [];
         const kept = missing.filter(([key]) => !this.missingOnce.has(key));
         this.missingOnce = new Set(kept.map(([key]) => key));
         this.previous = new Map([...read, ...kept]);
+        this.previousReadAt = readAt;
         return [...this.previous.values()];
     }
 }
