--- a/src/experiment/slopes/main.ts
+++ b/src/experiment/slopes/main.ts
@@ -13,6 +13,7 @@
 import { measureControlSlopes } from "./controlSlopes.js";
 import { measureDecisionSlopes } from "./decisionSlopes.js";
 import { measureEntrySlopes } from "./entrySlopes.js";
+import { measureHostedListSlopes } from "./hostedListSlopes.js";
 import { measureLogSlopes } from "./logSlopes.js";
 import { measureRequestSlopes } from "./requestSlopes.js";
 import { measureSubsetBalance } from "./subsetBalance.js";
@@ -25,6 +26,7 @@
     request: measureRequestSlopes,
     log: measureLogSlopes,
     decisions: clock => Promise.resolve(measureDecisionSlopes(clock)),
+    hostedList: measureHostedListSlopes,
     balance: () => Promise.resolve(measureSubsetBalance()),
 };
 
