--- a/src/experiment/slopes/hostedListSlopes.ts
+++ b/src/experiment/slopes/hostedListSlopes.ts
@@ -55,6 +55,7 @@
 class ListedInstallation implements AsyncDisposable {
     private readonly store = new DisposableStore();
     private readonly controls: HostedControlProcess[] = [];
+    private readonly entryProcesses: HostedEntryProcess[] = [];
     /** Index of the control process that obtained the newest lease. */
     private leader = 0;
     private leavingCount = 0;
@@ -105,6 +106,7 @@
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
+        await Promise.all(this.entryProcesses.map(entry => entry[Symbol.asyncDispose]()));
         await this.store.dispose();
     }
 
@@ -141,7 +143,7 @@
             this.informedCount += id === "endpointLeavingListed" ? 1 : 0;
         });
         const entry = new HostedEntryProcess(() => settings, this.clock, eventLog);
-        this.store.add(entry);
+        this.entryProcesses.push(entry);
         await entry.start();
     }
 
