fix(endpointFleet): forget the failures of an endpoint that is listed again

An endpoint that is known again after lists that lacked its row kept its failures and its ejection of up to 4 s; before, it was a new one. What it has stated is kept as before.

The test of endpointFleet.test.ts failed before.

--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -225,6 +225,8 @@
                 clearTimeout(missed.timer);
                 this.unlisted.delete(missed);
                 unlisted.delete(missed);
+                // It may have been restarted: failures from before say nothing about it.
+                missed.endpoint.resetHealth();
                 returned++;
             }
             else if (listed === undefined) {
--- a/tests/process/hosted/entry/endpointFleet.test.ts
+++ b/tests/process/hosted/entry/endpointFleet.test.ts
@@ -105,6 +105,20 @@
         t.true(before.every(endpoint => fleet.serving("engines").includes(endpoint)));
     });
 
+    // Guards against endpoints that get no calls after a restart because of their failures before it.
+    it("forgets the failures of an endpoint whose row was missing", t => {
+        using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+        const records = [createEndpointRecord("e0")];
+        fleet.applyList(records, readAt(0), 0);
+        const [endpoint] = fleet.serving("engines");
+        endpoint?.recordFailure(300);
+        fleet.applyList([], readAt(350), 350);
+        fleet.applyList(records, readAt(400), 400);
+        t.is(fleet.serving("engines")[0], endpoint);
+        t.false(endpoint?.isEjected(401) ?? true);
+        t.is(endpoint?.failureRate, 0);
+    });
+
     describe("a list from another control process", () => {
         const ready = createEndpointRecord("e0");
         const inForce: ListReading = {
