fix(leavingRecord): forget that an endpoint leaves once another run of it is listed

The record is kept by id and address; a new run now removes it. Choices are unchanged.

The test of endpointFleet.test.ts fails without the change.

--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -231,6 +231,7 @@
             }
             else if (listed === undefined) {
                 added++;
+                this.leavingRecord.remove(record);
             }
             unused.delete(endpoint);
             endpoint.updateRecord(record, reading);
--- a/src/process/hosted/entry/leavingRecord.ts
+++ b/src/process/hosted/entry/leavingRecord.ts
@@ -23,6 +23,11 @@
         return isNew;
     }
 
+    /** Forgets an endpoint of which another run was listed. */
+    remove(endpoint: EndpointName): void {
+        this.learntAt.delete(keyOf(endpoint));
+    }
+
     /** Time since this entry learnt that an endpoint leaves; undefined if it does not know that. */
     timeSince(endpoint: EndpointName, now: Milliseconds): Milliseconds | undefined {
         const learntAt = this.learntAt.get(keyOf(endpoint));
--- a/tests/process/hosted/entry/endpointFleet.test.ts
+++ b/tests/process/hosted/entry/endpointFleet.test.ts
@@ -90,6 +90,15 @@
                 t.is(fleet.serving("engines").length, 1);
             }
         });
+
+        // Guards against calls to a restarted endpoint that are reported as calls to one that leaves.
+        it("is not known to leave as another run", t => {
+            using fleet = new EndpointFleet(new EventLog("test", "hidden"));
+            fleet.applyList([{ ...endpoint, isLeaving: true }], readAt(0), 0);
+            t.is(fleet.leavingRecord.timeSince(endpoint, 100), 100);
+            fleet.applyList([{ ...endpoint, startedAt: 6 }], readAt(400), 400);
+            t.is(fleet.leavingRecord.timeSince(endpoint, 500), undefined);
+        });
     });
 
     // Guards against connections, rests and load that are lost each time that one list lacks an endpoint's row.
