refactor(endpointStatements): take the present time as an argument

recordStatements decides how long an endpoint rests and since when it leaves, and read the clock itself. No change of behaviour: the tests of leaving, resting and limited endpoints and of relayed calls pass.

--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -161,7 +161,7 @@
             onEndpointHead: (run, responseTraits) => {
                 const endpoint = context.fleet.find(run);
                 if (endpoint !== undefined) {
-                    recordStatements(endpoint, responseTraits, true, context);
+                    recordStatements(endpoint, responseTraits, true, context, clock.now());
                 }
             },
             onFirstEvent: origin => {
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -204,7 +204,7 @@
         if (traits.closesConnection) {
             endpoint.recordConnectionClose(now);
         }
-        recordStatements(endpoint, traits, isOwn, this.context);
+        recordStatements(endpoint, traits, isOwn, this.context, now);
     }
 
     /** Forwards a body that is not a stream of events: a short one at once, a long success as it arrives. */
--- a/src/request/hosted/endpointStatements.ts
+++ b/src/request/hosted/endpointStatements.ts
@@ -10,20 +10,21 @@
  * Records what an endpoint states about itself in the headers of a response, whichever entry has received it.
  *
  * @param isOwn Whether the response certainly belongs to the call that was sent.
+ * @param now Monotonic time.
  */
 export function recordStatements(
     endpoint: HostedEndpoint,
     traits: ResponseTraits,
     isOwn: boolean,
     context: CallContext,
+    now: Milliseconds,
 ): void {
-    const now = context.clock.now();
     if (isOwn && traits.status === unavailableStatus && traits.retryAfter !== undefined) {
         const rest = restOf(traits.retryAfter, context);
         endpoint.recordRest(rest, now);
         context.eventLog.write("endpointRests", { endpoint: endpoint.id, duration: Math.round(rest) });
     }
-    recordLeaving(endpoint, traits, context);
+    recordLeaving(endpoint, traits, context, now);
     if (traits.load !== undefined) {
         endpoint.recordLoad(traits.load, now);
     }
@@ -36,10 +37,15 @@
 }
 
 /** Records that an endpoint is about to stop; a misdirected call was answered by another endpoint. */
-function recordLeaving(endpoint: HostedEndpoint, traits: ResponseTraits, context: CallContext): void {
+function recordLeaving(
+    endpoint: HostedEndpoint,
+    traits: ResponseTraits,
+    context: CallContext,
+    now: Milliseconds,
+): void {
     if (traits.isLeaving && !traits.isMisdirected && !endpoint.isLeaving) {
         endpoint.recordLeaving();
-        context.fleet.leavingRecord.add(endpoint.record, context.clock.now());
+        context.fleet.leavingRecord.add(endpoint.record, now);
         context.eventLog.write("endpointLeavingStated", { endpoint: endpoint.id });
     }
 }
