fix(presenceLink): ask a control process of an earlier build only a few times for the state of its list

Side by side with the build before, each question (every 400 ms on each of the links between control processes) made the earlier build report all its entries once more, which is what overloaded it in the incident. It answers no question: after 16 unanswered ones no more are sent. A link between control processes of this build that leaves as many unanswered is closed for silence before.

presenceLink.test.ts failed before (61 questions); its second test, that the list is reported as long as it is current, passed.

--- a/src/connection/hosted/presenceLink.ts
+++ b/src/connection/hosted/presenceLink.ts
@@ -14,7 +14,10 @@
 /** Time without a message after which a link is reopened; the other side sends several in this time. */
 const silenceTimeout: Milliseconds = 2_000;
 
-/** Number of messages without an answer whose time is kept; an earlier build answers none. */
+/**
+ * Number of messages without an answer after which no more are sent: an earlier build answers none, but reports all its
+ * entries each time.
+ */
 const maximumUnanswered = 16;
 
 /** Dependencies and callbacks that all presence links of a control process share. */
@@ -57,12 +60,11 @@
 
     /** Asks for the state of the other control process's list of endpoints; also subscribes the first time. */
     observe(): void {
-        if (!this.isConnected) {
+        if (!this.isConnected || this.unansweredSentAt.size >= maximumUnanswered) {
             return;
         }
         const number = this.nextNumber++;
         this.unansweredSentAt.set(number, this.context.suspensionDetector.now());
-        this.unansweredSentAt.delete(number - maximumUnanswered);
         this.connection.send({ kind: "observe", protocol: linkProtocolVersion, control: this.context.control, number });
     }
 
