perf(endpointFleet): check and update endpoints only when a list differs

Each answer to a heartbeat confirms a list, on each link. Every time all rows were checked for usable addresses and all records were copied.

A confirmation now only updates which endpoints leave, and a list that is not in force is searched for leaving endpoints alone. No change of behaviour; the tests of the fleet, of leaving endpoints, odd rows and lists via followers pass.

--- a/src/process/hosted/entry/endpointFleet.ts
+++ b/src/process/hosted/entry/endpointFleet.ts
@@ -52,24 +52,32 @@
      * may send.
      */
     applyList(listedRecords: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
-        const records = listedRecords.filter(isCallable);
         const { reading: previous } = this;
         if (previous !== undefined && previous.link !== reading.link && reading.earliest <= previous.latest) {
             if (reading.latest >= previous.earliest) {
-                this.recordLeavingRows(records, reading, now);
+                this.recordLeavingRows(listedRecords, reading, now);
             }
             return;
         }
         this.reading = reading;
-        if (previous !== undefined && (isSameList(previous, reading) || this.isListInForce(records))) {
-            this.endpoints.forEach(endpoint => {
-                endpoint.updateRecord(endpoint.record, reading);
-            });
+        if (previous !== undefined && isSameList(previous, reading)) {
+            this.confirmList(reading);
+            return;
+        }
+        const records = listedRecords.filter(isCallable);
+        if (previous !== undefined && this.isListInForce(records)) {
+            this.confirmList(reading);
             return;
         }
         this.replaceList(records, reading, now);
     }
 
+    private confirmList(reading: ListReading): void {
+        this.endpoints.forEach(endpoint => {
+            endpoint.confirmListing(reading);
+        });
+    }
+
     private replaceList(records: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
         this.listedSince = Math.min(this.listedSince, now);
         this.recordVersions(now);
@@ -246,7 +254,7 @@
 
     /** Takes the endpoints that a list shows as leaving out of new choices. */
     private recordLeavingRows(records: readonly EndpointRecord[], reading: ListReading, now: Milliseconds): void {
-        for (const record of records.filter(({ isLeaving }) => isLeaving)) {
+        for (const record of records.filter(each => each.isLeaving && isCallable(each))) {
             const endpoint = this.endpoints.get(incarnationKey(record)) ?? findSameRun(this.endpoints.values(), record);
             endpoint?.recordListedLeaving(reading);
             if (this.leavingRecord.add(record, now)) {
--- a/src/process/hosted/entry/hostedEndpoint.ts
+++ b/src/process/hosted/entry/hostedEndpoint.ts
@@ -153,7 +153,12 @@
             startedAt: record.startedAt ?? this.run.startedAt,
             softwareVersion: record.softwareVersion ?? this.run.softwareVersion,
         };
-        if (record.isLeaving) {
+        this.confirmListing(reading);
+    }
+
+    /** Records a reading of the list that shows the endpoint as its record does. */
+    confirmListing(reading: Pick<ListReading, "earliest" | "latest">): void {
+        if (this.currentRecord.isLeaving) {
             this.recordListedLeaving(reading);
         }
         else if (reading.earliest > this.listedLeavingUntil) {
