--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -13,13 +13,13 @@
 const faultTime = 5_000;
 
 /** The disruption comes more than once. */
-const faultCount = 4;
+const faultCount = 8;
 
 /** Bytes of the body that are sent before the channel is reset. */
 const partialBytes = 500;
 
 /** Interval between two requests of consumers to each of the two entries. */
-const requestInterval = 25;
+const requestInterval = 20;
 
 /** Replica whose answers have no length and end with their channel. */
 class UnframedReplica {
@@ -92,7 +92,9 @@
             return;
         }
         this.brokenOff++;
-        this.record.write(`replica ${this.identifier} resets its channel after ${partialBytes} bytes of the body for ${id}`);
+        this.record.write(
+            `replica ${this.identifier} resets its channel after ${partialBytes} bytes of the body for ${id}`,
+        );
         socket.write(head + bodyOf(id).slice(0, partialBytes), () => {
             socket.resetAndDestroy();
         });
@@ -110,7 +112,9 @@
         installation.replicas.push(replica);
         platform.replicas.push(replica);
     }
-    const controls = [11, 12, 13].map((number, index) => installation.addMachine(`core-${index + 1}`, "control", number));
+    const controls = [11, 12, 13].map((number, index) =>
+        installation.addMachine(`core-${index + 1}`, "control", number)
+    );
     const entries = [41, 42].map((number, index) => installation.addMachine(`front-${index + 1}`, "entry", number));
     const seeds = controls.map(({ operatorAddress }) => operatorAddress);
     for (const machine of [...controls, ...entries]) {
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -20,7 +20,9 @@
         platform.replicas.push(...replicas.map(({ row }) => ({ row: { ...row, service: otherService } })));
     }
     record.write(`the platform lists ${JSON.stringify(platform.replicas.map(({ row }) => row))}`);
-    const controls = [11, 12, 13].map((number, index) => installation.addMachine(`core-${index + 1}`, "control", number));
+    const controls = [11, 12, 13].map((number, index) =>
+        installation.addMachine(`core-${index + 1}`, "control", number)
+    );
     const entries = [41, 42].map((number, index) => installation.addMachine(`front-${index + 1}`, "entry", number));
     const seeds = controls.map(({ operatorAddress }) => operatorAddress);
     for (const machine of [...controls, ...entries]) {
--- a/review/lib-2/installation.mjs
+++ b/review/lib-2/installation.mjs
@@ -128,7 +128,9 @@
             response.once("error", () => resolve(undefined));
             response.once("end", () => {
                 const text = Buffer.concat(chunks).toString("utf8");
-                resolve(response.complete ? { status: response.statusCode, headers: response.headers, text } : undefined);
+                resolve(
+                    response.complete ? { status: response.statusCode, headers: response.headers, text } : undefined,
+                );
             });
         });
         request.end(body);
@@ -316,7 +318,18 @@
             "discovery": "cloud_api",
             "entry": "directory",
             "heartbeat-interval-ms": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "leader"],
+            "contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "tenants",
+                "leader",
+            ],
             "fault-tolerance": { machines: 1, zones: 0, regions: 0 },
             bounds,
             "configuration-mode": "highest",
@@ -530,10 +543,12 @@
         const endsAt = performance.now() + duration;
         while (performance.now() < endsAt) {
             for (const entry of this.entries) {
-                sent.push(this.request(entry.callerAddress).then(({ status }) => {
-                    const name = String(status ?? "no answer");
-                    statuses.set(name, (statuses.get(name) ?? 0) + 1);
-                }));
+                sent.push(
+                    this.request(entry.callerAddress).then(({ status }) => {
+                        const name = String(status ?? "no answer");
+                        statuses.set(name, (statuses.get(name) ?? 0) + 1);
+                    }),
+                );
             }
             await sleep(interval);
         }
