--- a/review/lib-3/installation.mjs
+++ b/review/lib-2/caseKit.mjs
@@ -225,16 +225,7 @@
     }
 
     async start() {
-        this.network = `127.${randomInt(16, 240)}.${randomInt(1, 250)}`;
-        this.basePort = randomInt(18, 30) * 1000;
-        const hosts = [this.host(1), this.host(41), this.host(250)];
-        for (const host of hosts) {
-            for (const offset of [0, 10, 20, 30, 40, 41, 42, 50]) {
-                if (!await isFree(host, this.basePort + offset)) {
-                    throw new Error(`port ${this.basePort + offset} of ${host} is in use`);
-                }
-            }
-        }
+        await this.chooseAddresses();
         this.platformAddress = `${this.host(250)}:${this.basePort + 50}`;
         await this.platform.listen(this.host(250), this.basePort + 50);
         for (let index = 0; index < this.counts.controls; index++) {
@@ -248,6 +239,21 @@
         }
     }
 
+    /** Chooses loopback hosts and ports that nothing else uses. */
+    async chooseAddresses() {
+        for (let attempt = 0; attempt < 20; attempt++) {
+            this.network = `127.${randomInt(16, 240)}.${randomInt(1, 250)}`;
+            this.basePort = randomInt(18, 30) * 1000;
+            const hosts = [this.host(1), this.host(41), this.host(151), this.host(250)];
+            const offsets = [0, 10, 20, 30, 40, 41, 42, 50, 60];
+            const checks = hosts.flatMap(host => offsets.map(offset => isFree(host, this.basePort + offset)));
+            if ((await Promise.all(checks)).every(each => each)) {
+                return;
+            }
+        }
+        throw new Error("found no free ports");
+    }
+
     host(number) {
         return `${this.network}.${number}`;
     }
@@ -601,42 +607,6 @@
     return { version, routes, services, limits, tenants: [{ name: "hule930", keys: [apiKey], priority: 1 }] };
 }
 
-/** A service of model engines. */
-export function engineService(name) {
-    return service(name, {
-        engine: {
-            "slots": 48,
-            "kv-cache-tokens": 531603,
-            "kv-token-bytes": 163840,
-            "link-mbps": 1100000,
-            "stride": 6,
-            "models": [{ name: "m" }],
-        },
-    });
-}
-
-/** A route of streams that are not resumed. */
-export function streamRoute(name, prefix, service, extra = {}) {
-    return route(name, prefix, service, {
-        "kind": "streaming",
-        "timeout-ms": 12000,
-        "target-latency-ms": 600,
-        "attempts": 1,
-        "sticky": true,
-        "gap-target-ms": 250,
-        ...extra,
-    });
-}
-
-/** Headers of a request for a model; the last part of its prompt is its own. */
-export function promptHeaders(part) {
-    return {
-        "Gullhall-Model": "m",
-        "Gullhall-Token-Counts": "826,49",
-        "Gullhall-Prompt-Prefix": `5c1e07a2:198,${part}:628`,
-    };
-}
-
 /** Sends a desired state that must be acknowledged for the case to run. */
 export async function configureOrFail(installation, desiredState) {
     if (await installation.configure(desiredState) !== 200) {
