fix(connection): tell a reset that arrives with the last data from an orderly end

When a read fills only a part of its buffer and poll has reported a hang-up, libuv reports the end of the data without reading again, and a reset causes a hang-up as well.

Change: connections are opened as ClientSocket. While it reads a response that is delimited by the end of its connection, it stops reading after each part, so that the next read gets the end or the reset from the kernel. Framed responses are read as before. That the peer takes no more of the request after an orderly end (EPIPE) does not fail a sound response.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -1,8 +1,10 @@
-import { Agent, request as httpRequest } from "node:http";
+import { request as httpRequest } from "node:http";
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { Milliseconds } from "../../util/clock.js";
 import { hasPort, splitAddress } from "../../util/socketAddress.js";
 import { cancelOnAbort, cancelRequest } from "../cancelRequest.js";
+import { ClientAgent } from "../clientAgent.js";
+import { connectClient, detectResetOfUnframedBody } from "../clientSocket.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
@@ -42,8 +44,8 @@
         readonly kind: "answer";
         readonly message: IncomingMessage;
         /**
-         * Whether the connection has failed: `node:http` reports a body without a length as complete even if its
-         * connection was reset.
+         * Whether the connection has failed, so that the body is incomplete: `node:http` reports the end of a body without
+         * a length in any case.
          */
         readonly hasFailed: () => boolean;
     }
@@ -51,7 +53,7 @@
 
 /** HTTP client for one endpoint, which reuses connections. */
 export class EndpointClient implements Disposable {
-    private readonly agent = new Agent({
+    private readonly agent = new ClientAgent({
         keepAlive: true,
         maxFreeSockets: maximumIdleConnections,
         scheduling: "lifo",
@@ -71,12 +73,15 @@
             const clientRequest = httpRequest({
                 host,
                 port,
-                agent: call.freshConnection === true ? false : this.agent,
+                ...(call.freshConnection === true
+                    ? { createConnection: () => connectClient({ host, port }) }
+                    : { agent: this.agent }),
                 method: call.method,
                 path: call.path,
                 headers: { ...call.headers, "content-length": call.body.length },
             });
             cancelOnAbort(clientRequest, call.signal);
+            detectResetOfUnframedBody(clientRequest);
             new ResponseByteGuard(clientRequest, () => {
                 cancelRequest(clientRequest);
             });
--- a/src/connection/hosted/endpointAgent.ts
+++ b/src/connection/hosted/endpointAgent.ts
@@ -1,8 +1,9 @@
 import { Agent } from "node:http";
 import type { ClientRequest } from "node:http";
-import { connect } from "node:net";
 import type { NetConnectOpts, Socket } from "node:net";
 import type { Milliseconds } from "../../util/clock.js";
+import { connectClient } from "../clientSocket.js";
+import type { ClientSocket } from "../clientSocket.js";
 
 /**
  * Idle time after which a connection is closed; `node:http` closes it earlier if the endpoint's keep-alive header says
@@ -14,7 +15,7 @@
 const maximumIdleConnections = 64;
 
 /** Opens a connection to an endpoint. */
-export type OpenConnection = (options: NetConnectOpts) => Socket;
+export type OpenConnection = (options: NetConnectOpts) => ClientSocket;
 
 /**
  * Connection pool of one endpoint.
@@ -25,7 +26,7 @@
 export class EndpointAgent extends Agent {
     private readonly reservations = new WeakMap<Socket, () => void>();
 
-    constructor(private readonly openConnection: OpenConnection = connect) {
+    constructor(private readonly openConnection: OpenConnection = connectClient) {
         super({
             keepAlive: true,
             scheduling: "lifo",
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from "../../util/clock.js";
 import { splitAddress } from "../../util/socketAddress.js";
 import { cancelRequest } from "../cancelRequest.js";
+import { detectResetOfUnframedBody } from "../clientSocket.js";
 import { discardBody } from "../discardBody.js";
 import { hasFramedBody } from "../framedBody.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
@@ -87,7 +88,7 @@
     /**
      * Whether a response that was read to its end is complete.
      *
-     * `node:http` reports a response without a length as complete even if its connection was reset.
+     * `node:http` reports the end of a response without a length in any case.
      */
     isComplete(message: IncomingMessage): boolean {
         return message.complete && !this.hasConnectionFailed;
@@ -167,6 +168,7 @@
     }
 
     private observe(request: ClientRequest): ResponseByteGuard {
+        detectResetOfUnframedBody(request);
         request.on("error", () => {
             this.hasConnectionFailed = true;
         });
--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -5,6 +5,7 @@
 import type { Result } from "../util/result.js";
 import { hasPort, splitAddress } from "../util/socketAddress.js";
 import { cancelOnAbort, cancelRequest } from "./cancelRequest.js";
+import { connectClient, detectResetOfUnframedBody } from "./clientSocket.js";
 import { ResponseByteGuard } from "./responseByteGuard.js";
 
 /** Maximum size of the body of a response unless the call states another one, in bytes. */
@@ -40,9 +41,10 @@
         return Promise.resolve(Err(`${call.address} has no port to connect to`));
     }
     return new Promise(resolve => {
+        const address = splitAddress(call.address);
         const clientRequest = httpRequest({
-            ...splitAddress(call.address),
-            agent: false,
+            ...address,
+            createConnection: () => connectClient(address),
             method: call.method,
             path: call.path,
             headers: { ...call.headers, "content-length": Buffer.byteLength(call.body ?? "") },
@@ -54,6 +56,7 @@
         if (call.signal !== undefined) {
             cancelOnAbort(clientRequest, call.signal);
         }
+        detectResetOfUnframedBody(clientRequest);
         const byteGuard = new ResponseByteGuard(clientRequest, () => {
             cancel("the server sent too many bytes that belong to no response");
         });
--- a/src/connection/probeListener.ts
+++ b/src/connection/probeListener.ts
@@ -1,6 +1,6 @@
-import { connect } from "node:net";
 import type { Milliseconds } from "../util/clock.js";
 import { hasPort, splitAddress } from "../util/socketAddress.js";
+import { connectClient } from "./clientSocket.js";
 import type { OpenConnection } from "./hosted/endpointAgent.js";
 
 /** What an attempt to connect tells about an address; `unreachable`: neither accepted nor refused in time. */
@@ -10,7 +10,7 @@
 export function probeListener(
     address: string,
     timeout: Milliseconds,
-    openConnection: OpenConnection = connect,
+    openConnection: OpenConnection = connectClient,
 ): Promise<ListenerState> {
     if (!hasPort(address)) {
         return Promise.resolve("unreachable");
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -1,11 +1,11 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { readCallTraits } from "../../../../platform/callHeaders.js";
 import { servedCalls } from "../../../../platform/servedCalls.js";
 import { abortResponse } from "../../../connection/abortResponse.js";
+import { connectClient } from "../../../connection/clientSocket.js";
 import type { OpenConnection } from "../../../connection/hosted/endpointAgent.js";
 import { controlLinkPortOffset, relayPortOffset } from "../../../connection/hosted/linkMessages.js";
 import type { EntryHeartbeat } from "../../../connection/hosted/linkMessages.js";
@@ -98,7 +98,7 @@
         private readonly settings: () => HostedSettings,
         private readonly clock: Clock,
         eventLog: EventLog,
-        openConnection: OpenConnection = connect,
+        openConnection: OpenConnection = connectClient,
     ) {
         const { bounds, name, failureDomain, callerAddress = "", firstInternalPort, seedOperatorAddresses } =
             settings();
--- a/src/process/hosted/entry/relayDirectory.ts
+++ b/src/process/hosted/entry/relayDirectory.ts
@@ -1,4 +1,5 @@
-import { Agent } from "node:http";
+import type { Agent } from "node:http";
+import { ClientAgent } from "../../../connection/clientAgent.js";
 import type { RelayOffer } from "../../../connection/hosted/linkMessages.js";
 import type { Milliseconds } from "../../../util/clock.js";
 import type { RandomSource } from "../../../util/randomSource.js";
@@ -37,7 +38,7 @@
             }
             this.rejectedTokens.delete(address);
             const known = this.relays.get(address);
-            const agent = known?.agent ?? new Agent({ keepAlive: true, noDelay: true });
+            const agent = known?.agent ?? new ClientAgent({ keepAlive: true, noDelay: true });
             const runningCalls = known?.runningCalls ?? 0;
             this.relays.set(address, { entry, address, token, agent, runningCalls, expiresAt: now + offerLifetime });
         }
--- a/src/process/platform/httpLeasedCaller.ts
+++ b/src/process/platform/httpLeasedCaller.ts
@@ -1,7 +1,7 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
-import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { connectClient, detectResetOfUnframedBody } from "../../connection/clientSocket.js";
 import { resetConnection } from "../../connection/resetConnection.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
@@ -91,7 +91,7 @@
         if (!Number.isInteger(port) || port < 1 || port > 65_535) {
             return Err(failure("callFailed", { address, reason: "the address contains no valid port" }));
         }
-        const socket = connect({ host, port, noDelay: true, signal: cancelSignal });
+        const socket = connectClient({ host, port, noDelay: true, signal: cancelSignal });
         try {
             await new Promise((resolve, reject) => {
                 socket.once("connect", resolve);
@@ -119,9 +119,17 @@
             createConnection: () => socket,
             headers: { ...headers, host: call.address, connection: "close", "content-length": body?.length ?? 0 },
         });
+        detectResetOfUnframedBody(clientRequest);
+        let connectionError: Error | undefined;
+        clientRequest.on("error", error => {
+            connectionError = error;
+        });
         clientRequest.end(body);
         const response = await responseOf(clientRequest);
         const text = await readText(response);
+        if (connectionError !== undefined) {
+            throw connectionError;
+        }
         return {
             status: response.statusCode ?? 0,
             retryAfter: readRetryAfter(response.headers["retry-after"]),
--- a/tests/connection/httpCall.test.ts
+++ b/tests/connection/httpCall.test.ts
@@ -4,6 +4,7 @@
 import { DisposableStore } from "../../src/util/disposableStore.js";
 import { describe, it } from "../describe.js";
 import { EndlessEndpoint } from "./endlessEndpoint.js";
+import { startRawServer } from "./rawServer.js";
 import { stalledBodyBytes, StalledEndpoint } from "./stalledEndpoint.js";
 
 describe("httpCall", () => {
@@ -37,6 +38,24 @@
         });
     }
 
+    for (
+        const [title, bytes] of [["200", "HTTP/1.1 200 OK\r\n\r\n[]"], ["400", "HTTP/1.1 400 Bad\r\n\r\n[]"]] as const
+    ) {
+        // Guards against lists and answers of which a part is taken for the whole.
+        it(`fails if a response without a length is reset together with its last bytes (${title})`, async t => {
+            await using store = new DisposableStore();
+            const address = await startRawServer(store, bytes, "resetWithData");
+            t.true((await httpCall({ address, method: "GET", path: "/", timeout: 5_000 })).err);
+        });
+
+        it(`returns a response without a length that ends in order (${title})`, async t => {
+            await using store = new DisposableStore();
+            const address = await startRawServer(store, bytes, "end");
+            const result = await httpCall({ address, method: "GET", path: "/", timeout: 5_000 });
+            t.is(result.ok && result.val.body.toString(), "[]");
+        });
+    }
+
     // Guards against servers that hold memory and time with bytes that are no response.
     describe("fails, and closes its connection, if a server sends bytes without end", () => {
         for (
--- a/tests/process/hosted/cuttableNetwork.ts
+++ b/tests/process/hosted/cuttableNetwork.ts
@@ -1,6 +1,7 @@
-import { connect, createServer, Socket } from "node:net";
-import type { NetConnectOpts, Server } from "node:net";
+import { connect, createServer } from "node:net";
+import type { NetConnectOpts, Server, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { ClientSocket, connectClient } from "../../../src/connection/clientSocket.js";
 import { boundAddress, listen, splitAddress } from "../../../src/util/socketAddress.js";
 
 /**
@@ -27,18 +28,18 @@
     sentBytes = 0;
 
     /** Opens a connection to an endpoint. */
-    readonly open = (options: NetConnectOpts): Socket => {
+    readonly open = (options: NetConnectOpts): ClientSocket => {
         if (this.cut === "silent") {
-            const socket = new Socket();
+            const socket = new ClientSocket();
             this.hanging.add(socket);
             return socket;
         }
         if (this.cut !== undefined) {
-            return connect(refusingAddress);
+            return connectClient(refusingAddress);
         }
         const { host = "", port = 0 } = options as { readonly host?: string; readonly port?: number; };
         const proxy = this.proxies.get(`${host}:${port}`);
-        return connect(proxy === undefined ? refusingAddress : splitAddress(boundAddress(proxy)));
+        return connectClient(proxy === undefined ? refusingAddress : splitAddress(boundAddress(proxy)));
     };
 
     /** Starts proxies to endpoints; connections to others are refused. */
--- a/tests/process/platform/httpLeasedCaller.test.ts
+++ b/tests/process/platform/httpLeasedCaller.test.ts
@@ -8,6 +8,7 @@
 import type { LeasedCall } from "../../../src/process/platform/leasedCaller.js";
 import { SystemClock } from "../../../src/util/clock.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { startRawServer } from "../../connection/rawServer.js";
 import { describe, it } from "../../describe.js";
 
 const token = { fencingNumber: 7 };
@@ -60,6 +61,14 @@
             });
         }
 
+        // Guards against orders that count as answered by a part of their answer.
+        it("fails if a response without a length is reset together with its last bytes", async t => {
+            await using store = new DisposableStore();
+            const address = await startRawServer(store, "HTTP/1.1 201 Created\r\n\r\n12", "resetWithData");
+            const response = await createCaller().call(callTo(address), neverAborted);
+            t.is(response.err && response.val.code, "callFailed");
+        });
+
         it("writes nothing if the lease ends while connecting", async t => {
             await using store = new DisposableStore();
             let bytes = 0;
--- a/tests/request/hosted/scriptedCall.ts
+++ b/tests/request/hosted/scriptedCall.ts
@@ -32,6 +32,12 @@
         routeOf("drafts", "streaming", 1, false),
         routeOf("summaries", "streaming", 2, true),
     ],
+    limits: {
+        "max-header-bytes": 16_384,
+        "max-body-bytes": 4_000_000,
+        "header-timeout-ms": 3_000,
+        "idle-timeout-ms": 15_000,
+    },
 });
 
 const proof = "Gullhall-Attempt-Id: call-1\r\nGullhall-Response-Signature: proof\r\n";
@@ -53,7 +59,8 @@
 /** What an endpoint sends, and how it ends its connection then. */
 export interface EndpointScript {
     readonly bytes: string;
-    readonly ending: "end" | "reset";
+    /** `resetWithData`: by a reset that arrives together with the bytes. */
+    readonly ending: "end" | "reset" | "resetWithData";
 }
 
 /** What the caller received, and what reached endpoints. */
@@ -74,6 +81,10 @@
         socket.end();
         return;
     }
+    if (ending === "resetWithData") {
+        socket.resetAndDestroy();
+        return;
+    }
     // What was written before must arrive before the reset.
     setTimeout(() => {
         socket.resetAndDestroy();
@@ -91,6 +102,7 @@
     version: HttpVersion = "1.1",
     method = "POST",
     longestMilliseconds = longestCall,
+    body = "",
 ): Promise<ScriptedResponse> {
     await using store = new DisposableStore();
     const requests: string[] = [];
@@ -119,6 +131,6 @@
         "gullhall-attempt-id": "call-1",
         "gullhall-deadline-remaining": "3000",
     };
-    const request = formatRequest(method, path, headers).replace("HTTP/1.1", `HTTP/${version}`);
+    const request = formatRequest(method, path, headers, body).replace("HTTP/1.1", `HTTP/${version}`);
     return { ...await sendRaw(entry.callerAddress, request, longestMilliseconds), requests };
 }
--- a/tests/request/service/brokenOffResponse.test.ts
+++ b/tests/request/service/brokenOffResponse.test.ts
@@ -6,6 +6,7 @@
 import { TestEntry } from "../../connection/entry/testEntry.js";
 import { formatRequest } from "../../connection/leavingCaller.js";
 import { bodyOf, looksComplete, sendRaw } from "../../connection/rawCaller.js";
+import { startRawServer } from "../../connection/rawServer.js";
 import { describe, it } from "../../describe.js";
 
 /** Longer than the part of a body that an entry buffers before it forwards any. */
@@ -70,6 +71,32 @@
     });
 });
 
+describe("response of a service whose connection is reset together with its last bytes", () => {
+    for (const contentType of ["application/json", "text/event-stream", "text/plain"]) {
+        for (const [title, body] of [["without a body", ""], ["with a long body", "x".repeat(60_000)]] as const) {
+            // Guards against a part of a response without a length that callers get as complete (MIXED).
+            it(`is not forwarded to a call ${title} (${contentType})`, async t => {
+                await using store = new DisposableStore();
+                const bytes = `HTTP/1.1 200 OK\r\ncontent-type: ${contentType}\r\n\r\npart`;
+                const service = await startRawServer(store, bytes, "resetWithData");
+                const entry = store.add(await TestEntry.start({ services: [service] }));
+                const response = await ask(entry, { path: "/bookings/a", body });
+                t.deepEqual([codeOf(response), response.headers["x-outcome"]], ["endpointFailed", "unknown"]);
+            });
+        }
+    }
+
+    // Guards against a part of a long response that callers get as complete.
+    it("looks incomplete if it is long", async t => {
+        await using store = new DisposableStore();
+        const service = await startRawServer(store, unframedHead + longBody, "resetWithData");
+        const entry = store.add(await TestEntry.start({ services: [service] }));
+        const headers = { host: "calls.example", authorization: `Bearer ${entry.key}` };
+        const response = await sendRaw(entry.address, formatRequest("GET", "/bookings/a", headers), 5_000);
+        t.false(response.head.startsWith("HTTP/1.1 200 ") && looksComplete(response));
+    });
+});
+
 describe("refusal of a service that names another request", () => {
     // Guards against requests that are reported as not run because an earlier refusal arrived again.
     it("is not believed", async t => {
