--- a/tests/request/hosted/resetWithData.test.ts
+++ b/tests/request/hosted/resetWithData.test.ts
@@ -20,6 +20,9 @@
     "whose body is still being sent": longUpload,
 };
 
+/** Head of a success whose body is encoded, but not sent in chunks. */
+const encodedHead = unframedHead.replace("Connection: close", "Transfer-Encoding: identity");
+
 function callOnce(path: string, bytes: string, upload = ""): Promise<ScriptedResponse> {
     return makeCall(path, [{ bytes, ending: "resetWithData" }], "1.1", "POST", longestCall, upload);
 }
@@ -46,6 +49,11 @@
         });
     }
 
+    // Guards against the same where only the transfer coding is missing that shows the end (RFC 9112, section 6.3).
+    itSerially("is no success if it has a transfer coding other than chunks", async t => {
+        t.regex((await callOnce("/bookings/a", `${encodedHead}part`)).head, /^HTTP\/1\.1 502 /);
+    });
+
     // Guards against errors that callers get in part as if they were whole.
     itSerially("is not forwarded if it is an error", async t => {
         const bytes = `${unframedHead.replace("200 OK", "500 Internal Server Error")}part`;
