fix(connection): reject responses whose status or header names HTTP does not define

What callers saw: statuses 600 and 999 of an endpoint were passed on; with 000 to 099, entries of an own installation closed the caller's connection without a response; a response with a blank in the name of a header (`X Trouble: 1`, `X-Trouble : 1`) or an empty name was passed on by own entries without that line, and made hosted ones fail the call by an exception. A change of the protocol that nobody asked for (101) left own callers, and the readers of lists, without an answer for ever.

Cause: node:http accepts any three digits as a status, and blanks in names; it refuses to write them, with an exception. For 101 without a listener it closes the connection and reports neither a response nor an error.

Change: one check of the head wherever responses are read: hosted calls (direct, by detour, skipped responses), own calls, httpCall (lists, probes, reports) and leased calls. Such a response counts as a failure of its endpoint, and its connection is reset.

The other invalid names and values were rejected before.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -6,6 +6,7 @@
 import { ClientAgent } from "../clientAgent.js";
 import { connectClient, detectResetOfUnframedBody } from "../clientSocket.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
+import { invalidHeadReason } from "../responseHead.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Maximum number of idle connections to one endpoint. */
@@ -87,6 +88,12 @@
             });
             let hasFailed = false;
             clientRequest.once("response", response => {
+                const invalidReason = invalidHeadReason(response);
+                if (invalidReason !== undefined) {
+                    resolve({ kind: "error", error: { sent, reason: invalidReason } });
+                    cancelRequest(clientRequest);
+                    return;
+                }
                 resolve({ kind: "answer", message: response, hasFailed: () => hasFailed });
             });
             let sent = false;
@@ -104,6 +111,10 @@
                 hasFailed = true;
                 resolve({ kind: "error", error: { sent, reason: error.message } });
             });
+            // A change of the protocol (101) that nobody asked for closes the connection without an error.
+            clientRequest.once("close", () => {
+                resolve({ kind: "error", error: { sent, reason: "the connection was closed" } });
+            });
         });
     }
 
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -9,6 +9,7 @@
 import { discardBody } from "../discardBody.js";
 import { hasFramedBody } from "../framedBody.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
+import { invalidHeadReason } from "../responseHead.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 import { EndpointAgent } from "./endpointAgent.js";
 
@@ -150,6 +151,11 @@
     head(): Promise<ExchangeHead> {
         return new Promise(resolve => {
             this.request.once("response", message => {
+                const invalidReason = invalidHeadReason(message);
+                if (invalidReason !== undefined) {
+                    this.cancel(invalidReason);
+                    return;
+                }
                 resolve({ kind: "response", message, traits: readResponseTraits(message) });
             });
             this.request.once("error", (error: Error) => {
--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -7,6 +7,7 @@
 import { cancelOnAbort, cancelRequest } from "./cancelRequest.js";
 import { connectClient, detectResetOfUnframedBody } from "./clientSocket.js";
 import { ResponseByteGuard } from "./responseByteGuard.js";
+import { invalidHeadReason } from "./responseHead.js";
 
 /** Maximum size of the body of a response unless the call states another one, in bytes. */
 const defaultMaximumResponseBytes = 64 * 1024 * 1024;
@@ -66,11 +67,22 @@
         }, call.timeout);
         clientRequest.once("close", () => {
             clearTimeout(timer);
+            // A change of the protocol (101) that nobody asked for closes the connection without an error.
+            if (!hasResponse) {
+                resolve(Err("the connection was closed"));
+            }
         });
         clientRequest.on("error", error => {
             resolve(Err(error.message));
         });
+        let hasResponse = false;
         clientRequest.once("response", response => {
+            hasResponse = true;
+            const invalidReason = invalidHeadReason(response);
+            if (invalidReason !== undefined) {
+                cancel(invalidReason);
+                return;
+            }
             const limit = call.maximumResponseBytes ?? defaultMaximumResponseBytes;
             void readBody(byteGuard.chunks(response), limit).then(body => {
                 if (body.err) {
--- a/src/process/platform/httpLeasedCaller.ts
+++ b/src/process/platform/httpLeasedCaller.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { connectClient, detectResetOfUnframedBody } from "../../connection/clientSocket.js";
 import { resetConnection } from "../../connection/resetConnection.js";
+import { invalidHeadReason } from "../../connection/responseHead.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -126,6 +127,10 @@
         });
         clientRequest.end(body);
         const response = await responseOf(clientRequest);
+        const invalidReason = invalidHeadReason(response);
+        if (invalidReason !== undefined) {
+            throw new Error(invalidReason);
+        }
         const text = await readText(response);
         if (connectionError !== undefined) {
             throw connectionError;
--- a/tests/connection/httpCall.test.ts
+++ b/tests/connection/httpCall.test.ts
@@ -56,6 +56,29 @@
         });
     }
 
+    for (
+        const [title, head] of [
+            ["status 000", "HTTP/1.1 000 OK\r\n"],
+            ["status 600", "HTTP/1.1 600 OK\r\n"],
+            ["a blank in the name of a header", "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n"],
+        ] as const
+    ) {
+        // Guards against lists and answers that are read from what is no HTTP.
+        it(`fails if the response has ${title}`, async t => {
+            await using store = new DisposableStore();
+            const address = await startRawServer(store, `${head}content-length: 2\r\n\r\n[]`, "end");
+            t.true((await httpCall({ address, method: "GET", path: "/", timeout: 5_000 })).err);
+        });
+    }
+
+    // Guards against tasks that wait for ever for a list, because a server changes the protocol of the connection.
+    it("fails if the server switches protocols", async t => {
+        await using store = new DisposableStore();
+        const head = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n";
+        const address = await startRawServer(store, head, "end");
+        t.true((await httpCall({ address, method: "GET", path: "/", timeout: 5_000 })).err);
+    });
+
     // Guards against servers that hold memory and time with bytes that are no response.
     describe("fails, and closes its connection, if a server sends bytes without end", () => {
         for (
--- a/tests/connection/rawServer.ts
+++ b/tests/connection/rawServer.ts
@@ -14,16 +14,16 @@
 /** Writes bytes and ends the connection in the same turn of the event loop. */
 export function writeAndEnd(socket: Socket, bytes: string, ending: ServerEnding): void {
     if (ending === "end") {
-        socket.end(bytes);
+        socket.end(bytes, "latin1");
         return;
     }
     if (ending === "endThenReset") {
-        socket.end(bytes, () => {
+        socket.end(bytes, "latin1", () => {
             socket.destroy();
         });
         return;
     }
-    socket.write(bytes);
+    socket.write(bytes, "latin1");
     socket.resetAndDestroy();
 }
 
--- a/tests/request/hosted/scriptedCall.ts
+++ b/tests/request/hosted/scriptedCall.ts
@@ -111,7 +111,7 @@
         socket.once("data", bytes => {
             const script = scripts[requests.length];
             requests.push(bytes.toString());
-            socket.write(script?.bytes ?? "");
+            socket.write(script?.bytes ?? "", "latin1");
             finish(socket, script?.ending ?? "reset");
         });
     });
