fix(request): replace statuses that promise "not run" where an endpoint may have run the call

Callers got the 503, which promises that the call has not run and never will, booked again, and the place was confirmed twice.

Cause: an error response of an endpoint was forwarded whatever its status said to callers. Only the endpoint's statement (`Gullhall-Not-Executed`, or 421 of this call) is evidence, and it was used for second attempts alone.

Change: for a call that may run once only, 408, 421, 429 and 503 of an endpoint that may have run it become 502 with an unknown outcome, without the endpoint's proof and Retry-After. Calls that may be repeated keep the endpoint's response.

--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -210,7 +210,7 @@
         const { callerResponse } = this.input;
         // An error that follows a part of another response is not forwarded: the caller would take it for the rest.
         if (outcome.kind === "failedAnswer" && !callerResponse.hasBegun) {
-            callerResponse.forwardBuffered(outcome.message, outcome.body, attempts, "");
+            callerResponse.forwardFailure(call, outcome.message, outcome.body, attempts, "");
             return;
         }
         const isLate = outcome.kind === "failed" && outcome.code === "callTimedOutAtEndpoint";
--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -3,6 +3,7 @@
 import { abortResponse } from "../../connection/abortResponse.js";
 import { hasFramedBody } from "../../connection/framedBody.js";
 import { sendFailure, waitForDrain } from "../../connection/httpResponse.js";
+import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext, Refusal } from "./callContext.js";
@@ -16,6 +17,12 @@
 /** Status codes of responses that never have a body: 204 (No Content) and 304 (Not Modified). */
 const bodilessStatuses: readonly number[] = [204, 304];
 
+/**
+ * Status codes by which callers conclude that a call has not run and never will: 408 (Request Timeout), 421 (Misdirected
+ * Request), 429 (Too Many Requests) and 503.
+ */
+const notRunStatuses: readonly number[] = [408, 421, 429, unavailableStatus];
+
 /** Writes the response to the caller of one call. */
 export class CallerResponse {
     private isChunkForwarded = false;
@@ -135,6 +142,25 @@
         this.recordDelivery(message.statusCode ?? 0, attempts, endpointId);
     }
 
+    /**
+     * Forwards the error response of an endpoint that may have run the call; nothing of another one may have been sent.
+     *
+     * If the call may run only once, the caller must not conclude from the status that it has not run.
+     */
+    forwardFailure(
+        call: AdmittedCall,
+        message: IncomingMessage,
+        body: Buffer,
+        attempts: number,
+        endpointId: string,
+    ): void {
+        if (call.route.repeatRule === "once" && notRunStatuses.includes(message.statusCode ?? 0)) {
+            this.fail(failure("callOutcomeUnknown"), call);
+            return;
+        }
+        this.forwardBuffered(message, body, attempts, endpointId);
+    }
+
     /** Responds with an error to a call that has not run. */
     refuse({ reason, call, retryAfter, feature }: Refusal): void {
         const { view, suspensionDetector, eventLog, counters } = this.context;
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -595,7 +595,7 @@
     private respondToFailure(call: AdmittedCall, { outcome, placement: { endpoint } }: FailedAttempt): void {
         // An error that follows a part of another response is not forwarded: the caller would take it for the rest.
         if (outcome.kind === "failedAnswer" && !this.callerResponse.hasBegun) {
-            this.callerResponse.forwardBuffered(outcome.message, outcome.body, this.executions, endpoint.id);
+            this.callerResponse.forwardFailure(call, outcome.message, outcome.body, this.executions, endpoint.id);
             return;
         }
         if (this.executions === 0) {
