fix(hosted): send short bodies without a length in chunks between entries

Change: another entry gets such a body in chunks; it passes it on in chunks, as before. Callers still get it without a length.

--- a/src/request/hosted/callerResponse.ts
+++ b/src/request/hosted/callerResponse.ts
@@ -133,7 +133,7 @@
         if (length !== undefined && hasFramedBody(message)) {
             headers.push("Content-Length", String(length));
         }
-        else {
+        else if (!this.relayedHeaders.isRelayed) {
             this.delimitByConnectionClose();
         }
         this.relayedHeaders.set("endpoint");
@@ -213,10 +213,11 @@
     }
 
     /**
-     * Delimits a buffered body by closing the connection, as the endpoint did: a faulty endpoint may end its connection
+     * Delimits a buffered body for a caller by closing the connection, as the endpoint did: a faulty endpoint may end its connection
      * early but in order, and a length would assert that the body is complete.
      *
-     * The body is written as a whole, so that an end of this entry is hardly taken for the end of the body.
+     * The body is written as a whole, so that an end of this entry is hardly taken for the end of the body. Another entry
+     * gets it in chunks instead.
      */
     private delimitByConnectionClose(): void {
         this.response.shouldKeepAlive = false;
--- a/src/request/hosted/relayedResponseHeaders.ts
+++ b/src/request/hosted/relayedResponseHeaders.ts
@@ -20,6 +20,11 @@
         private readonly endpoint: () => KnownRun | undefined,
     ) {}
 
+    /** Whether another entry asked for the response. */
+    get isRelayed(): boolean {
+        return this.relayed !== undefined;
+    }
+
     /** Sets the headers; must be called before the head of the response is written. */
     set(source: ResponseSource): void {
         const { response, relayed, version, origin, endpoint } = this;
