fix(request): do not forward an engine's error whose connection was reset

Callers of chats got a part of an engine's error response without a length as the whole, if its connection was reset with its last bytes, and the request was not tried again.

Cause: the state of the connection was asked for services only. A success of an engine is complete by its own end marker.

Test that failed before: modelRequest.test.ts, "error of an engine".

--- a/src/request/model/modelAttempt.ts
+++ b/src/request/model/modelAttempt.ts
@@ -91,7 +91,7 @@
             signal: this.signal,
         });
         if (sendResult.kind === "answer") {
-            return await this.readResponse(sendResult.message);
+            return await this.readResponse(sendResult.message, sendResult.hasFailed);
         }
         const { sent: mayHaveArrived, reason } = sendResult.error;
         if (!this.signal.aborted) {
@@ -117,7 +117,7 @@
         return this.placement.preempted.aborted ? { kind: "preempted" } : undefined;
     }
 
-    private async readResponse(message: IncomingMessage): Promise<ModelAttemptResult> {
+    private async readResponse(message: IncomingMessage, hasFailed: () => boolean): Promise<ModelAttemptResult> {
         const { endpoint } = this.placement;
         if (this.belongsToOtherRequest(message)) {
             return { kind: "broken", reason: "the response belongs to another request" };
@@ -126,7 +126,7 @@
             endpoint.markLeaving(this.now());
         }
         if (message.statusCode !== 200) {
-            return await this.readErrorResponse(message);
+            return await this.readErrorResponse(message, hasFailed);
         }
         const { progress, pendingRequest } = this.call;
         const reader = new EngineResponseReader(
@@ -153,7 +153,7 @@
         return true;
     }
 
-    private async readErrorResponse(message: IncomingMessage): Promise<ModelAttemptResult> {
+    private async readErrorResponse(message: IncomingMessage, hasFailed: () => boolean): Promise<ModelAttemptResult> {
         const { endpoint } = this.placement;
         const status = message.statusCode ?? 0;
         const body = await collectBody(message, maximumErrorBodyBytes);
@@ -169,7 +169,9 @@
             return { kind: "notRun", reason };
         }
         const isClientError = status >= 400 && status < 500 && status !== 429;
-        return isClientError ? { kind: "rejected", status, body: body ?? Buffer.alloc(0) } : { kind: "broken", reason };
+        return isClientError && !hasFailed()
+            ? { kind: "rejected", status, body: body ?? Buffer.alloc(0) }
+            : { kind: "broken", reason };
     }
 
     private recordResult(result: EngineResponseResult, foreignChunks: number): void {
--- a/tests/request/model/modelRequest.test.ts
+++ b/tests/request/model/modelRequest.test.ts
@@ -7,6 +7,7 @@
 import { ask, chatCall, chatText, codeOf, collect, open, streamedText } from "../../connection/entry/testCaller.js";
 import { TestEntry } from "../../connection/entry/testEntry.js";
 import { disconnections, formatRequest, sendAndDisconnect } from "../../connection/leavingCaller.js";
+import { startRawServer } from "../../connection/rawServer.js";
 import { describe, it } from "../../describe.js";
 
 async function startEngines(store: DisposableStore, count: number, options: object = {}): Promise<ModelEngine[]> {
@@ -196,3 +197,14 @@
     const messages = [{ role: "user", content: `${text} [answer-tokens: 200000]` }];
     return JSON.stringify({ model: "alpha", stream: true, max_tokens: 4096, messages });
 }
+
+describe("error of an engine", () => {
+    // Guards against a part of an error that callers get as the whole, and against requests that are then not repeated.
+    it("is not forwarded if its connection is reset together with its last bytes", async t => {
+        await using store = new DisposableStore();
+        const engine = await startRawServer(store, "HTTP/1.1 400 Bad Request\r\n\r\npart", "resetWithData");
+        const entry = store.add(await TestEntry.start({ engines: [engine] }));
+        const response = await ask(entry, chatCall(5));
+        t.deepEqual([codeOf(response), response.body.includes("part")], ["endpointFailed", false]);
+    });
+});
