feat(log): tell why a response is missing, incomplete or invalid

The log gave the text of an error of Node.js for a lost attempt ("aborted", "socket hang up"), which does not tell a reset from an early end, and own entries logged nothing for a response that they did not forward.

2461 and 2476 have a field `fault` now, and own entries write 2246 with it, each with the id of the call: `reset`, `endedEarly`, `invalidStatus`, `invalidHeader`, `invalidFraming` or `other`; none if the entry itself aborted the attempt.

--- a/src/connection/entry/endpointClient.ts
+++ b/src/connection/entry/endpointClient.ts
@@ -6,7 +6,9 @@
 import { ClientAgent } from "../clientAgent.js";
 import { connectClient, detectResetOfUnframedBody } from "../clientSocket.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
-import { invalidHeadReason } from "../responseHead.js";
+import { responseFaultOf } from "../responseFault.js";
+import type { ResponseFault } from "../responseFault.js";
+import { findHeadViolation } from "../responseHead.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 
 /** Maximum number of idle connections to one endpoint. */
@@ -37,6 +39,8 @@
     /** Whether a byte of the request may have reached the endpoint. */
     readonly sent: boolean;
     readonly reason: string;
+    /** Undefined if nothing was sent. */
+    readonly fault: ResponseFault | undefined;
 }
 
 /** Result of a call: a response whose body has not been read, or an error. */
@@ -45,10 +49,10 @@
         readonly kind: "answer";
         readonly message: IncomingMessage;
         /**
-         * Whether the connection has failed, so that the body is incomplete: `node:http` reports the end of a body without
-         * a length in any case.
+         * How the connection has failed, so that the body is incomplete: `node:http` reports the end of a body without a
+         * length in any case. Undefined if it has not failed.
          */
-        readonly hasFailed: () => boolean;
+        readonly connectionFault: () => ResponseFault | undefined;
     }
     | { readonly kind: "error"; readonly error: EndpointCallError; };
 
@@ -66,7 +70,7 @@
     /** Sends a call; resolves when the headers of the response have arrived, or with an error. */
     send(call: EndpointCall): Promise<EndpointCallResult> {
         if (!hasPort(this.address)) {
-            const error = { sent: false, reason: `${this.address} has no port to connect to` };
+            const error = { sent: false, reason: `${this.address} has no port to connect to`, fault: undefined };
             return Promise.resolve({ kind: "error", error });
         }
         return new Promise(resolve => {
@@ -86,17 +90,20 @@
             new ResponseByteGuard(clientRequest, () => {
                 cancelRequest(clientRequest);
             });
-            let hasFailed = false;
+            let sent = false;
+            let connectionFault: ResponseFault | undefined;
+            const fail = (reason: string, fault: ResponseFault): void => {
+                resolve({ kind: "error", error: { sent, reason, fault: sent ? fault : undefined } });
+            };
             clientRequest.once("response", response => {
-                const invalidReason = invalidHeadReason(response);
-                if (invalidReason !== undefined) {
-                    resolve({ kind: "error", error: { sent, reason: invalidReason } });
+                const violation = findHeadViolation(response);
+                if (violation !== undefined) {
+                    fail(violation.reason, violation.fault);
                     cancelRequest(clientRequest);
                     return;
                 }
-                resolve({ kind: "answer", message: response, hasFailed: () => hasFailed });
+                resolve({ kind: "answer", message: response, connectionFault: () => connectionFault });
             });
-            let sent = false;
             sendWhenConnected(clientRequest, {
                 body: call.body,
                 connectTimeout,
@@ -108,12 +115,12 @@
                 },
             });
             clientRequest.on("error", error => {
-                hasFailed = true;
-                resolve({ kind: "error", error: { sent, reason: error.message } });
+                connectionFault ??= responseFaultOf(error);
+                fail(error.message, connectionFault);
             });
             // A change of the protocol (101) that nobody asked for closes the connection without an error.
             clientRequest.once("close", () => {
-                resolve({ kind: "error", error: { sent, reason: "the connection was closed" } });
+                fail("the connection was closed", "endedEarly");
             });
         });
     }
--- a/src/connection/hosted/endpointExchange.ts
+++ b/src/connection/hosted/endpointExchange.ts
@@ -9,7 +9,9 @@
 import { discardBody } from "../discardBody.js";
 import { hasFramedBody } from "../framedBody.js";
 import { ResponseByteGuard } from "../responseByteGuard.js";
-import { invalidHeadReason } from "../responseHead.js";
+import { responseFaultOf } from "../responseFault.js";
+import type { ResponseFault } from "../responseFault.js";
+import { findHeadViolation } from "../responseHead.js";
 import { sendWhenConnected } from "../sendWhenConnected.js";
 import { EndpointAgent } from "./endpointAgent.js";
 
@@ -43,7 +45,8 @@
     private request: ClientRequest;
     private byteGuard: ResponseByteGuard;
     private hasBeenSent = false;
-    private hasConnectionFailed = false;
+    private headFault: ResponseFault | undefined;
+    private connectionError: Error | undefined;
     private cancelReason: string | undefined;
 
     /** Sends the request. */
@@ -86,13 +89,21 @@
         return this.cancelReason !== undefined;
     }
 
+    /** Why the response is missing, incomplete or invalid, if it is; undefined if the request was aborted on this side. */
+    get fault(): ResponseFault | undefined {
+        if (this.headFault !== undefined || this.isCancelled) {
+            return this.headFault;
+        }
+        return this.connectionError === undefined ? "endedEarly" : responseFaultOf(this.connectionError);
+    }
+
     /**
      * Whether a response that was read to its end is complete.
      *
      * `node:http` reports the end of a response without a length in any case.
      */
     isComplete(message: IncomingMessage): boolean {
-        return message.complete && !this.hasConnectionFailed;
+        return message.complete && this.connectionError === undefined;
     }
 
     /** Yields the body of the response; throws if the connection fails. */
@@ -151,9 +162,10 @@
     head(): Promise<ExchangeHead> {
         return new Promise(resolve => {
             this.request.once("response", message => {
-                const invalidReason = invalidHeadReason(message);
-                if (invalidReason !== undefined) {
-                    this.cancel(invalidReason);
+                const violation = findHeadViolation(message);
+                if (violation !== undefined) {
+                    this.headFault = violation.fault;
+                    this.cancel(violation.reason);
                     return;
                 }
                 resolve({ kind: "response", message, traits: readResponseTraits(message) });
@@ -175,8 +187,8 @@
 
     private observe(request: ClientRequest): ResponseByteGuard {
         detectResetOfUnframedBody(request);
-        request.on("error", () => {
-            this.hasConnectionFailed = true;
+        request.on("error", error => {
+            this.connectionError ??= error;
         });
         return new ResponseByteGuard(request, () => {
             this.cancel("the endpoint sent too many bytes that belong to no response");
--- a/src/connection/httpCall.ts
+++ b/src/connection/httpCall.ts
@@ -7,7 +7,7 @@
 import { cancelOnAbort, cancelRequest } from "./cancelRequest.js";
 import { connectClient, detectResetOfUnframedBody } from "./clientSocket.js";
 import { ResponseByteGuard } from "./responseByteGuard.js";
-import { invalidHeadReason } from "./responseHead.js";
+import { findHeadViolation } from "./responseHead.js";
 
 /** Maximum size of the body of a response unless the call states another one, in bytes. */
 const defaultMaximumResponseBytes = 64 * 1024 * 1024;
@@ -78,9 +78,9 @@
         let hasResponse = false;
         clientRequest.once("response", response => {
             hasResponse = true;
-            const invalidReason = invalidHeadReason(response);
-            if (invalidReason !== undefined) {
-                cancel(invalidReason);
+            const violation = findHeadViolation(response);
+            if (violation !== undefined) {
+                cancel(violation.reason);
                 return;
             }
             const limit = call.maximumResponseBytes ?? defaultMaximumResponseBytes;
--- a/src/logEvent/entryEvents.ts
+++ b/src/logEvent/entryEvents.ts
@@ -86,6 +86,12 @@
         text: "Data from a caller was rejected before it was parsed as a request.",
         fields: ["address", "code"],
     },
+    endpointResponseFailed: {
+        number: 2246,
+        level: "warn",
+        text: "The response of an endpoint is missing, incomplete or invalid.",
+        fields: ["requestId", "endpoint", "fault", "reason"],
+    },
     usageUndelivered: {
         number: 2212,
         level: "error",
--- a/src/logEvent/hostedEvents.ts
+++ b/src/logEvent/hostedEvents.ts
@@ -190,7 +190,7 @@
         number: 2461,
         level: "warn",
         text: "An attempt to call an endpoint failed.",
-        fields: ["requestId", "attempt", "endpoint", "outcome", "reason", "elapsed"],
+        fields: ["requestId", "attempt", "endpoint", "outcome", "fault", "reason", "elapsed"],
     },
     callRefused: {
         number: 2462,
@@ -268,7 +268,18 @@
         number: 2476,
         level: "warn",
         text: "Another entry did not complete a call that was sent through it.",
-        fields: ["requestId", "attempt", "entry", "outcome", "code", "status", "version", "entryVersion", "elapsed"],
+        fields: [
+            "requestId",
+            "attempt",
+            "entry",
+            "outcome",
+            "fault",
+            "code",
+            "status",
+            "version",
+            "entryVersion",
+            "elapsed",
+        ],
     },
     relayedCallRejected: {
         number: 2477,
--- a/src/process/platform/httpLeasedCaller.ts
+++ b/src/process/platform/httpLeasedCaller.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { connectClient, detectResetOfUnframedBody } from "../../connection/clientSocket.js";
 import { resetConnection } from "../../connection/resetConnection.js";
-import { invalidHeadReason } from "../../connection/responseHead.js";
+import { findHeadViolation } from "../../connection/responseHead.js";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -127,9 +127,9 @@
         });
         clientRequest.end(body);
         const response = await responseOf(clientRequest);
-        const invalidReason = invalidHeadReason(response);
-        if (invalidReason !== undefined) {
-            throw new Error(invalidReason);
+        const violation = findHeadViolation(response);
+        if (violation !== undefined) {
+            throw new Error(violation.reason);
         }
         const text = await readText(response);
         if (connectionError !== undefined) {
--- a/src/request/hosted/callDetour.ts
+++ b/src/request/hosted/callDetour.ts
@@ -176,6 +176,7 @@
                 attempt: this.attemptCount,
                 entry: relay.entry,
                 outcome: outcome.kind,
+                fault: outcome.kind === "lost" ? outcome.fault : undefined,
                 code: codeOf(outcome),
                 status: outcome.kind === "failedAnswer" ? outcome.message.statusCode : undefined,
                 version: call.version,
--- a/src/request/hosted/endpointAttempt.ts
+++ b/src/request/hosted/endpointAttempt.ts
@@ -3,6 +3,7 @@
 import { hasFramedBody } from "../../connection/framedBody.js";
 import { EndpointExchange } from "../../connection/hosted/endpointExchange.js";
 import type { ExchangeHead } from "../../connection/hosted/endpointExchange.js";
+import type { ResponseFault } from "../../connection/responseFault.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { AdmittedCall, CallContext } from "./callContext.js";
 import type { CallerResponse } from "./callerResponse.js";
@@ -51,6 +52,8 @@
     | {
         readonly kind: "lost";
         readonly reason: string;
+        /** Undefined if this entry aborted the attempt. */
+        readonly fault: ResponseFault | undefined;
         /** Whether the endpoint's side ended the connection, rather than this entry or the deadline. */
         readonly wasDisconnected: boolean;
     };
@@ -190,7 +193,8 @@
     }
 
     private lost(reason: string): AttemptOutcome {
-        return { kind: "lost", reason, wasDisconnected: !this.exchange.isCancelled };
+        const { fault, isCancelled } = this.exchange;
+        return { kind: "lost", reason, fault, wasDisconnected: !isCancelled };
     }
 
     /** @param isOwn Whether the response certainly belongs to this attempt. */
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -405,6 +405,7 @@
         const lost = {
             kind: "lost",
             reason: "the other entry did not complete the call",
+            fault: undefined,
             wasDisconnected: false,
         } as const;
         const isRepeatable = this.mayGoOn && this.remainingTime(route) >= minimumAttemptTime
@@ -685,6 +686,7 @@
             attempt: this.triedEndpoints.size,
             endpoint: endpoint.id,
             outcome: outcome.kind,
+            fault: outcome.kind === "lost" ? outcome.fault : undefined,
             reason: outcome.kind === "failedAnswer" ? `status ${outcome.message.statusCode ?? 0}` : outcome.reason,
             elapsed: Math.round(now - sentAt),
         });
--- a/src/request/hosted/relayAttempt.ts
+++ b/src/request/hosted/relayAttempt.ts
@@ -8,6 +8,7 @@
     readRelayVersion,
     relayHeadersOf,
 } from "../../connection/hosted/relayHeaders.js";
+import type { ResponseFault } from "../../connection/responseFault.js";
 import type { KnownRun } from "../../process/hosted/endpointRecord.js";
 import type { Relay } from "../../process/hosted/entry/relayDirectory.js";
 import type { StreamOrigin } from "../../process/hosted/streamOrigin.js";
@@ -38,7 +39,11 @@
     /** The other entry gave the call up, which may have run. */
     | { readonly kind: "failed"; readonly code: ResultCode; }
     /** The call may have run, but its response is missing or incomplete. */
-    | { readonly kind: "lost"; };
+    | {
+        readonly kind: "lost";
+        /** Undefined if this entry aborted the attempt. */
+        readonly fault: ResponseFault | undefined;
+    };
 
 /** Why another entry refused a call. */
 export interface RelayRefusal {
@@ -109,7 +114,7 @@
         try {
             const head = await this.exchange.head();
             if (head.kind !== "response") {
-                return head.kind === "notSent" ? { kind: "unreached" } : { kind: "lost" };
+                return head.kind === "notSent" ? { kind: "unreached" } : this.lost();
             }
             const { status } = head.traits;
             const endpoint = readRelayedRun(head.message.headers);
@@ -124,13 +129,17 @@
                 : await this.forwardBody(head.message);
         }
         catch {
-            return { kind: "lost" };
+            return this.lost();
         }
         finally {
             clearTimeout(deadlineTimer);
         }
     }
 
+    private lost(): RelayOutcome {
+        return { kind: "lost", fault: this.exchange.fault };
+    }
+
     private async forwardBody(message: IncomingMessage): Promise<RelayOutcome> {
         const { callerResponse } = this.input;
         for await (const chunk of this.exchange.body(message)) {
@@ -148,7 +157,7 @@
             const events = splitter.push(chunk);
             if (splitter.isEventTooLong) {
                 this.cancel("an event of the stream is too long");
-                return { kind: "lost" };
+                return this.lost();
             }
             if (events === undefined) {
                 continue;
@@ -165,7 +174,7 @@
     private endForwarding(message: IncomingMessage, trailingBytes: Buffer): RelayOutcome {
         const { callerResponse, relay, executions } = this.input;
         if (!this.exchange.isComplete(message)) {
-            return { kind: "lost" };
+            return this.lost();
         }
         callerResponse.endStream(message, trailingBytes, executions + 1, relay.entry);
         return { kind: "delivered" };
@@ -179,11 +188,11 @@
             chunks.push(chunk);
             if (byteCount > maximumFailureBytes) {
                 this.cancel("the body of an error is too long");
-                return { kind: "lost" };
+                return this.lost();
             }
         }
         if (!this.exchange.isComplete(message)) {
-            return { kind: "lost" };
+            return this.lost();
         }
         const body = Buffer.concat(chunks);
         const { hasSignature, retryAfter } = readResponseTraits(message);
--- a/src/request/model/modelAttempt.ts
+++ b/src/request/model/modelAttempt.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { ResponseFault } from "../../connection/responseFault.js";
 import type { Placement } from "../../process/entry/poolDispatcher.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { callerReadTimeout } from "../callerReadTimeout.js";
@@ -91,11 +92,12 @@
             signal: this.signal,
         });
         if (sendResult.kind === "answer") {
-            return await this.readResponse(sendResult.message, sendResult.hasFailed);
+            return await this.readResponse(sendResult.message, sendResult.connectionFault);
         }
-        const { sent: mayHaveArrived, reason } = sendResult.error;
+        const { sent: mayHaveArrived, reason, fault } = sendResult.error;
         if (!this.signal.aborted) {
             this.recordFault(mayHaveArrived ? "brokenAnswer" : "unreachable");
+            this.logFault(fault, reason);
         }
         return mayHaveArrived ? { kind: "broken", reason } : { kind: "notRun", reason };
     }
@@ -117,7 +119,10 @@
         return this.placement.preempted.aborted ? { kind: "preempted" } : undefined;
     }
 
-    private async readResponse(message: IncomingMessage, hasFailed: () => boolean): Promise<ModelAttemptResult> {
+    private async readResponse(
+        message: IncomingMessage,
+        connectionFault: () => ResponseFault | undefined,
+    ): Promise<ModelAttemptResult> {
         const { endpoint } = this.placement;
         if (this.belongsToOtherRequest(message)) {
             return { kind: "broken", reason: "the response belongs to another request" };
@@ -126,7 +131,7 @@
             endpoint.markLeaving(this.now());
         }
         if (message.statusCode !== 200) {
-            return await this.readErrorResponse(message, hasFailed);
+            return await this.readErrorResponse(message, connectionFault);
         }
         const { progress, pendingRequest } = this.call;
         const reader = new EngineResponseReader(
@@ -136,6 +141,9 @@
         );
         const result = await reader.read(message, (content, tokenNumber) => this.forwardToken(content, tokenNumber));
         this.recordResult(result, reader.foreignChunks);
+        if (result.kind === "broken") {
+            this.logFault(connectionFault() ?? (message.complete ? undefined : "endedEarly"), result.reason);
+        }
         return result;
     }
 
@@ -153,7 +161,10 @@
         return true;
     }
 
-    private async readErrorResponse(message: IncomingMessage, hasFailed: () => boolean): Promise<ModelAttemptResult> {
+    private async readErrorResponse(
+        message: IncomingMessage,
+        connectionFault: () => ResponseFault | undefined,
+    ): Promise<ModelAttemptResult> {
         const { endpoint } = this.placement;
         const status = message.statusCode ?? 0;
         const body = await collectBody(message, maximumErrorBodyBytes);
@@ -168,8 +179,10 @@
             }
             return { kind: "notRun", reason };
         }
+        const fault = connectionFault();
+        this.logFault(fault, reason);
         const isClientError = status >= 400 && status < 500 && status !== 429;
-        return isClientError && !hasFailed()
+        return isClientError && fault === undefined
             ? { kind: "rejected", status, body: body ?? Buffer.alloc(0) }
             : { kind: "broken", reason };
     }
@@ -238,6 +251,19 @@
         }));
     }
 
+    /** Logs why there is no whole response, unless this entry aborted the call. */
+    private logFault(fault: ResponseFault | undefined, reason: string): void {
+        const { context, pendingRequest } = this.call;
+        if (fault !== undefined && !this.signal.aborted) {
+            context.eventLog.write("endpointResponseFailed", {
+                requestId: pendingRequest.id,
+                endpoint: this.placement.endpoint.name,
+                fault,
+                reason,
+            });
+        }
+    }
+
     private recordFault(fault: "unreachable" | "brokenAnswer" | "stalled"): void {
         this.call.context.dispatcher.table.recordFault(this.placement.endpoint, fault, this.now());
     }
--- a/src/request/service/serviceAttempt.ts
+++ b/src/request/service/serviceAttempt.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import { discardBody } from "../../connection/discardBody.js";
+import type { ResponseFault } from "../../connection/responseFault.js";
 import type { Placement } from "../../process/entry/poolDispatcher.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { PendingRequest } from "../pendingRequest.js";
@@ -53,13 +54,14 @@
             freshConnection: !pendingRequest.idempotent,
         });
         if (sendResult.kind === "answer") {
-            return await this.readResponse(sendResult.message, sendResult.hasFailed);
+            return await this.readResponse(sendResult.message, sendResult.connectionFault);
         }
-        const { sent: mayHaveArrived, reason } = sendResult.error;
+        const { sent: mayHaveArrived, reason, fault } = sendResult.error;
         if (pendingRequest.idempotent && context.callerAbortSignal.aborted) {
             return { kind: "callerLeft" };
         }
         this.recordFault(mayHaveArrived);
+        this.logFault(fault, reason);
         return mayHaveArrived ? { kind: "unknown", reason } : { kind: "notRun", reason };
     }
 
@@ -74,7 +76,10 @@
         this.attemptEnded.abort();
     }
 
-    private async readResponse(message: IncomingMessage, hasFailed: () => boolean): Promise<ServiceAttemptResult> {
+    private async readResponse(
+        message: IncomingMessage,
+        connectionFault: () => ResponseFault | undefined,
+    ): Promise<ServiceAttemptResult> {
         const { context, pendingRequest, placement } = this;
         const { endpoint } = placement;
         const now = context.clock.now();
@@ -98,13 +103,15 @@
             endpoint.recordBusy(now);
             return { kind: "notRun", reason: `status ${message.statusCode ?? 0}` };
         }
-        const response = await ServiceResponse.readBeginning(message, hasFailed);
+        const response = await ServiceResponse.readBeginning(message, connectionFault);
         if (response === undefined) {
             if (pendingRequest.idempotent && context.callerAbortSignal.aborted) {
                 return { kind: "callerLeft" };
             }
+            const reason = "the response ended early";
             this.recordFault(true);
-            return { kind: "unknown", reason: "the response ended early" };
+            this.logFault(connectionFault() ?? "endedEarly", reason);
+            return { kind: "unknown", reason };
         }
         endpoint.latency.recordStep(context.clock.now() - placement.startedAt);
         endpoint.recordSuccess(now);
@@ -121,6 +128,19 @@
         dispatcher.table.recordFault(this.placement.endpoint, fault, clock.now());
     }
 
+    /** Logs why there is no whole response, unless this entry aborted the call. */
+    private logFault(fault: ResponseFault | undefined, reason: string): void {
+        const { context, pendingRequest, placement } = this;
+        if (fault !== undefined && !this.signal.aborted) {
+            context.eventLog.write("endpointResponseFailed", {
+                requestId: pendingRequest.id,
+                endpoint: placement.endpoint.name,
+                fault,
+                reason,
+            });
+        }
+    }
+
     private forwardedHeaders(): OutgoingHttpHeaders {
         const headers: OutgoingHttpHeaders = { "x-request-id": this.pendingRequest.id };
         for (const name of forwardedRequestHeaders) {
--- a/src/request/service/serviceResponse.ts
+++ b/src/request/service/serviceResponse.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
+import type { ResponseFault } from "../../connection/responseFault.js";
 import { forwardedResponseHeaders } from "./forwardedHeaders.js";
 
 /** Number of body bytes that are buffered before any of the response is forwarded to the caller. */
@@ -13,7 +14,7 @@
     private constructor(
         private readonly message: IncomingMessage,
         private readonly iterator: AsyncIterator<Buffer>,
-        private readonly hasFailed: () => boolean,
+        private readonly connectionFault: () => ResponseFault | undefined,
         /** The buffered first bytes of the body. */
         readonly beginning: Buffer,
         /** Whether `beginning` is the complete body. */
@@ -23,11 +24,11 @@
     /**
      * Buffers the beginning of the body; undefined when the connection fails before it is complete.
      *
-     * @param hasFailed Whether the connection has failed.
+     * @param connectionFault How the connection has failed; undefined if it has not.
      */
     static async readBeginning(
         message: IncomingMessage,
-        hasFailed: () => boolean,
+        connectionFault: () => ResponseFault | undefined,
     ): Promise<ServiceResponse | undefined> {
         const iterator = (message as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
         const chunks: Buffer[] = [];
@@ -36,9 +37,9 @@
             while (receivedBytes < bufferedBeginningBytes) {
                 const next = await iterator.next();
                 if (next.done === true) {
-                    return hasFailed()
-                        ? undefined
-                        : new ServiceResponse(message, iterator, hasFailed, Buffer.concat(chunks), true);
+                    return connectionFault() === undefined
+                        ? new ServiceResponse(message, iterator, connectionFault, Buffer.concat(chunks), true)
+                        : undefined;
                 }
                 chunks.push(next.value);
                 receivedBytes += next.value.length;
@@ -47,7 +48,7 @@
         catch {
             return undefined;
         }
-        return new ServiceResponse(message, iterator, hasFailed, Buffer.concat(chunks), false);
+        return new ServiceResponse(message, iterator, connectionFault, Buffer.concat(chunks), false);
     }
 
     /** HTTP status of the response; 502 if it has none. */
@@ -77,7 +78,7 @@
         for (;;) {
             const next = await this.iterator.next();
             if (next.done === true) {
-                if (this.hasFailed()) {
+                if (this.connectionFault() !== undefined) {
                     throw new Error("the connection failed");
                 }
                 return;
--- a/tests/request/hosted/retryRule.test.ts
+++ b/tests/request/hosted/retryRule.test.ts
@@ -23,7 +23,7 @@
 const unreached: FailedOutcome = { kind: "notRun", reason: "refused", cause: "unreached" };
 const full: FailedOutcome = { kind: "notRun", reason: "status 503", cause: "full" };
 const misdirected: FailedOutcome = { kind: "notRun", reason: "status 421", cause: "misdirected" };
-const lost: FailedOutcome = { kind: "lost", reason: "reset", wasDisconnected: true };
+const lost: FailedOutcome = { kind: "lost", reason: "reset", fault: "reset", wasDisconnected: true };
 
 const cases: readonly (readonly [string, FailedOutcome, DeployedRoute, number, number, RetryDecision])[] = [
     ["retries a call that reached no endpoint without using the budget", unreached, onceRoute, 0, 0, "free"],
--- /dev/null
+++ b/tests/request/service/responseFault.test.ts
@@ -0,0 +1,21 @@
+import { DisposableStore } from "../../../src/util/disposableStore.js";
+import { ask } from "../../connection/entry/testCaller.js";
+import { TestEntry } from "../../connection/entry/testEntry.js";
+import { faultyResponses } from "../../connection/faultyResponses.js";
+import { startRawServer } from "../../connection/rawServer.js";
+import { recordEvents } from "../../connection/recordedEvents.js";
+import { describe, itSerially } from "../../describe.js";
+
+describe("log of a service call whose response is incomplete or invalid", () => {
+    for (const { fault, title, bytes, ending } of faultyResponses("")) {
+        // Guards against logs from which the reason of a failed call cannot be told.
+        itSerially(`names the fault and the call (${fault}: ${title})`, async t => {
+            await using store = new DisposableStore();
+            const services = [await startRawServer(store, bytes, ending)];
+            const entry = store.add(await TestEntry.start({ services }));
+            const events = recordEvents(entry.state.eventLog, "endpointResponseFailed");
+            const response = await ask(entry, { path: "/bookings/a", body: "{}" });
+            t.like(events, [{ requestId: response.headers["x-request-id"], fault }]);
+        });
+    }
+});
