--- a/tests/request/hosted/staleResponse.test.ts
+++ b/tests/request/hosted/staleResponse.test.ts
@@ -4,6 +4,7 @@
 import type { HttpCallResponse } from "../../../src/connection/httpCall.js";
 import { DisposableStore } from "../../../src/util/disposableStore.js";
 import { listen } from "../../../src/util/socketAddress.js";
+import { writeAndEnd } from "../../connection/rawServer.js";
 import { describe, itSerially } from "../../describe.js";
 import { documentOf } from "../../platform/testDocument.js";
 import { createEndpointRecord } from "../../process/hosted/entry/testEndpoints.js";
@@ -37,8 +38,14 @@
     "a refusal of the call before":
         `HTTP/1.1 503 Unavailable\r\n${notExecuted}Gullhall-Attempt-Id: call-1\r\nContent-Length: 0\r\n\r\n`,
     "an answer to the call before": answerOf("call-1"),
+    "an answer in chunks to the call before": answerOf("call-1").replace(
+        "Content-Length: 6\r\n\r\nanswer",
+        "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
+    ),
 };
 
+const unframedAnswer = answerOf("call-1").replace("Content-Length: 6\r\n", "");
+
 /** An entry and two endpoints, which record the calls that they run. */
 class RecordingFleet implements AsyncDisposable {
     readonly runs: string[] = [];
@@ -132,6 +139,23 @@
         });
     }
 
+    for (const path of ["/bookings/a", "/drafts/a"]) {
+        for (const ending of ["end", "resetWithData"] as const) {
+            // Guards against an answer to another call that has no length, and ends with the connection (MIXED).
+            itSerially(`is not forwarded if it has no length (${path}, ${ending})`, async t => {
+                await using fleet = await RecordingFleet.start((callId, socket) => {
+                    if (callId === "call-1") {
+                        socket.write(answerOf(callId));
+                        return;
+                    }
+                    writeAndEnd(socket, unframedAnswer, ending);
+                }, 1);
+                await fleet.call("/look-ups/a", "call-1");
+                t.is((await fleet.call(path, "call-2")).status, 502);
+            });
+        }
+    }
+
     // Guards against calls that fail although their endpoint certainly did not run them.
     itSerially("is believed without an identifier if the call is the first one on its connection", async t => {
         const refusal = staleResponses["a refusal without an identifier"] ?? "";
