test(connection): see a reset as a reset in the callers of tests

Two listed tests (entryShutdown, HTTP/1.0, without a length and in chunks) each failed once: the caller of the test saw its connection end in order instead of by a reset.

Change: the caller asks the kernel for the end (ClientSocket).

--- a/tests/connection/rawCaller.ts
+++ b/tests/connection/rawCaller.ts
@@ -1,4 +1,6 @@
-import { openConnection } from "./leavingCaller.js";
+import { once } from "node:events";
+import { connectClient } from "../../src/connection/clientSocket.js";
+import { splitAddress } from "../../src/util/socketAddress.js";
 
 /** How the connection of a caller ended; `open`: it is kept. */
 export type ConnectionEnding = "end" | "reset" | "open";
@@ -17,7 +19,10 @@
 
 /** Sends a request; resolves with what was received until the connection ended, or until the time has passed. */
 export async function sendRaw(address: string, request: string, longestMilliseconds: number): Promise<RawResponse> {
-    const socket = await openConnection(address);
+    const socket = connectClient(splitAddress(address));
+    // A reset that arrives together with data would be seen as an orderly end otherwise.
+    socket.beginExactEnd();
+    await once(socket, "connect");
     let received = "";
     let ending: ConnectionEnding = "open";
     socket.on("data", (bytes: Buffer) => received += bytes.toString("latin1"));
