fix(request): count a service's long response that breaks off as a failure

On an own installation, a response that ended behind its first 64 KB left callers an incomplete body, as it must, but counted as a success of its endpoint, and the log told nothing of it.

Cause: the outcome was recorded when the beginning of the response had been read.

Change: the interruption counts as a failure of the endpoint, and 2246 names its fault and the call's id.

Tests that failed before: responseFault.test.ts, the two titles of long responses.

--- a/src/request/service/serviceAttempt.ts
+++ b/src/request/service/serviceAttempt.ts
@@ -70,6 +70,14 @@
         this.context.deadlines.set(this.stallTimeout, now + serviceResponseTimeout(this.pendingRequest.requestClass));
     }
 
+    /** Records that the response failed behind its beginning, unless this entry aborted the call. */
+    recordInterruption({ fault }: ServiceResponse): void {
+        if (!this.signal.aborted) {
+            this.recordFault(true);
+            this.logFault(fault, "the response ended early");
+        }
+    }
+
     /** Aborts the upstream request if it is still in progress. */
     [Symbol.dispose](): void {
         this.context.deadlines.clear(this.stallTimeout);
--- a/src/request/service/serviceRequest.ts
+++ b/src/request/service/serviceRequest.ts
@@ -223,6 +223,7 @@
             response.end();
         }
         catch {
+            attempt.recordInterruption(serviceResponse);
             abortResponse(response);
         }
     }
--- a/src/request/service/serviceResponse.ts
+++ b/src/request/service/serviceResponse.ts
@@ -51,6 +51,11 @@
         return new ServiceResponse(message, iterator, connectionFault, Buffer.concat(chunks), false);
     }
 
+    /** Why the body is incomplete, once reading it has failed. */
+    get fault(): ResponseFault {
+        return this.connectionFault() ?? "endedEarly";
+    }
+
     /** HTTP status of the response; 502 if it has none. */
     get status(): number {
         return this.message.statusCode ?? 502;
