fix(scripts): fail a test run that ended without its summary

A test that never ended passed: AVA's TAP reporter ends with an exception at its timeout, with exit code 1, which a listed failure of the same run explained ("1753 passed, 0 failed", though one file of 209 had no result).

Change: a run counts as successful only if AVA has printed its summary.

--- a/scripts/knownFailures.mjs
+++ b/scripts/knownFailures.mjs
@@ -11,3 +11,12 @@
 export function isKnownFailure(title, knownFailures) {
     return knownFailures.some(known => known === title || known.endsWith(` › ${title}`));
 }
+
+/**
+ * Whether a run of AVA succeeded apart from known failures.
+ *
+ * AVA exits with 1 for known failures too, and also after a timeout, when it may print no summary.
+ */
+export function isSuccess({ code, hasSummary, passed, failed, knownFailures }) {
+    return code === (knownFailures > 0 ? 1 : 0) && hasSummary && failed === 0 && passed > 0;
+}
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -8,7 +8,7 @@
 import { spawn } from "node:child_process";
 import { readFileSync } from "node:fs";
 import process from "node:process";
-import { isKnownFailure, parseKnownFailures } from "./knownFailures.mjs";
+import { isKnownFailure, isSuccess, parseKnownFailures } from "./knownFailures.mjs";
 
 const knownFailures = parseKnownFailures(readFileSync("KNOWN-RED.txt", "utf8"));
 const ava = spawn(process.execPath, ["node_modules/ava/entrypoints/cli.mjs", "--tap", ...process.argv.slice(2)], {
@@ -17,6 +17,8 @@
 let passed = 0;
 let failed = 0;
 const seenKnownFailures = [];
+/** Whether AVA has printed its summary; after a timeout it may end without one. */
+let hasSummary = false;
 let incompleteLine = "";
 
 ava.stdout.setEncoding("utf8");
@@ -30,13 +32,13 @@
             seenKnownFailures.push(title);
             continue;
         }
+        hasSummary ||= /^# fail \d+$/.test(line);
         passed += /^ok \d+/.test(line) ? 1 : 0;
         failed += /^not ok \d+/.test(line) ? 1 : 0;
     }
 });
 ava.on("close", code => {
-    const endedAsExpected = code === (seenKnownFailures.length > 0 ? 1 : 0);
-    const succeeded = endedAsExpected && failed === 0 && passed > 0;
+    const succeeded = isSuccess({ code, hasSummary, passed, failed, knownFailures: seenKnownFailures.length });
     for (const title of seenKnownFailures) {
         console.log(`known failure, listed in KNOWN-RED.txt: ${title}`);
     }
--- a/tests/scripts/knownFailures.test.ts
+++ b/tests/scripts/knownFailures.test.ts
@@ -5,10 +5,19 @@
 interface KnownFailuresModule {
     readonly parseKnownFailures: (text: string) => readonly string[];
     readonly isKnownFailure: (title: string, knownFailures: readonly string[]) => boolean;
+    readonly isSuccess: (run: TestRun) => boolean;
+}
+
+interface TestRun {
+    readonly code: number;
+    readonly hasSummary: boolean;
+    readonly passed: number;
+    readonly failed: number;
+    readonly knownFailures: number;
 }
 
 const url = pathToFileURL("scripts/knownFailures.mjs").href;
-const { isKnownFailure, parseKnownFailures } = await import(url) as KnownFailuresModule;
+const { isKnownFailure, isSuccess, parseKnownFailures } = await import(url) as KnownFailuresModule;
 
 const text = `# Known failures
 
@@ -39,3 +48,24 @@
         t.false(isKnownFailure("its promise", listed));
     });
 });
+
+describe("isSuccess", () => {
+    const run: TestRun = { code: 0, hasSummary: true, passed: 3, failed: 0, knownFailures: 0 };
+
+    it("accepts runs in which no tests but known ones failed", t => {
+        t.true(isSuccess(run));
+        t.true(isSuccess({ ...run, code: 1, knownFailures: 1 }));
+    });
+
+    // Guards against tests that never end, and pass because a known failure explains AVA's exit code.
+    it("rejects runs that ended without a summary", t => {
+        t.false(isSuccess({ ...run, code: 1, knownFailures: 1, hasSummary: false }));
+        t.false(isSuccess({ ...run, hasSummary: false }));
+    });
+
+    it("rejects other failures, and runs without tests", t => {
+        t.false(isSuccess({ ...run, code: 1 }));
+        t.false(isSuccess({ ...run, code: 1, failed: 1, knownFailures: 1 }));
+        t.false(isSuccess({ ...run, passed: 0 }));
+    });
+});
