test(hosted): send heartbeats from the entries that link at once

Cause: the entries of the test send one heartbeat. If all take more than about 2 s to link, the first links are given up as silent before the last one is named (traced: linked after 2,089 ms, 36 named, then 0; after 771 to 978 ms, 120 named).

Change: they send heartbeats as entries do.

--- a/tests/process/hosted/presenceReports.test.ts
+++ b/tests/process/hosted/presenceReports.test.ts
@@ -7,6 +7,9 @@
 import { describe, itSerially } from "../../describe.js";
 import { HostedInstallation } from "./hostedInstallation.js";
 
+/** Interval at which an entry sends a heartbeat, in milliseconds; without any, its link is given up. */
+const beatInterval = 400;
+
 /** Number of entries that link to a control process one after the other, without pauses. */
 const entryCount = 120;
 
@@ -28,7 +31,7 @@
     unixTime: 0,
     version: 0,
     isReady: true,
-    interval: 400,
+    interval: beatInterval,
     wantsPermit: false,
     work: {},
 };
@@ -62,6 +65,12 @@
             const link = open();
             link.send(helloOf(index));
             link.send(beat);
+            const timer = setInterval(() => {
+                link.send(beat);
+            }, beatInterval);
+            store.defer(() => {
+                clearInterval(timer);
+            });
             await link.messages().next();
         }
         while (named() < entryCount) {
