fix(connection): take up one request of a connection at a time

Clients that sent many requests ahead and left the responses unread ended a process: out of memory within a second, with 40 connections that sent shortest requests at a path without a route, and as well with sound calls of a sound key.

Cause: node:http parses all that one read returns, up to 64 KiB, and emits a request for each part of it, some 3,600 with the shortest ones. It stops reading only when responses have been written that are not read. A call of some 10 kB began for each, and Node.js answered requests without Host by itself in the same way.

Change: PipelinedConnection passes the bytes of a connection to the parser up to the end of the next headers, and goes on when the response has been sent (RFC 9112, 9.3.2); up to 64 KiB are held meanwhile. The time that a call waits counts towards its deadline. ClientConnections bounds the number of connections, the received bytes that are no request yet, the unread responses, and the time for which a client may read nothing; each limit has a setting, a metric and a reason in event 2004. HttpListener answers what Node.js answered by itself: 408, 400 and 431 are no longer written on a connection on which an earlier request runs, as the caller would take them for its response. All listeners for HTTP of both installations use it.

Why it works: what a connection occupies no longer depends on how much is sent ahead, only on the one request under way and the bytes that are held, and the sum of both is bounded.

Tests: tests/crowd/ starts the programs with the heap of the deploy file; the test command runs these tests one at a time, after the others.

--- a/src/connection/control/manifestHandlers.ts
+++ b/src/connection/control/manifestHandlers.ts
@@ -11,7 +11,7 @@
 import type { OperatorExchange, OperatorRoute } from "./operatorExchange.js";
 
 /** Maximum size of a manifest, in bytes. */
-const maximumManifestBytes = 64 * 1024 * 1024;
+export const maximumManifestBytes = 64 * 1024 * 1024;
 
 /** Dependencies of {@link ManifestHandlers}. */
 export interface ManifestHandlersOptions {
--- a/src/connection/control/operatorServer.ts
+++ b/src/connection/control/operatorServer.ts
@@ -1,4 +1,3 @@
-import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
@@ -6,10 +5,11 @@
 import { listen } from "../../util/socketAddress.js";
 import { sendFailure } from "../httpResponse.js";
 import { HttpServerDrain } from "../httpServerDrain.js";
+import type { HttpListeners } from "../server/httpListeners.js";
 import { EntryHandlers } from "./entryHandlers.js";
 import { ExplainHandlers } from "./explainHandlers.js";
 import { KeyHandlers } from "./keyHandlers.js";
-import { ManifestHandlers } from "./manifestHandlers.js";
+import { ManifestHandlers, maximumManifestBytes } from "./manifestHandlers.js";
 import type { ManifestHandlersOptions } from "./manifestHandlers.js";
 import { MemberHandlers } from "./memberHandlers.js";
 import type { OperatorRoute } from "./operatorExchange.js";
@@ -24,17 +24,21 @@
 export interface OperatorServerOptions extends ManifestHandlersOptions, StatusHandlersOptions {
     /** Address to listen on. */
     readonly address: string;
+    readonly listeners: HttpListeners;
 }
 
 /** HTTP server of the operator API; every request needs the bearer token of an operator. */
 export class OperatorServer implements AsyncDisposable {
     private readonly routes: ReadonlyMap<string, OperatorRoute>;
-    private readonly server = createServer((request, response) => {
-        void this.handle(request, response);
-    });
-    private readonly drain = new HttpServerDrain(this.server);
+    private readonly server;
+    private readonly drain: HttpServerDrain;
 
     constructor(private readonly options: OperatorServerOptions) {
+        const maximumBodyBytes = (): number => maximumManifestBytes;
+        this.server = options.listeners.create({ name: "operators", maximumBodyBytes }, (request, response) => {
+            void this.handle(request, response);
+        }).server;
+        this.drain = new HttpServerDrain(this.server);
         const handlers = [
             new ManifestHandlers(options),
             new KeyHandlers(options),
@@ -61,6 +65,7 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const operator = this.operatorOf(request);
         if (operator === undefined) {
+            request.resume();
             sendFailure(response, failure("operatorUnauthorized"));
             return;
         }
@@ -68,6 +73,7 @@
         const { pathname, searchParams } = new URL(request.url ?? "/", "http://control");
         const route = this.routes.get(`${method} ${pathname}`);
         if (route === undefined) {
+            request.resume();
             sendFailure(response, failure("requestUnknown", { method, path: pathname }));
             return;
         }
--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -1,17 +1,17 @@
-import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import type { EntryProcessState } from "../../process/entry/entryProcessState.js";
 import { callerReadTimeout } from "../../request/callerReadTimeout.js";
 import { ModelRequest } from "../../request/model/modelRequest.js";
 import { ServiceRequest } from "../../request/service/serviceRequest.js";
-import { definitionOf, failure } from "../../resultCode/resultCode.js";
+import { failure } from "../../resultCode/resultCode.js";
 import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { listen } from "../../util/socketAddress.js";
 import { abortResponse } from "../abortResponse.js";
-import { createFailureBody, createRetryAfterHeader, sendFailure, sendJson } from "../httpResponse.js";
+import { createRetryAfterHeader, sendFailure, sendJson } from "../httpResponse.js";
 import { HttpServerDrain } from "../httpServerDrain.js";
+import { HttpListeners } from "../server/httpListeners.js";
 import { RequestAdmission } from "./requestAdmission.js";
 
 /** Limits on the connections and requests of callers. */
@@ -24,8 +24,6 @@
     readonly timeoutCheckInterval: Milliseconds;
     /** Maximum size of the headers of a request, in bytes. */
     readonly maximumHeaderBytes: number;
-    /** Maximum number of concurrent connections; further ones are closed at once. */
-    readonly maximumConnections: number;
 }
 
 /** Limits that are used in production. */
@@ -34,7 +32,6 @@
     requestTimeout: 30_000,
     timeoutCheckInterval: 1_000,
     maximumHeaderBytes: 16 * 1024,
-    maximumConnections: 20_000,
 };
 
 /** Time for which an idle connection is kept open, in milliseconds. */
@@ -52,25 +49,29 @@
     constructor(
         private readonly state: EntryProcessState,
         limits: CallerServerLimits = defaultCallerServerLimits,
+        listeners: HttpListeners = new HttpListeners(state.settings.connectionLimits, state.clock, state.eventLog),
     ) {
         this.admission = new RequestAdmission(state);
-        this.server = createServer({
-            headersTimeout: limits.headersTimeout,
-            requestTimeout: limits.requestTimeout,
-            connectionsCheckingInterval: limits.timeoutCheckInterval,
-            maxHeaderSize: limits.maximumHeaderBytes,
-            keepAliveTimeout,
-        });
-        this.drain = new HttpServerDrain(this.server);
-        this.server.maxConnections = limits.maximumConnections;
-        this.server.on("request", (request, response) => {
+        const listener = listeners.create({
+            name: "callers",
+            maximumBodyBytes: () => state.settings.maximumBodyBytes,
+            server: {
+                headersTimeout: limits.headersTimeout,
+                requestTimeout: limits.requestTimeout,
+                connectionsCheckingInterval: limits.timeoutCheckInterval,
+                maxHeaderSize: limits.maximumHeaderBytes,
+                keepAliveTimeout,
+            },
+            onInvalidRequest: (socket, reason) => {
+                this.recordRefused(socket, reason);
+            },
+        }, (request, response) => {
             void this.handleRequest(request, response);
         });
-        this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-            this.refuseRaw(socket, createClientErrorFailure(error));
-        });
+        this.server = listener.server;
+        this.drain = new HttpServerDrain(this.server);
         const refuseUpgrade = (request: IncomingMessage): void => {
-            this.refuseRaw(request.socket, failure("upgradeRefused"));
+            listener.refuseConnection(request.socket, failure("upgradeRefused"));
         };
         this.server.on("upgrade", refuseUpgrade);
         this.server.on("connect", refuseUpgrade);
@@ -174,42 +175,9 @@
         });
     }
 
-    /** Refuses a connection that Node does not handle as a request, and closes it. */
-    private refuseRaw(socket: Duplex, reportedFailure: Failure): void {
+    private recordRefused(socket: Duplex, { code }: Failure): void {
         this.state.metrics.counters.count("callersRefused");
         const address = "remoteAddress" in socket ? String(socket.remoteAddress) : "unknown";
-        this.state.eventLog.write("callerRefused", { address, code: reportedFailure.code });
-        socket.on("error", () => undefined);
-        if (!socket.writable) {
-            socket.destroy();
-            return;
-        }
-        socket.end(formatRawResponse(reportedFailure), () => {
-            socket.destroy();
-        });
+        this.state.eventLog.write("callerRefused", { address, code });
     }
 }
-
-function createClientErrorFailure(error: NodeJS.ErrnoException): Failure {
-    if (error.code === "HPE_HEADER_OVERFLOW") {
-        return failure("headersTooLarge");
-    }
-    if (error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
-        return failure("requestTooSlow");
-    }
-    return failure("requestUnreadable", { reason: error.code ?? "unknown" });
-}
-
-function formatRawResponse(reportedFailure: Failure): string {
-    const { httpStatus, outcome } = definitionOf(reportedFailure.code);
-    const body = JSON.stringify(createFailureBody(reportedFailure));
-    return [
-        `HTTP/1.1 ${httpStatus} Refused`,
-        "content-type: application/json",
-        `content-length: ${Buffer.byteLength(body)}`,
-        ...outcome === undefined ? [] : [`x-outcome: ${outcome}`],
-        "connection: close",
-        "",
-        body,
-    ].join("\r\n");
-}
--- a/src/connection/hosted/hostedControlServer.ts
+++ b/src/connection/hosted/hostedControlServer.ts
@@ -1,4 +1,3 @@
-import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { inflateRawSync } from "node:zlib";
 import { callerFailureDomain, resolutionBody, servedCalls } from "../../../platform/servedCalls.js";
@@ -9,6 +8,7 @@
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { readBody } from "../httpBody.js";
 import { sendFailure, sendJson } from "../httpResponse.js";
+import type { HttpListeners } from "../server/httpListeners.js";
 import { handleHeldCallsRequest, heldCallsPath } from "./heldCallsServer.js";
 import type { HeldCallsContext } from "./heldCallsServer.js";
 
@@ -29,16 +29,18 @@
     readonly clock: Clock;
     readonly eventLog: EventLog;
     readonly heldCalls: HeldCallsContext;
+    readonly listeners: HttpListeners;
 }
 
 /** Creates the HTTP server on which operators submit and fetch configurations, and callers ask which entries to use. */
 export function createHostedControlServer(context: HostedControlServerContext): Server {
-    return createServer((request, response) => {
+    const maximumBodyBytes = (): number => maximumDocumentBytes;
+    return context.listeners.create({ name: "operators", maximumBodyBytes }, (request, response) => {
         handleRequest(request, response, context).catch((error: unknown) => {
             context.eventLog.write("taskFailed", { task: "operatorCall", reason: String(error) });
             response.destroy();
         });
-    });
+    }).server;
 }
 
 async function handleRequest(
--- a/src/connection/hosted/relayServer.ts
+++ b/src/connection/hosted/relayServer.ts
@@ -1,11 +1,12 @@
 import { randomBytes, timingSafeEqual } from "node:crypto";
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { failure } from "../../resultCode/resultCode.js";
 import type { ResultCode } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { listen } from "../../util/socketAddress.js";
 import { sendFailure } from "../httpResponse.js";
+import type { HttpListener } from "../server/httpListener.js";
+import type { HttpListeners } from "../server/httpListeners.js";
 import { readRelayedCall, relayHeaderNames } from "./relayHeaders.js";
 import type { RelayedCall, ResponseSource } from "./relayHeaders.js";
 
@@ -24,32 +25,39 @@
 export class RelayServer implements Disposable {
     /** Must accompany each call; told to other entries by control processes alone. */
     readonly token = randomBytes(tokenBytes).toString("hex");
-    private readonly server: Server;
+    private readonly listener: HttpListener;
     private runningCalls = 0;
 
     /**
+     * @param maximumBodyBytes Returns the maximum size of a body, in bytes.
      * @param serve Handles a call; called only for those with the token.
      * @param onRejected Called when a call is rejected before it is handled.
      */
     constructor(
+        listeners: HttpListeners,
+        maximumBodyBytes: () => number,
         private readonly serve: (request: IncomingMessage, response: ServerResponse, call: RelayedCall) => void,
         private readonly onRejected: (request: IncomingMessage, code: ResultCode) => void,
     ) {
-        this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true }, (request, response) => {
+        const server = {
+            maxHeaderSize: maximumHeaderBytes,
+            noDelay: true,
+            keepAliveTimeout: idleTimeout,
+            requestTimeout: 0,
+        };
+        this.listener = listeners.create({ name: "relay", maximumBodyBytes, server }, (request, response) => {
             this.accept(request, response);
         });
-        this.server.keepAliveTimeout = idleTimeout;
-        this.server.requestTimeout = 0;
     }
 
     /** Listens on an address; resolves with the address that is bound. */
     start(address: string): Promise<string> {
-        return listen(this.server, address);
+        return listen(this.listener.server, address);
     }
 
     [Symbol.dispose](): void {
-        this.server.close();
-        this.server.closeAllConnections();
+        this.listener.server.close();
+        this.listener.server.closeAllConnections();
     }
 
     private accept(request: IncomingMessage, response: ServerResponse): void {
--- a/src/connection/httpServerDrain.ts
+++ b/src/connection/httpServerDrain.ts
@@ -5,6 +5,7 @@
 import { waitForSocketPoll } from "../util/waitForSocketPoll.js";
 import { withTimeout } from "../util/withTimeout.js";
 import { abortResponse } from "./abortResponse.js";
+import { holdsBytes } from "./server/clientConnections.js";
 
 /** Requests of one connection. */
 interface ConnectionActivity {
@@ -100,7 +101,8 @@
 
     private closeIfIdle(socket: Socket): void {
         const activity = this.connections.get(socket);
-        if (activity?.runningResponses.size === 0 && activity.receivedBytesAtEnd === socket.bytesRead) {
+        const hasRequest = holdsBytes(socket) || activity?.receivedBytesAtEnd !== socket.bytesRead;
+        if (activity?.runningResponses.size === 0 && !hasRequest) {
             socket.destroySoon();
         }
     }
--- a/src/connection/metrics/metricsServer.ts
+++ b/src/connection/metrics/metricsServer.ts
@@ -1,9 +1,9 @@
-import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { expositionContentType } from "../../process/metrics/expositionWriter.js";
 import { failure } from "../../resultCode/resultCode.js";
 import { listen } from "../../util/socketAddress.js";
 import { sendFailure, sendJson } from "../httpResponse.js";
+import type { HttpListeners } from "../server/httpListeners.js";
 
 /** Contents of the pages of a {@link MetricsServer}. */
 export interface MetricsPages {
@@ -15,12 +15,15 @@
 
 /** Serves the metrics of a process at `/metrics` and its state at `/v1/state`. */
 export class MetricsServer implements Disposable {
-    private readonly server = createServer((request, response) => {
-        request.resume();
-        this.handleRequest(request, response);
-    });
+    private readonly server;
 
-    constructor(private readonly pages: MetricsPages) {}
+    constructor(private readonly pages: MetricsPages, listeners: HttpListeners) {
+        const listener = listeners.create({ name: "metrics" }, (request, response) => {
+            request.resume();
+            this.handleRequest(request, response);
+        });
+        this.server = listener.server;
+    }
 
     /** Starts to listen; resolves with the bound address. */
     start(address: string): Promise<string> {
--- a/src/experiment/slopes/hostedListSlopes.ts
+++ b/src/experiment/slopes/hostedListSlopes.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { defaultConnectionLimits } from "../../connection/server/connectionLimits.js";
 import { EventLog } from "../../logEvent/eventLog.js";
 import type { LogEventId } from "../../logEvent/logEvent.js";
 import { HostedControlProcess } from "../../process/hosted/control/hostedControlProcess.js";
@@ -172,6 +173,7 @@
                 retryReserve: 20,
                 resolutionTimeToLive: 5_000,
             },
+            connectionLimits: defaultConnectionLimits,
             platform: { address: platform, listCallsPerSecond: 42, reportsUsage: false, ordersEndpoints: false },
         };
     }
--- a/src/logEvent/processEvents.ts
+++ b/src/logEvent/processEvents.ts
@@ -16,6 +16,12 @@
         text: "A further signal arrived; the shutdown that is under way goes on.",
         fields: ["signal", "elapsed"],
     },
+    connectionClosed: {
+        number: 2004,
+        level: "warn",
+        text: "The connection of a client was closed because of what the client did, or for want of connections.",
+        fields: ["listener", "address", "reason"],
+    },
     taskFailed: {
         number: 2010,
         level: "error",
--- a/src/process/control/controlMetrics.ts
+++ b/src/process/control/controlMetrics.ts
@@ -1,3 +1,4 @@
+import type { HttpListeners } from "../../connection/server/httpListeners.js";
 import { ExpositionWriter } from "../metrics/expositionWriter.js";
 import type { TimeHistogram } from "../metrics/timeHistogram.js";
 import type { ControlStateReport } from "./controlStateReport.js";
@@ -28,7 +29,11 @@
 ];
 
 /** Renders the metrics of a control process as a Prometheus exposition. */
-export function renderControlMetrics(report: ControlStateReport, inForceTimes: TimeHistogram): string {
+export function renderControlMetrics(
+    report: ControlStateReport,
+    inForceTimes: TimeHistogram,
+    listeners: HttpListeners,
+): string {
     const writer = new ExpositionWriter();
     for (const [name, help, value] of gauges) {
         writer.family(name, "gauge", help);
@@ -36,5 +41,6 @@
     }
     writer.family(inForceMetric, "summary", "Time from the acceptance of a version until it is in force everywhere.");
     inForceTimes.write(writer, inForceMetric, {});
+    listeners.write(writer);
     return writer.toString();
 }
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -4,6 +4,7 @@
 import type { EntryConnectionContext } from "../../connection/control/entryConnection.js";
 import { OperatorServer } from "../../connection/control/operatorServer.js";
 import { MetricsServer } from "../../connection/metrics/metricsServer.js";
+import { HttpListeners } from "../../connection/server/httpListeners.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import { formatFailure } from "../../resultCode/resultCode.js";
 import type { ControlSettings } from "../../settings/controlSettings.js";
@@ -44,11 +45,15 @@
     });
     private readonly inForceMonitor = new InForceMonitor(this.entries, () => this.state.usage.incarnations.running());
 
+    private readonly listeners: HttpListeners;
+
     constructor(
         private readonly settings: ControlSettings,
         private readonly clock: Clock,
         private readonly eventLog: EventLog,
-    ) {}
+    ) {
+        this.listeners = new HttpListeners(settings.connectionLimits, clock, eventLog);
+    }
 
     /**
      * Opens the replicated log and starts the servers and the leader's duties.
@@ -96,9 +101,13 @@
         const sources = { control: settings.name, log, state, entries, inForceMonitor };
         const server = new MetricsServer({
             exposition: () =>
-                renderControlMetrics(createControlStateReport(sources, clock.now()), inForceMonitor.times),
+                renderControlMetrics(
+                    createControlStateReport(sources, clock.now()),
+                    inForceMonitor.times,
+                    this.listeners,
+                ),
             state: () => createControlStateReport(sources, clock.now()),
-        });
+        }, this.listeners);
         return this.store.add(server).start(settings.metricsAddress);
     }
 
@@ -166,6 +175,7 @@
             commandLog,
             members: commandLog,
             address,
+            listeners: this.listeners,
         });
         await this.store.add(server).start();
     }
--- a/src/process/entry/entryExposition.ts
+++ b/src/process/entry/entryExposition.ts
@@ -1,3 +1,4 @@
+import type { HttpListeners } from "../../connection/server/httpListeners.js";
 import type { EventLoopDelayMonitor } from "../metrics/eventLoopDelayMonitor.js";
 import { ExpositionWriter } from "../metrics/expositionWriter.js";
 import type { EntryMetrics } from "./entryMetrics.js";
@@ -8,6 +9,7 @@
     report: EntryStateReport,
     metrics: EntryMetrics,
     eventLoopDelay: EventLoopDelayMonitor,
+    listeners: HttpListeners,
 ): string {
     const writer = new ExpositionWriter();
     writer.family("gullhall_entry_version", "gauge", "Version of the configuration in force.");
@@ -24,6 +26,7 @@
     });
     metrics.write(writer);
     eventLoopDelay.write(writer);
+    listeners.write(writer);
     return writer.toString();
 }
 
--- a/src/process/entry/entryProcess.ts
+++ b/src/process/entry/entryProcess.ts
@@ -1,5 +1,6 @@
-import { CallerServer } from "../../connection/entry/callerServer.js";
+import { CallerServer, defaultCallerServerLimits } from "../../connection/entry/callerServer.js";
 import { MetricsServer } from "../../connection/metrics/metricsServer.js";
+import { HttpListeners } from "../../connection/server/httpListeners.js";
 import type { EventLog } from "../../logEvent/eventLog.js";
 import type { EntrySettings } from "../../settings/entrySettings.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
@@ -30,6 +31,7 @@
     private readonly store = new DisposableStore();
     private readonly stopController = new AbortController();
     private readonly state: EntryProcessState;
+    private readonly listeners: HttpListeners;
     private callerServer: CallerServer | undefined;
     private requestStop: (reason: string) => void = () => undefined;
     /** Resolves with the reason when an operator has requested that the entry drain and stop. */
@@ -39,12 +41,13 @@
 
     constructor(private readonly settings: EntrySettings, private readonly clock: Clock, eventLog: EventLog) {
         this.state = this.store.add(new EntryProcessState(settings, clock, eventLog));
+        this.listeners = new HttpListeners(settings.connectionLimits, clock, eventLog);
     }
 
     /** Starts the servers and the connection to control; resolves with the bound addresses. */
     async start(): Promise<EntryAddresses> {
         const metricsAddress = await this.startMetricsServer();
-        const callerServer = new CallerServer(this.state);
+        const callerServer = new CallerServer(this.state, defaultCallerServerLimits, this.listeners);
         const callerAddress = await callerServer.start();
         const tasks = [this.runControlConnection({ callerAddress, metricsAddress }), this.sweepPeriodically()];
         this.store.defer(async () => {
@@ -131,9 +134,14 @@
         const eventLoopDelay = this.store.add(new EventLoopDelayMonitor(clock));
         const server = new MetricsServer({
             exposition: () =>
-                formatEntryExposition(createEntryStateReport(state, clock.now()), state.metrics, eventLoopDelay),
+                formatEntryExposition(
+                    createEntryStateReport(state, clock.now()),
+                    state.metrics,
+                    eventLoopDelay,
+                    this.listeners,
+                ),
             state: () => createEntryStateReport(state, clock.now()),
-        });
+        }, this.listeners);
         return this.store.add(server).start(this.settings.metricsAddress);
     }
 }
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -8,6 +8,7 @@
 import { controlLinkPortOffset } from "../../../connection/hosted/linkMessages.js";
 import { HttpServerDrain } from "../../../connection/httpServerDrain.js";
 import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
+import { HttpListeners } from "../../../connection/server/httpListeners.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import { formatFailure } from "../../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../../util/clock.js";
@@ -110,6 +111,7 @@
     private pendingHoldsPush: NodeJS.Immediate | undefined;
     private readonly presencePush: CoalescedTask;
     private readonly suspectsPush: CoalescedTask;
+    private readonly listeners: HttpListeners;
     private quarantine: QuarantineDuty | undefined;
     private readonly state = new HostedState(() => {
         // Coalesces changes applied in the same turn: entries need only the newest version.
@@ -134,6 +136,7 @@
         private readonly eventLog: EventLog,
         private readonly openStorage: OpenStorage = (folder, diskSpace) => FileLogStorage.open(folder, diskSpace),
     ) {
+        this.listeners = new HttpListeners(settings().connectionLimits, clock, eventLog);
         const { signal } = this.shutdownController;
         const intervalFor = (minimum: Milliseconds, perLink: Milliseconds) => (): Milliseconds =>
             Math.max(minimum, this.links.size * perLink);
@@ -194,6 +197,7 @@
                         registry,
                         clock,
                         eventLog,
+                        listeners: this.listeners,
                         maximumTimeToLive: this.settings().bounds.resolutionTimeToLive,
                         heldCalls: {
                             holds: () => state.holds,
@@ -378,10 +382,11 @@
                     this.rateLimits.write(writer);
                     this.retries.write(writer);
                     this.quarantine?.write(writer);
+                    this.listeners.write(writer);
                     return writer.toString();
                 },
                 state: gauges,
-            }),
+            }, this.listeners),
         );
         await startMetrics(metrics, this.settings().host, this.eventLog);
     }
--- a/src/process/hosted/entry/hostedEntryProcess.ts
+++ b/src/process/hosted/entry/hostedEntryProcess.ts
@@ -1,5 +1,4 @@
 import { randomInt, randomUUID } from "node:crypto";
-import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { readCallTraits } from "../../../../platform/callHeaders.js";
@@ -16,6 +15,7 @@
 import { MetricsServer } from "../../../connection/metrics/metricsServer.js";
 import { probeListener } from "../../../connection/probeListener.js";
 import type { ListenerState } from "../../../connection/probeListener.js";
+import { HttpListeners } from "../../../connection/server/httpListeners.js";
 import type { EventLog } from "../../../logEvent/eventLog.js";
 import type { CallContext } from "../../../request/hosted/callContext.js";
 import { HostedCall } from "../../../request/hosted/hostedCall.js";
@@ -89,6 +89,7 @@
     private readonly server: Server;
     private readonly drain: HttpServerDrain;
     private readonly relayServer: RelayServer;
+    private readonly listeners: HttpListeners;
     /** Undefined while no calls can be relayed. */
     private relayAddress: string | undefined;
     private readonly shutdown = new EntryShutdown();
@@ -102,6 +103,7 @@
     ) {
         const { bounds, name, failureDomain, callerAddress = "", firstInternalPort, seedOperatorAddresses } =
             settings();
+        this.listeners = new HttpListeners(settings().connectionLimits, clock, eventLog);
         this.fleet = this.disposables.add(new EndpointFleet(eventLog, openConnection));
         this.view = new DeploymentView(bounds.keyWithdrawal, eventLog);
         this.suspensionDetector = new SuspensionDetector(clock);
@@ -149,8 +151,8 @@
         });
         const relays = this.disposables.add(new RelayDirectory(random));
         this.relayServer = this.disposables.add(
-            new RelayServer((request, response, call) => {
-                this.serve(request, response, call);
+            new RelayServer(this.listeners, () => this.maximumBodyBytes(), (request, response, call) => {
+                this.serve(request, response, clock.now(), call);
             }, (request, code) => {
                 const requestId = readCallTraits(request.headers).callId;
                 eventLog.write("relayedCallRejected", { requestId, code, version: this.view.version });
@@ -235,9 +237,9 @@
         const { callerAddress, readinessAddress } = this.settings();
         await listen(this.server, callerAddress ?? "");
         if (readinessAddress !== undefined) {
-            const readiness = createServer((request, response) => {
+            const readiness = this.listeners.create({ name: "readiness" }, (request, response) => {
                 this.respondToReadiness(request, response);
-            });
+            }).server;
             this.disposables.defer(() => {
                 readiness.close();
                 readiness.closeAllConnections();
@@ -289,6 +291,7 @@
                     writer.sample("gullhall_version", {}, view.version);
                     writer.family("gullhall_running_calls", "gauge", "Calls that are under way.");
                     writer.sample("gullhall_running_calls", {}, this.runningCalls.size);
+                    this.listeners.write(writer);
                     return writer.toString();
                 },
                 state: () => ({
@@ -296,7 +299,7 @@
                     isReady: this.isReady(),
                     runningCalls: this.runningCalls.size,
                 }),
-            }),
+            }, this.listeners),
         );
         await startMetrics(metrics, this.settings().host, this.callContext.eventLog);
     }
@@ -379,11 +382,18 @@
     }
 
     private createServer(): Server {
-        const server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true }, (request, response) => {
-            this.serve(request, response);
+        const { server } = this.listeners.create({
+            name: "callers",
+            maximumBodyBytes: () => this.maximumBodyBytes(),
+            server: {
+                maxHeaderSize: maximumHeaderBytes,
+                noDelay: true,
+                keepAliveTimeout: initialIdleTimeout,
+                requestTimeout: 0,
+            },
+        }, (request, response, receivedAt) => {
+            this.serve(request, response, receivedAt);
         });
-        server.keepAliveTimeout = initialIdleTimeout;
-        server.requestTimeout = 0;
         server.on("connection", socket => {
             this.sockets.add(socket);
             socket.once("close", () => this.sockets.delete(socket));
@@ -391,13 +401,22 @@
         return server;
     }
 
-    private serve(request: IncomingMessage, response: ServerResponse, relayed?: RelayedCall): void {
+    private maximumBodyBytes(): number {
+        return this.view.current?.deployment.limits.bodyBytes ?? 0;
+    }
+
+    private serve(
+        request: IncomingMessage,
+        response: ServerResponse,
+        receivedAt: Milliseconds,
+        relayed?: RelayedCall,
+    ): void {
         this.applyLimits();
         response.sendDate = false;
         if (this.isDraining) {
             response.shouldKeepAlive = false;
         }
-        const call = new HostedCall(request, response, this.callContext, relayed);
+        const call = new HostedCall(request, response, this.callContext, receivedAt, relayed);
         this.runningCalls.set(response, call);
         response.once("close", () => {
             this.runningCalls.delete(response);
--- a/src/process/hosted/hostedSettings.ts
+++ b/src/process/hosted/hostedSettings.ts
@@ -1,3 +1,4 @@
+import type { ConnectionLimits } from "../../connection/server/connectionLimits.js";
 import type { Milliseconds } from "../../util/clock.js";
 import type { ToleratedLosses } from "../replicatedLog/memberAdmission.js";
 
@@ -60,4 +61,6 @@
     /** Losses of control processes that the installation must bear at the same time. */
     readonly toleratedLosses: ToleratedLosses;
     readonly platform: PlatformAccess;
+    /** Limits for the clients of each listener for HTTP. */
+    readonly connectionLimits: ConnectionLimits;
 }
--- a/src/request/hosted/hostedCall.ts
+++ b/src/request/hosted/hostedCall.ts
@@ -74,7 +74,6 @@
 /** Handles one call, from its request headers to its final response. */
 export class HostedCall {
     private readonly traits: CallTraits;
-    private readonly arrivedAt: Milliseconds;
     private readonly callerResponse: CallerResponse;
     private readonly triedEndpoints = new Set<HostedEndpoint>();
     private attempt: EndpointAttempt | undefined;
@@ -99,12 +98,13 @@
         private readonly request: IncomingMessage,
         response: ServerResponse,
         private readonly context: CallContext,
+        /** When the call was received; it may have waited for earlier calls of its connection. */
+        private readonly arrivedAt: Milliseconds,
         /** Undefined for a call that a caller sent to this entry itself. */
         private readonly relayed?: RelayedCall,
     ) {
         this.executions = relayed?.executions ?? 0;
         this.traits = readCallTraits(request.headers);
-        this.arrivedAt = context.clock.now();
         this.crashGuard = new CrashGuard(context);
         this.continuation = new StreamContinuation(this.traits, context, relayed?.origin);
         const abortSignal = createCallerAbortSignal(request, response);
--- /dev/null
+++ b/tests/crowd/ownCrowd.test.ts
@@ -0,0 +1,48 @@
+import process from "node:process";
+import { describe, itSerially } from "../describe.js";
+import { checkAgainstCrowd } from "./crowd.js";
+import type { Crowd } from "./crowd.js";
+import { anonymousContents, callerContents } from "./crowdContents.js";
+import { OwnPrograms } from "./ownPrograms.js";
+
+// The heap that the deploy file of the hosted installation states.
+process.env["NODE_OPTIONS"] = "--max-old-space-size=160";
+
+type CrowdOf = (programs: OwnPrograms) => Crowd;
+
+const bookingLines = (programs: OwnPrograms): [string, ...string[]] => [
+    "POST /bookings/places HTTP/1.1",
+    "Host: a",
+    `Authorization: Bearer ${programs.key}`,
+];
+
+const callerCrowds: Readonly<Record<string, CrowdOf>> = {
+    ...Object.fromEntries(Object.entries(anonymousContents).map(([title, content]) => [title, () => ({ content })])),
+    "for the list of entries": () => ({ content: Buffer.from("GET /v1/entries HTTP/1.1\r\nHost: a\r\n\r\n") }),
+    "that are answered": programs => ({
+        content: callerContents(bookingLines(programs))["that are answered"] ?? Buffer.alloc(0),
+    }),
+};
+
+describe("crowd › own installation", () => {
+    for (const [title, crowdOf] of Object.entries(callerCrowds)) {
+        // Guards against requests that are taken up faster than their responses leave.
+        itSerially(`entry stays within its memory while callers that read nothing send requests ${title}`, async t => {
+            await using programs = await OwnPrograms.start();
+            await checkAgainstCrowd(t, programs.entryTarget, crowdOf(programs));
+        });
+    }
+
+    for (const title of ["at paths without a route", "without Host"]) {
+        // Guards against the same at the listener for operators.
+        itSerially(
+            `control stays within its memory while operators that read nothing send requests ${title}`,
+            async t => {
+                await using programs = await OwnPrograms.start();
+                await checkAgainstCrowd(t, programs.operatorTarget, {
+                    content: anonymousContents[title] ?? Buffer.alloc(0),
+                });
+            },
+        );
+    }
+});
--- a/tests/platform/bootSettings.test.ts
+++ b/tests/platform/bootSettings.test.ts
@@ -46,6 +46,25 @@
         }
     });
 
+    // Guards against clients that leave no descriptors for endpoints and links.
+    it("reads the limits for clients, by default a share of the descriptors", t => {
+        const limitsOf = (fields: object): unknown =>
+            readBootSettings(JSON.stringify({ ...settings, ...fields })).unwrap().connectionLimits;
+        const defaults = { requestMemory: 67_108_864, unreadTimeout: 30_000 };
+        t.deepEqual(limitsOf({}), { ...defaults, maximumConnections: 2_457 });
+        t.deepEqual(limitsOf({ limits: { "file-descriptors": 4_200 } }), { ...defaults, maximumConnections: 2_520 });
+        t.deepEqual(limitsOf({ limits: "none" }), { ...defaults, maximumConnections: 2_457 });
+        const stated = { "maximum-connections": 9, "request-memory-bytes": 8, "unread-timeout-ms": 7 };
+        t.deepEqual(limitsOf({ "connection-limits": stated }), {
+            maximumConnections: 9,
+            requestMemory: 8,
+            unreadTimeout: 7,
+        });
+        for (const invalid of [{ "maximum-connections": 0 }, { "unread-timeout-ms": "1s" }, { "misspelt": 1 }]) {
+            t.true(readBootSettings(JSON.stringify({ ...settings, "connection-limits": invalid })).err);
+        }
+    });
+
     it("accepts a leading byte order mark", t => {
         t.true(readBootSettings(`\uFEFF${JSON.stringify(settings)}`).ok);
     });
--- a/tests/process/hosted/hostedInstallation.ts
+++ b/tests/process/hosted/hostedInstallation.ts
@@ -8,6 +8,7 @@
 import type { OpenConnection } from "../../../src/connection/hosted/endpointAgent.js";
 import { httpCall } from "../../../src/connection/httpCall.js";
 import type { HttpCallResponse } from "../../../src/connection/httpCall.js";
+import { defaultConnectionLimits } from "../../../src/connection/server/connectionLimits.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import { HostedControlProcess } from "../../../src/process/hosted/control/hostedControlProcess.js";
 import { HostedEntryProcess } from "../../../src/process/hosted/entry/hostedEntryProcess.js";
@@ -401,6 +402,7 @@
                 retryReserve: this.retryReserve,
                 resolutionTimeToLive: 5_000,
             },
+            connectionLimits: defaultConnectionLimits,
             platform: {
                 address: this.platformAddress,
                 listCallsPerSecond: 40,
--- a/tests/process/hosted/slowControl.test.ts
+++ b/tests/process/hosted/slowControl.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EntryMessage } from "../../../src/connection/hosted/linkMessages.js";
 import { MessageConnection } from "../../../src/connection/messageConnection.js";
+import { defaultConnectionLimits } from "../../../src/connection/server/connectionLimits.js";
 import { EventLog } from "../../../src/logEvent/eventLog.js";
 import { HostedEntryProcess } from "../../../src/process/hosted/entry/hostedEntryProcess.js";
 import { SystemClock } from "../../../src/util/clock.js";
@@ -94,6 +95,7 @@
                 isFirstStart: true,
                 dataFolder: undefined,
                 bounds: { ...testBounds, shutdown: 100 },
+                connectionLimits: defaultConnectionLimits,
                 platform: {
                     address: "127.0.0.1:1",
                     listCallsPerSecond: 10,
--- a/tests/request/hosted/callServer.ts
+++ b/tests/request/hosted/callServer.ts
@@ -122,7 +122,7 @@
         const server = createServer((request, response) => {
             const isRelayed = request.headers[relayHeaderNames.token] !== undefined;
             const relayed = isRelayed ? readRelayedCall(request.headers) : undefined;
-            const call = new HostedCall(request, response, callServer.context, relayed);
+            const call = new HostedCall(request, response, callServer.context, clock.now(), relayed);
             callServer.calls.push(call);
             void call.run();
         });
