fix(connection): deliver all header lines of a request

Every header line behind the thousandth was dropped without an error, hosted and own: endpoints got calls without their later cookies, and a call whose Host and key stood behind 3,000 short lines was refused with 400. And a call within the size limit was refused with 431 when it was made by detour, as the headers that the asking entry adds counted too.

Cause: the default of node:http for the number of header lines, and a check that the relaying entry repeated.

Change: the number of lines is not limited, only their size, as before; a relayed call is checked by the entry that took it.

--- a/src/connection/server/httpListener.ts
+++ b/src/connection/server/httpListener.ts
@@ -48,6 +48,8 @@
             requireHostHeader: false,
             ...options.server,
         });
+        // Other header lines would be dropped without an error; their size is limited.
+        this.server.maxHeadersCount = 0;
         this.connections = new ClientConnections(name, this.server, limits, eventLog, () => clock.now());
         this.server.on("request", (request, response) => {
             this.accept(request, response);
--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -42,7 +42,8 @@
         return Err({ reason: failure("relayVersionDiffers") });
     }
     const { headerBytes, bodyBytes } = indexBeforeBody.deployment.limits;
-    if (request.rawHeaders.join("").length > headerBytes) {
+    // The entry that relays a call has checked its headers and added others.
+    if (relayed === undefined && request.rawHeaders.join("").length > headerBytes) {
         return Err({ reason: failure("callHeadersTooLarge", { limit: headerBytes }) });
     }
     const admitted = resolveCall(request, resolveTeam, indexBeforeBody, context.random.float());
--- a/tests/connection/server/httpListener.test.ts
+++ b/tests/connection/server/httpListener.test.ts
@@ -118,6 +118,14 @@
         });
     }
 
+    // Guards against header lines that are dropped without an error.
+    it("delivers all header lines that fit into the size limit", async t => {
+        await using listener = await TestListener.start();
+        const lines = Array.from({ length: 3_000 }, () => "a:\r\n").join("");
+        t.deepEqual(answersIn(await exchange(listener.address, [`GET /a HTTP/1.1\r\n${lines}${host}\r\n`], 1)), ["/a"]);
+        t.is(listener.handled[0]?.lines, 3_001);
+    });
+
     // Guards against a refusal that bypasses the limits, the metrics and the form of other refusals.
     it("refuses a request without Host with a code", async t => {
         await using listener = await TestListener.start();
