fix(connection): bound the memory of all requests under way

Uploads on 100 connections, each within the limit, let an own entry grow to 943 MB (users' trial); unfinished configurations on 40 connections did the same to a control process.

Cause: each body and each head had a limit, their sum had none.

Change: RequestMemory is a budget of each listener for heads and bodies, reserved before they are read. One reservation may take a fourth of what is free, so that large requests are refused first and small ones find room. A refusal is 503 with GH1369, "not run", and Retry-After; it is true, since a call begins only when its body is complete. The budget is four times the largest body at least, so that a single request within the limits is always served in calm.

Tests: the uploads of tests/crowd/. New: 'refuses large requests ...' of httpListener.test.ts.

--- a/src/connection/entry/callerServer.ts
+++ b/src/connection/entry/callerServer.ts
@@ -37,6 +37,9 @@
 /** Time for which an idle connection is kept open, in milliseconds. */
 const keepAliveTimeout: Milliseconds = 5_000;
 
+/** `retry-after` time of a request for whose body there is too little memory. */
+const memoryRetryAfter: Milliseconds = 2_000;
+
 /** Path at which callers get the list of entries to use. */
 const entriesPath = "/v1/entries";
 
@@ -156,7 +159,10 @@
                 request.socket.destroySoon();
             });
         }
-        sendFailure(response, reportedFailure, bodyIncomplete ? { connection: "close" } : {});
+        sendFailure(response, reportedFailure, {
+            ...bodyIncomplete ? { connection: "close" } : {},
+            ...reportedFailure.code === "requestMemoryExhausted" ? createRetryAfterHeader(memoryRetryAfter) : {},
+        });
     }
 
     /** Destroys the response if the caller does not read the rest of it before the timeout. */
--- a/src/connection/hosted/hostedControlServer.ts
+++ b/src/connection/hosted/hostedControlServer.ts
@@ -7,8 +7,9 @@
 import { failure } from "../../resultCode/resultCode.js";
 import type { Clock, Milliseconds } from "../../util/clock.js";
 import { readBody } from "../httpBody.js";
-import { sendFailure, sendJson } from "../httpResponse.js";
+import { createRetryAfterHeader, sendFailure, sendJson } from "../httpResponse.js";
 import type { HttpListeners } from "../server/httpListeners.js";
+import { reserveMemory } from "../server/requestMemory.js";
 import { handleHeldCallsRequest, heldCallsPath } from "./heldCallsServer.js";
 import type { HeldCallsContext } from "./heldCallsServer.js";
 
@@ -17,6 +18,9 @@
  */
 const maximumDocumentBytes = 16 * 1024 * 1024;
 
+/** `retry-after` time of a request for which there is too little memory. */
+const memoryRetryAfter: Milliseconds = 1_000;
+
 /** Time to live of a resolution response: short, so that callers soon stop using a failed entry. */
 const defaultTimeToLive: Milliseconds = 2_000;
 
@@ -65,7 +69,7 @@
         respondToResolution(target, response, serverContext);
     }
     else if (isRequestFor(servedCalls.fetchConfiguration)) {
-        await fetchConfiguration(response, serverContext.documents);
+        await fetchConfiguration(request, response, serverContext.documents);
     }
     else {
         sendFailure(response, failure("requestUnknown", { method: request.method ?? "?", path }));
@@ -113,13 +117,21 @@
     }
 }
 
-async function fetchConfiguration(response: ServerResponse, documents: DocumentService): Promise<void> {
+async function fetchConfiguration(
+    request: IncomingMessage,
+    response: ServerResponse,
+    documents: DocumentService,
+): Promise<void> {
     const body = await documents.fetch();
     if (body === undefined) {
         sendFailure(response, failure("quorumUnavailable"));
         return;
     }
     const bytes = inflateRawSync(body);
+    if (!reserveMemory(request, bytes.length)) {
+        sendFailure(response, failure("requestMemoryExhausted"), createRetryAfterHeader(memoryRetryAfter));
+        return;
+    }
     response.writeHead(200, { "content-type": "application/json", "content-length": bytes.length });
     response.end(bytes);
 }
--- a/src/connection/server/httpListener.ts
+++ b/src/connection/server/httpListener.ts
@@ -1,3 +1,4 @@
+import { randomInt } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
@@ -9,6 +10,13 @@
 import { createFailureBody, sendFailure } from "../httpResponse.js";
 import { ClientConnections } from "./clientConnections.js";
 import type { ConnectionLimits } from "./connectionLimits.js";
+import { RequestMemory } from "./requestMemory.js";
+
+/** Bounds of the random `retry-after` time of a request that is refused for want of memory, in seconds. */
+const retryAfterRange = { minimum: 1, exclusiveMaximum: 4 } as const;
+
+/** The largest request of a listener may take a fourth of the memory for requests. */
+const largestRequestsInMemory = 4;
 
 /**
  * Handles a request.
@@ -40,9 +48,10 @@
 export class HttpListener {
     readonly server: Server;
     private readonly connections: ClientConnections;
+    private readonly memory: RequestMemory;
 
     constructor(private readonly options: HttpListenerOptions, private readonly handle: RequestHandler) {
-        const { name, limits, clock, eventLog } = options;
+        const { name, limits, clock, eventLog, maximumBodyBytes } = options;
         this.server = createServer({
             // This listener refuses requests without it itself, as `node:http` would not count them.
             requireHostHeader: false,
@@ -50,6 +59,9 @@
         });
         // Other header lines would be dropped without an error; their size is limited.
         this.server.maxHeadersCount = 0;
+        this.memory = new RequestMemory(() => {
+            return Math.max(limits.requestMemory, largestRequestsInMemory * maximumBodyBytes());
+        });
         this.connections = new ClientConnections(name, this.server, limits, eventLog, () => clock.now());
         this.server.on("request", (request, response) => {
             this.accept(request, response);
@@ -73,11 +85,13 @@
             "Memory of received bytes that are no request yet.",
         );
         writer.family("gullhall_requests_refused_total", "counter", "Requests refused for want of memory.");
+        writer.family("gullhall_request_memory_bytes", "gauge", "Memory that is reserved for requests.");
     }
 
     /** Writes the metrics of this listener. */
     write(writer: ExpositionWriter): void {
         this.connections.write(writer);
+        writer.sample("gullhall_request_memory_bytes", { listener: this.options.name }, this.memory.used);
     }
 
     /** Refuses a connection on which no complete request is under way: sends a response and closes it. */
@@ -94,7 +108,16 @@
     }
 
     private accept(request: IncomingMessage, response: ServerResponse): void {
-        const receivedAt = this.connections.beginRequest(request, response, () => undefined);
+        const reservation = this.memory.reserve(request);
+        const receivedAt = this.connections.beginRequest(request, response, () => {
+            reservation?.[Symbol.dispose]();
+        });
+        if (reservation === undefined) {
+            this.connections.countRefused();
+            const seconds = randomInt(retryAfterRange.minimum, retryAfterRange.exclusiveMaximum);
+            this.refuse(request, response, failure("requestMemoryExhausted"), { "retry-after": String(seconds) });
+            return;
+        }
         if (request.httpVersion === "1.1" && request.headers.host === undefined) {
             this.refuse(request, response, failure("requestUnreadable", { reason: "it has no Host" }), {});
             return;
--- a/src/request/hosted/callAdmission.ts
+++ b/src/request/hosted/callAdmission.ts
@@ -2,6 +2,7 @@
 import type { RelayedCall } from "../../connection/hosted/relayHeaders.js";
 import { readBody } from "../../connection/httpBody.js";
 import { failure } from "../../resultCode/resultCode.js";
+import type { Failure } from "../../resultCode/resultCode.js";
 import type { Milliseconds } from "../../util/clock.js";
 import { Err, Ok } from "../../util/result.js";
 import type { Result } from "../../util/result.js";
@@ -21,6 +22,9 @@
 /** `retry-after` time of a call that was refused because the entry has no permit. */
 const permitRetryAfter: Milliseconds = 400;
 
+/** Lower bound of the random `retry-after` time of a call for whose body there is too little memory. */
+const memoryRetryAfter: Milliseconds = 1_000;
+
 /**
  * Admits a call: resolves its route, service and team, and reads its body.
  *
@@ -52,8 +56,7 @@
     }
     const body = hasBody(request) ? await readBody(request, bodyBytes) : Ok(undefined);
     if (body.err) {
-        const reason = body.val.code === "bodyTooLarge" ? failure("callTooLarge", { limit: bodyBytes }) : body.val;
-        return Err({ reason, call: admitted.val });
+        return Err({ ...bodyRefusal(body.val, bodyBytes, context), call: admitted.val });
     }
     // Only after another poll is known whether the caller is still connected.
     await waitForSocketPoll();
@@ -76,6 +79,15 @@
     return Ok({ ...readmitted.val, body: body.val, features: featuresOf(traits.promptSegments, content) });
 }
 
+function bodyRefusal(reason: Failure, limit: number, { random }: CallContext): Pick<Refusal, "reason" | "retryAfter"> {
+    if (reason.code === "bodyTooLarge") {
+        return { reason: failure("callTooLarge", { limit }) };
+    }
+    return reason.code === "requestMemoryExhausted"
+        ? { reason, retryAfter: memoryRetryAfter * (1 + random.float()) }
+        : { reason };
+}
+
 /**
  * Admits an admitted call anew by the configuration in force, which may have changed while the call waited.
  *
--- a/src/resultCode/entryCodes.ts
+++ b/src/resultCode/entryCodes.ts
@@ -198,6 +198,13 @@
         text: "The request did not arrive in time.",
         advice: "Send the request faster.",
     },
+    requestMemoryExhausted: {
+        number: 1369,
+        httpStatus: 503,
+        outcome: "notRun",
+        text: "The process has too little memory for the request because of others that are under way.",
+        advice: "Try again at the time that Retry-After names.",
+    },
     upgradeRefused: {
         number: 1367,
         httpStatus: 501,
--- a/tests/connection/server/httpListener.test.ts
+++ b/tests/connection/server/httpListener.test.ts
@@ -1,4 +1,5 @@
 import fc from "fast-check";
+import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { describe, it } from "../../describe.js";
@@ -217,4 +218,29 @@
             }
         });
     }
+
+    // Guards against large requests that leave no memory for small ones.
+    it("refuses large requests while memory is scarce, with the time to come back, and answers small ones", async t => {
+        const responses: ServerResponse[] = [];
+        await using listener = await TestListener.start({ requestMemory: 2_000_000 }, (request, response) => {
+            if (request.url === "/large") {
+                responses.push(response);
+                return;
+            }
+            response.end(`answer to ${request.url ?? ""};`);
+        });
+        const large = `GET /large HTTP/1.1\r\n${host}${"a:\r\n".repeat(1_000)}\r\n`;
+        const sockets = await Promise.all(Array.from({ length: 6 }, () => openConnection(listener.address)));
+        const heads: Promise<unknown>[] = [];
+        for (const socket of sockets) {
+            heads.push(once(socket, "data"));
+            socket.write(large);
+        }
+        const [refusal] = await Promise.race(heads) as [Buffer];
+        t.regex(refusal.toString(), /^HTTP\/1\.1 503 .*retry-after: [1-3]\r\n.*GH1369/s);
+        t.regex(refusal.toString(), /x-outcome: notRun/);
+        t.true(responses.length < sockets.length);
+        t.deepEqual(answersIn(await exchange(listener.address, [`GET /a HTTP/1.1\r\n${host}\r\n`], 1)), ["/a"]);
+        sockets.forEach(socket => socket.destroy());
+    });
 });
--- a/tests/crowd/hostedControlCrowd.test.ts
+++ b/tests/crowd/hostedControlCrowd.test.ts
@@ -1,11 +1,17 @@
 import { describe, itSerially } from "../describe.js";
 import { checkAgainstCrowd } from "./crowd.js";
 import type { Crowd } from "./crowd.js";
-import { anonymousContents } from "./crowdContents.js";
+import { anonymousContents, unfinishedUpload } from "./crowdContents.js";
 import { HostedPrograms } from "./hostedPrograms.js";
 
+const documentLines = ["POST /v1/configuration/replace HTTP/1.1", "Host: a"] as const;
+
 const operatorCrowds: readonly (readonly [title: string, crowd: Crowd])[] = [
     ...Object.entries(anonymousContents).map(([title, content]) => [title, { content }] as const),
+    ["with configurations that never end", {
+        content: unfinishedUpload(documentLines, 16_000_000, 4_000_000),
+        bytesAhead: 12_000_000,
+    }],
     ["for the configuration", { content: Buffer.from("GET /v1/configuration/fetch HTTP/1.1\r\nHost: a\r\n\r\n") }],
 ];
 
--- a/tests/crowd/hostedEntryCrowd.test.ts
+++ b/tests/crowd/hostedEntryCrowd.test.ts
@@ -2,16 +2,24 @@
 import { describe, itSerially } from "../describe.js";
 import { checkAgainstCrowd } from "./crowd.js";
 import type { Crowd } from "./crowd.js";
-import { anonymousContents, callerContents } from "./crowdContents.js";
+import { anonymousContents, callerContents, unfinishedUpload, uploadContent } from "./crowdContents.js";
 import { callHeaders, HostedPrograms } from "./hostedPrograms.js";
 
 const callLines = ["POST /bookings/a HTTP/1.1", ...Object.entries(callHeaders).map(line => line.join(": "))] as const;
 
 const wrongKey = Buffer.from("GET /bookings/a HTTP/1.1\r\nHost: calls.example\r\nApi-Key: wrong\r\n\r\n");
 
+const uploads = { connections: 400, bytesAhead: 900_000 } as const;
+
 const callerCrowds: readonly (readonly [title: string, crowd: Crowd])[] = [
     ...Object.entries({ ...anonymousContents, ...callerContents(callLines), "with a wrong key": wrongKey })
         .map(([title, content]) => [title, { content }] as const),
+    ["with large bodies", { ...uploads, content: uploadContent(callLines, 900_000) }],
+    ["with large bodies that never end", { ...uploads, content: unfinishedUpload(callLines, 990_000, 90_000) }],
+    ["with large bodies at paths without a route", {
+        ...uploads,
+        content: uploadContent(["POST /nowhere HTTP/1.1", "Host: a"], 900_000),
+    }],
 ];
 
 /** Further listeners of an entry, by title. */
