fix(connection): bound what processes may send before they have introduced themselves

A control process buffered frames of up to 8 MiB of any connection at the ports for its peers and entries, without a bound on their sum: 60 connections that sent peers' frames without end took it over 350 MB.

Cause: one limit for all frames, and none on connections.

The number of connections is limited as for clients.

Tests: 'peers' frames that never end' of tests/crowd/ failed before.

--- a/src/connection/control/entryConnection.ts
+++ b/src/connection/control/entryConnection.ts
@@ -15,7 +15,7 @@
 import type { ConditionVariable } from "../../util/conditionVariable.js";
 import { entryProtocolVersion, entryToControlSchema } from "../entryMessages.js";
 import type { ControlToEntry, EntryToControl } from "../entryMessages.js";
-import { MessageConnection } from "../messageConnection.js";
+import { defaultFirstFrameLimits, MessageConnection } from "../messageConnection.js";
 import type { ClaimMessage } from "./claimProposer.js";
 import { ClaimProposer, createUnconfirmedResponse } from "./claimProposer.js";
 
@@ -61,7 +61,7 @@
     private sentListingVersion = -1;
 
     constructor(socket: Socket, private readonly context: EntryConnectionContext) {
-        this.connection = new MessageConnection(socket, maximumFrameBytes);
+        this.connection = new MessageConnection(socket, maximumFrameBytes, defaultFirstFrameLimits);
     }
 
     /** Handles messages until the connection ends. */
--- a/src/connection/frameCodec.ts
+++ b/src/connection/frameCodec.ts
@@ -30,9 +30,21 @@
 export class FrameDecoder {
     private chunks: Buffer[] = [];
     private bufferedBytes = 0;
+    private hasFrame = false;
 
-    /** @param maximumBodyBytes Maximum size of a body, in bytes. */
-    constructor(private readonly maximumBodyBytes: number = maximumFrameBytes) {}
+    /**
+     * @param maximumBodyBytes Maximum size of a body, in bytes.
+     * @param maximumFirstBodyBytes Maximum size of the body of the first frame, in bytes.
+     */
+    constructor(
+        private readonly maximumBodyBytes: number = maximumFrameBytes,
+        private readonly maximumFirstBodyBytes: number = maximumBodyBytes,
+    ) {}
+
+    /** Whether a whole frame has been received. */
+    get hasReceivedFrame(): boolean {
+        return this.hasFrame;
+    }
 
     /**
      * Adds the next bytes of the stream.
@@ -48,12 +60,14 @@
                 return Ok(messages);
             }
             const length = this.peekLength();
-            if (length > this.maximumBodyBytes) {
-                return Err(failure("frameTooLarge", { length, limit: this.maximumBodyBytes }));
+            const limit = this.hasFrame ? this.maximumBodyBytes : this.maximumFirstBodyBytes;
+            if (length > limit) {
+                return Err(failure("frameTooLarge", { length, limit }));
             }
             if (this.bufferedBytes < lengthPrefixBytes + length) {
                 return Ok(messages);
             }
+            this.hasFrame = true;
             const frame = this.takeBytes(lengthPrefixBytes + length);
             try {
                 messages.push(decoder.decode(frame.subarray(lengthPrefixBytes)));
--- a/src/connection/hosted/entryLink.ts
+++ b/src/connection/hosted/entryLink.ts
@@ -11,7 +11,7 @@
 import type { MedianClock } from "../../util/medianClock.js";
 import type { SuspensionDetector } from "../../util/suspensionDetector.js";
 import { encodeFrame } from "../frameCodec.js";
-import { MessageConnection } from "../messageConnection.js";
+import { defaultFirstFrameLimits, MessageConnection } from "../messageConnection.js";
 import { entryMessageSchema, linkProtocolVersion } from "./linkMessages.js";
 import type { ControlMessage, EntryHeartbeat, EntryHello, EntryMessage, ListState } from "./linkMessages.js";
 import type { TrialRequest } from "./quarantineMessages.js";
@@ -65,7 +65,7 @@
     private observesEndpoints = false;
 
     constructor(socket: Socket, private readonly context: EntryLinkContext) {
-        this.connection = new MessageConnection(socket, maximumEntryFrameBytes);
+        this.connection = new MessageConnection(socket, maximumEntryFrameBytes, defaultFirstFrameLimits);
     }
 
     /** Handles messages until the connection is closed. */
--- a/src/connection/messageConnection.ts
+++ b/src/connection/messageConnection.ts
@@ -1,10 +1,23 @@
 import type { Socket } from "node:net";
 import type { Failure } from "../resultCode/resultCode.js";
+import type { Milliseconds } from "../util/clock.js";
+import { waitForSocketPoll } from "../util/waitForSocketPoll.js";
 import { encodeFrame, FrameDecoder, maximumFrameBytes } from "./frameCodec.js";
 
 /** Maximum number of unsent bytes; a connection with a slower receiver is destroyed. */
 const maximumUnsentBytes = 64 * 1024 * 1024;
 
+/** Limits on the first frame of an accepted connection, which introduces the other side. */
+export interface FirstFrameLimits {
+    /** Maximum size of the body, in bytes. */
+    readonly bytes: number;
+    /** Maximum time until it has been received. */
+    readonly timeout: Milliseconds;
+}
+
+/** Limits on the first frame of connections within an installation. */
+export const defaultFirstFrameLimits: FirstFrameLimits = { bytes: 16 * 1024, timeout: 10_000 };
+
 /** A TCP or TLS connection that carries framed messages in both directions. */
 export class MessageConnection implements Disposable {
     private readonly frameDecoder: FrameDecoder;
@@ -13,9 +26,17 @@
     /**
      * @param socket A socket, owned by this connection from now on.
      * @param frameLimit Maximum size of the body of a frame, in bytes.
+     * @param firstFrame Limits until the first frame has been received, for connections of processes that are not known.
      */
-    constructor(private readonly socket: Socket, frameLimit: number = maximumFrameBytes) {
-        this.frameDecoder = new FrameDecoder(frameLimit);
+    constructor(
+        private readonly socket: Socket,
+        frameLimit: number = maximumFrameBytes,
+        firstFrame?: FirstFrameLimits,
+    ) {
+        this.frameDecoder = new FrameDecoder(frameLimit, firstFrame?.bytes);
+        if (firstFrame !== undefined) {
+            this.startFirstFrameTimer(firstFrame.timeout);
+        }
         socket.setNoDelay(true);
         socket.on("error", () => socket.destroy());
     }
@@ -81,4 +102,18 @@
     [Symbol.dispose](): void {
         this.socket.destroy();
     }
+
+    private startFirstFrameTimer(timeout: Milliseconds): void {
+        const timer = setTimeout(() => {
+            // Frames may have arrived while this process was suspended.
+            void waitForSocketPoll().then(() => {
+                if (!this.frameDecoder.hasReceivedFrame) {
+                    this.socket.destroy();
+                }
+            });
+        }, timeout);
+        this.socket.once("close", () => {
+            clearTimeout(timer);
+        });
+    }
 }
--- a/src/connection/tcpPeerNetwork.ts
+++ b/src/connection/tcpPeerNetwork.ts
@@ -7,7 +7,8 @@
 import { Err, Ok } from "../util/result.js";
 import type { Result } from "../util/result.js";
 import { listen, splitAddress } from "../util/socketAddress.js";
-import { MessageConnection } from "./messageConnection.js";
+import { maximumFrameBytes } from "./frameCodec.js";
+import { defaultFirstFrameLimits, MessageConnection } from "./messageConnection.js";
 import { PeerClientConnection } from "./peerClientConnection.js";
 import type { PeerIdentity } from "./peerHello.js";
 import type { PeerRequest, PeerResponse } from "./peerMessage.js";
@@ -30,6 +31,9 @@
     readonly events: EventLog;
 }
 
+/** Maximum number of connections that other processes have opened; several times that of the members of a group. */
+const maximumAcceptedConnections = 500;
+
 /** An outgoing connection and the time at which it was opened. */
 interface OutgoingConnection {
     readonly connection: PeerClientConnection;
@@ -49,6 +53,7 @@
         this.server = security.createServer(socket => {
             void this.accept(socket);
         });
+        this.server.maxConnections = maximumAcceptedConnections;
     }
 
     /** Creates a network that listens on the address of the options. */
@@ -135,7 +140,7 @@
             identity: this.options.identity,
             events: this.options.events,
             handleRequest: async request => this.handleRequest(request),
-        }, new MessageConnection(socket));
+        }, new MessageConnection(socket, maximumFrameBytes, defaultFirstFrameLimits));
         this.acceptedConnections.add(connection);
         await connection.run();
         this.acceptedConnections.delete(connection);
--- a/src/process/control/controlProcess.ts
+++ b/src/process/control/controlProcess.ts
@@ -187,6 +187,7 @@
             socket.once("close", () => sockets.delete(socket));
             void new EntryConnection(socket, context).run();
         });
+        server.maxConnections = this.settings.connectionLimits.maximumConnections;
         this.store.defer(() => {
             server.close();
             sockets.forEach(socket => socket.destroy());
--- a/src/process/hosted/control/hostedControlProcess.ts
+++ b/src/process/hosted/control/hostedControlProcess.ts
@@ -324,6 +324,7 @@
         });
         const { name, host, firstInternalPort } = this.settings();
         const port = firstInternalPort + controlLinkPortOffset;
+        server.maxConnections = this.settings().connectionLimits.maximumConnections;
         await this.serve(server, `${host}:${port}`);
         const presenceLinks = new PresenceLinks({
             control: name,
--- a/tests/connection/frameCodec.test.ts
+++ b/tests/connection/frameCodec.test.ts
@@ -29,6 +29,14 @@
             t.is(result.err ? result.val.code : undefined, "frameTooLarge");
         });
 
+        // Guards against processes that send much before they have introduced themselves.
+        it("rejects a first frame above its own limit, and accepts such a frame later", t => {
+            const large = encodeFrame("x".repeat(50));
+            const first = new FrameDecoder(100, 20).push(large);
+            t.is(first.err ? first.val.code : undefined, "frameTooLarge");
+            t.true(new FrameDecoder(100, 20).push(Buffer.concat([encodeFrame("hello"), large])).ok);
+        });
+
         it("decodes or rejects any bytes without throwing", t => {
             fastCheck.assert(
                 fastCheck.property(fastCheck.uint8Array({ maxLength: 200 }), bytes => {
--- a/tests/crowd/hostedControlCrowd.test.ts
+++ b/tests/crowd/hostedControlCrowd.test.ts
@@ -1,7 +1,8 @@
+import { controlLinkPortOffset, peerPortOffset } from "../../src/connection/hosted/linkMessages.js";
 import { describe, itSerially } from "../describe.js";
 import { checkAgainstCrowd } from "./crowd.js";
 import type { Crowd } from "./crowd.js";
-import { anonymousContents, unfinishedUpload } from "./crowdContents.js";
+import { anonymousContents, unfinishedFrame, unfinishedUpload } from "./crowdContents.js";
 import { HostedPrograms } from "./hostedPrograms.js";
 
 const documentLines = ["POST /v1/configuration/replace HTTP/1.1", "Host: a"] as const;
@@ -32,4 +33,28 @@
             await checkAgainstCrowd(t, installation.controlTarget(installation.metricsAddress("control")), { content });
         });
     }
+
+    // Guards against frames of unknown processes that are buffered whole.
+    itSerially("stays within its memory while unknown processes send entries' frames that never end", async t => {
+        await using installation = await HostedPrograms.start(176);
+        const address = installation.internalAddress("control", controlLinkPortOffset);
+        const crowd = {
+            connections: 400,
+            content: unfinishedFrame(1_000_000).subarray(0, 990_000),
+            bytesAhead: 990_000,
+        };
+        await checkAgainstCrowd(t, installation.controlTarget(address), crowd);
+    });
+
+    // Guards against frames of unknown processes that are buffered whole.
+    itSerially("stays within its memory while unknown processes send peers' frames that never end", async t => {
+        await using installation = await HostedPrograms.start(177);
+        const address = installation.internalAddress("control", peerPortOffset);
+        const crowd = {
+            connections: 60,
+            content: unfinishedFrame(8_000_000).subarray(0, 7_900_000),
+            bytesAhead: 7_900_000,
+        };
+        await checkAgainstCrowd(t, installation.controlTarget(address), crowd);
+    });
 });
--- a/tests/crowd/ownCrowd.test.ts
+++ b/tests/crowd/ownCrowd.test.ts
@@ -2,7 +2,13 @@
 import { describe, itSerially } from "../describe.js";
 import { checkAgainstCrowd } from "./crowd.js";
 import type { Crowd } from "./crowd.js";
-import { anonymousContents, callerContents, unfinishedUpload, uploadContent } from "./crowdContents.js";
+import {
+    anonymousContents,
+    callerContents,
+    unfinishedFrame,
+    unfinishedUpload,
+    uploadContent,
+} from "./crowdContents.js";
 import { OwnPrograms } from "./ownPrograms.js";
 
 // The heap that the deploy file of the hosted installation states.
@@ -66,4 +72,14 @@
             bytesAhead: 12_000_000,
         });
     });
+
+    // Guards against frames of unknown processes that are buffered whole.
+    itSerially(
+        "control stays within its memory while unknown processes send entries' frames that never end",
+        async t => {
+            await using programs = await OwnPrograms.start();
+            const crowd = { connections: 120, content: unfinishedFrame(4_000_000), bytesAhead: 3_900_000 };
+            await checkAgainstCrowd(t, programs.entryLinkTarget, crowd);
+        },
+    );
 });
