fix(connection): do not count lost connections as invalid requests

Event 2004 and gullhall_connections_closed_total could name clients that had merely left, with reason requestInvalid: node:http reports errors of the connection, such as EPIPE, by the same event as those of its parser.

Change: only errors of the parser and of its timeouts count; other errors just end the connection. Found by reading; the new test pins the behaviour for resets, which were handled before as well, so it did not fail.

--- a/src/connection/server/httpListener.ts
+++ b/src/connection/server/httpListener.ts
@@ -142,11 +142,11 @@
      */
     private handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.connections.find(socket);
-        const reason = createClientErrorFailure(error);
-        if (connection === undefined || error.code === "ECONNRESET") {
+        if (connection === undefined || !isRequestError(error)) {
             socket.destroy();
             return;
         }
+        const reason = createClientErrorFailure(error);
         if (reason.code === "requestTooSlow" && connection.holdsBytes) {
             // The rest of the request has not been read because an earlier one is under way.
             return;
@@ -160,6 +160,11 @@
     }
 }
 
+/** Whether an error is one of the request, rather than of the connection. */
+function isRequestError({ code = "" }: NodeJS.ErrnoException): boolean {
+    return code.startsWith("HPE_") || code.startsWith("ERR_HTTP_");
+}
+
 function createClientErrorFailure(error: NodeJS.ErrnoException): Failure {
     if (error.code === "HPE_HEADER_OVERFLOW") {
         return failure("headersTooLarge");
--- a/tests/connection/server/httpListener.test.ts
+++ b/tests/connection/server/httpListener.test.ts
@@ -119,6 +119,24 @@
         });
     }
 
+    // Guards against metrics and log lines that blame clients whose connections are lost.
+    it("does not count a client that leaves as one that sends invalid requests", async t => {
+        await using listener = await TestListener.start({}, ({ url }, response) => {
+            const timer = setInterval(() => response.write(`part of ${url ?? ""}`), 1);
+            response.once("close", () => {
+                clearInterval(timer);
+            });
+        });
+        const socket = await openConnection(listener.address);
+        socket.write(`GET /a HTTP/1.1\r\n${host}\r\n`);
+        await once(socket, "data");
+        socket.resetAndDestroy();
+        while (!listener.metrics.includes("gullhall_connections{listener=\"test\"} 0")) {
+            await sleep(5);
+        }
+        t.regex(listener.metrics, /reason="requestInvalid"\} 0\n/);
+    });
+
     // Guards against header lines that are dropped without an error.
     it("delivers all header lines that fit into the size limit", async t => {
         await using listener = await TestListener.start();
