test(soak): clients that send requests ahead and read nothing

They draw from sources of their own, so that the faults of a seed stay the same; the seeds of the test command play without them.

--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -8,7 +8,7 @@
 import { integerRange } from "./integerRange.js";
 import { runSoak } from "./soakRun.js";
 
-const { seeds, from, jobs, network, seconds, controls, entries, engines, desks, callers, stops } = yargs(
+const { seeds, from, jobs, network, seconds, controls, entries, engines, desks, callers, unruly, stops } = yargs(
     hideBin(process.argv),
 )
     .option("seeds", { type: "number", default: 10, describe: "Number of seeds to run." })
@@ -25,6 +25,11 @@
     .option("engines", { type: "number", default: defaultSize.engines })
     .option("desks", { type: "number", default: defaultSize.desks })
     .option("callers", { type: "number", default: 12 })
+    .option("unruly", {
+        type: "number",
+        default: 6,
+        describe: "Connections of clients that send requests ahead and read nothing.",
+    })
     .option("stops", { type: "number", default: 2, describe: "Rounds of planned stops after the recovery." })
     .strict()
     .parseSync();
@@ -41,6 +46,7 @@
             folder,
             size: { controls, entries, engines, desks },
             callers,
+            unrulyClients: unruly,
             faultPeriod: seconds * 1_000,
             stopRounds: stops,
             maximumRecoveryTime: 12_000,
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -7,6 +7,7 @@
 import { HarmfulCallers } from "./outside/harmfulCallers.js";
 import { SoakCallers } from "./outside/soakCallers.js";
 import { SoakOperator } from "./outside/soakOperator.js";
+import { UnrulyClients } from "./outside/unrulyClients.js";
 import { PlannedStops } from "./plannedStops.js";
 import type { InstallationSize } from "./soakInstallation.js";
 import { recoveryTimeBound, SoakInstallation } from "./soakInstallation.js";
@@ -58,6 +59,8 @@
     readonly size: InstallationSize;
     /** Number of concurrent callers, and of further ones that stay with an entry as long as it is there. */
     readonly callers: number;
+    /** Number of connections of clients that send requests ahead and read nothing; 0 by default. */
+    readonly unrulyClients?: number;
     /** Period during which new faults are injected. */
     readonly faultPeriod: Milliseconds;
     /** Number of rounds of planned stops after the recovery. */
@@ -126,6 +129,11 @@
         for (let caller = 0; caller < this.options.callers; caller++) {
             tasks.push(callers.run(false), callers.run(true));
         }
+        for (let client = 0; client < (this.options.unrulyClients ?? 0); client++) {
+            // Sources of their own, so that the faults of a seed stay the same.
+            const random = new RandomSource(this.options.seed + 1_000_000 + client);
+            tasks.push(new UnrulyClients(this.installation, random, signal).run());
+        }
         const harmfulCallers = this.createHarmfulCallers();
         tasks.push(harmfulCallers.run());
         await this.injectFaults();
