fix(connection): name slow requests stalled, not invalid, when their connection is closed

Connections that a caller opens early and leaves unused end by the timeout for headers. Event 2004 and the metric called them requestInvalid. They are requestStalled now, as are requests whose rest does not arrive. Found by reading; no behaviour but the label changes. Also removes an unused member of RequestMemory.

--- a/src/connection/server/httpListener.ts
+++ b/src/connection/server/httpListener.ts
@@ -151,7 +151,8 @@
             // The rest of the request has not been read because an earlier one is under way.
             return;
         }
-        this.connections.recordClosed(connection.socket, "requestInvalid");
+        const closeReason = reason.code === "requestTooSlow" ? "requestStalled" : "requestInvalid";
+        this.connections.recordClosed(connection.socket, closeReason);
         if (connection.hasCompleteRequest || connection.hasBegunResponse) {
             connection.abandon();
             return;
--- a/src/connection/server/requestMemory.ts
+++ b/src/connection/server/requestMemory.ts
@@ -9,9 +9,6 @@
 /** Fraction of the free memory that one reservation may take, so that large requests leave room for small ones. */
 const maximumReservationFraction = 1 / 4;
 
-/** Fraction of the memory above which it is scarce. */
-const scarceFraction = 1 / 2;
-
 const reservations = new WeakMap<IncomingMessage, RequestReservation>();
 
 /** Budget for the memory of the requests that are under way. */
@@ -26,11 +23,6 @@
         return this.reservedBytes;
     }
 
-    /** Whether so much is reserved that clients should wait for the responses to their earlier requests. */
-    get isScarce(): boolean {
-        return this.reservedBytes > this.capacity() * scarceFraction;
-    }
-
     /** Reserves memory for the headers of a request; undefined if there is too little. */
     reserve(request: IncomingMessage): RequestReservation | undefined {
         const reservation = new RequestReservation(this);
