--- a/review/lib-3/kit.mjs
+++ b/review/lib-3/kit.mjs
@@ -231,8 +231,12 @@
         return `${entry.host}:${this.ports.frontend}`;
     }
 
-    /** Sends a desired state as the operator does, to one process after the other, until it is acknowledged. */
-    async applyDesiredState(document, timeout = 20_000) {
+    /**
+     * Sends a desired state as the operator does, to one process after the other, until an answer ends the call.
+     *
+     * @returns The status of that answer: 200, or 4xx if the desired state was refused.
+     */
+    async sendDesiredState(document, timeout = 20_000) {
         const body = JSON.stringify(document);
         const deadline = performance.now() + timeout;
         for (let attempt = 0; performance.now() < deadline; attempt++) {
@@ -245,8 +249,8 @@
                     body,
                     timeout: 1_000,
                 });
-                if (answer.status === 200) {
-                    return;
+                if ([200, 400, 409, 412, 413, 422].includes(answer.status)) {
+                    return answer.status;
                 }
                 if (answer.status !== 307) {
                     break;
@@ -255,7 +259,29 @@
             }
             await sleep(200);
         }
-        throw new Error("the desired state was not acknowledged");
+        throw new Error("the desired state was not answered");
+    }
+
+    /** Sends a desired state until it is acknowledged. */
+    async applyDesiredState(document) {
+        const status = await this.sendDesiredState(document);
+        if (status !== 200) {
+            throw new Error(`the desired state was refused with ${status}`);
+        }
+    }
+
+    /** Reads the newest desired state from one process after the other. */
+    async fetchDesiredState(timeout = 10_000) {
+        const deadline = performance.now() + timeout;
+        for (let attempt = 0; performance.now() < deadline; attempt++) {
+            const address = this.operatorAddress(this.controls[attempt % this.controls.length]);
+            const answer = await exchange(address, { path: "/v1/configuration/fetch", timeout: 1_000 });
+            if (answer.status === 200) {
+                return JSON.parse(answer.body);
+            }
+            await sleep(100);
+        }
+        throw new Error("the desired state could not be read");
     }
 
     async waitUntilReady(entries = this.entries, timeout = 25_000) {
