Read TROUBLE in the review cases themselves

Cause: a check of the folder's form found nothing in review/11 that reads TROUBLE; it was read in the shared kit alone.

--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -2,13 +2,13 @@
 import { Buffer } from "node:buffer";
 import { dirname } from "node:path";
 import { performance } from "node:perf_hooks";
+import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import {
     bounds,
     desiredState,
     exchange,
-    hasTrouble,
     Installation,
     Platform,
     recordCalls,
@@ -28,7 +28,10 @@
     Buffer.from("\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold-remaining-ms\":0}"),
 ]);
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (record, cleanUp) => {
+/** Whether the case plays its disruption: not with TROUBLE=0. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+await runCase(dirname(fileURLToPath(import.meta.url)), hasTrouble, async (record, cleanUp) => {
     const platform = await Platform.start();
     cleanUp(() => platform.stop());
     let hasUnreadableEntry = false;
--- a/review/lib-3/kit.mjs
+++ b/review/lib-3/kit.mjs
@@ -27,9 +27,6 @@
     control: ["--max-old-space-size=160", "target/bundle/hosted/gullhallHostedControl.mjs"],
 };
 
-/** Whether the case plays its disruption. */
-export const hasTrouble = process.env.TROUBLE !== "0";
-
 /** The bounds of the small deployments (SYSTEM.md). */
 export const bounds = {
     "seed-lag-s": 3,
@@ -65,7 +62,7 @@
     #startedAt = performance.now();
     #path;
 
-    constructor(caseFolder) {
+    constructor(caseFolder, hasTrouble) {
         this.#path = join(caseFolder, "record.txt");
         writeFileSync(this.#path, `trouble: ${hasTrouble ? "yes" : "no"}\n`);
     }
@@ -535,10 +532,11 @@
 /**
  * Runs a case and exits: 1 if `play` returns findings, 0 if it returns none, 2 if it fails.
  *
+ * @param hasTrouble Whether the case plays its disruption.
  * @param play Returns the broken rules, as lines of text; registers what must be stopped with `cleanUp`.
  */
-export async function runCase(caseFolder, play) {
-    const record = new Record(caseFolder);
+export async function runCase(caseFolder, hasTrouble, play) {
+    const record = new Record(caseFolder, hasTrouble);
     const cleanUps = [];
     const limit = setTimeout(() => process.exit(2), 118_000);
     let code = 2;
